--- /dev/null
+++ b/cli/cmd/filberthoist/main.go
@@ -0,0 +1,13 @@
+// Command filberthoist operates a deployment.
+package main
+
+import (
+	"os"
+
+	"github.com/filberthoist/filberthoist/cli/commander"
+)
+
+func main() {
+	c := commander.NewCommander(commander.Config{Out: os.Stdout, Err: os.Stderr})
+	os.Exit(c.Run(os.Args[1:]))
+}
--- /dev/null
+++ b/control/administrator/administrator.go
@@ -0,0 +1,204 @@
+// Package administrator serves operators: submits, status and the repair of members.
+package administrator
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/filberthoist/filberthoist/control/applier"
+	"github.com/filberthoist/filberthoist/control/distributor"
+	"github.com/filberthoist/filberthoist/control/messenger"
+	"github.com/filberthoist/filberthoist/control/replicator"
+	"github.com/filberthoist/filberthoist/control/sequencer"
+	"github.com/filberthoist/filberthoist/core/connector"
+	"github.com/filberthoist/filberthoist/core/digester"
+	"github.com/filberthoist/filberthoist/core/loader"
+	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/core/wire/wireconnect"
+)
+
+// Times that bound an operator's call.
+const (
+	submitTimeout  = 5 * time.Second
+	confirmTimeout = 2 * time.Second
+	askTimeout     = 2 * time.Second
+	formTimeout    = 20 * time.Second
+	formPoll       = 100 * time.Millisecond
+)
+
+// Config sets up an Administrator.
+type Config struct {
+	Name        string
+	PeerAddress string
+	// Peers are the addresses of the other first members.
+	Peers       []string
+	Clock       timekeeper.Clock
+	Logger      logger.Logger
+	Connector   *connector.Connector
+	Sequencer   *sequencer.Sequencer
+	State       *applier.State
+	Distributor *distributor.Distributor
+	Messenger   *messenger.Messenger
+}
+
+// Administrator answers operators on any control member; it passes on what only the
+// leader can answer.
+type Administrator struct {
+	config Config
+	client *http.Client
+}
+
+// NewAdministrator returns an Administrator.
+func NewAdministrator(c Config) *Administrator {
+	return &Administrator{config: c, client: c.Connector.Client()}
+}
+
+// Submit proposes a text. Its answer is unknown only if the text may still be accepted.
+func (a *Administrator) Submit(ctx context.Context, q *connect.Request[wire.SubmitRequest]) (*connect.Response[wire.SubmitResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	if !q.Msg.GetForwarded() {
+		q.Msg.Operator = operatorOf(ctx)
+	}
+	if a.leads() {
+		return connect.NewResponse(a.submit(ctx, q.Msg)), nil
+	}
+	leader, err := a.leader(q.Msg.GetForwarded())
+	if err != nil {
+		return nil, err
+	}
+	q.Msg.Forwarded = true
+	r, err := leader.Submit(ctx, connect.NewRequest(q.Msg))
+	if err != nil {
+		return connect.NewResponse(&wire.SubmitResponse{Reasons: []string{"the leader did not answer"}}), nil
+	}
+	return connect.NewResponse(r.Msg), nil
+}
+
+// Status describes the deployment as the leader sees it, or as far as known here.
+func (a *Administrator) Status(ctx context.Context, q *connect.Request[wire.StatusRequest]) (*connect.Response[wire.StatusResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if a.leads() {
+		return connect.NewResponse(a.status(a.config.Sequencer.Confirm(ctx) == nil)), nil
+	}
+	if leader, err := a.leader(q.Msg.GetForwarded()); err == nil {
+		r, err := leader.Status(ctx, connect.NewRequest(&wire.StatusRequest{Forwarded: true}))
+		if err == nil {
+			return connect.NewResponse(r.Msg), nil
+		}
+	}
+	return connect.NewResponse(a.status(false)), nil
+}
+
+// Fetch returns the text in force.
+func (a *Administrator) Fetch(ctx context.Context, q *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if !a.leads() {
+		leader, err := a.leader(q.Msg.GetForwarded())
+		if err != nil {
+			return nil, err
+		}
+		q.Msg.Forwarded = true
+		return leader.Fetch(ctx, connect.NewRequest(q.Msg))
+	}
+	if err := a.config.Sequencer.Confirm(ctx); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.Wrap(err, "no quorum answers"))
+	}
+	var sections []loader.Section
+	for _, s := range a.config.State.Sections() {
+		sections = append(sections, wire.FromTextSection(s))
+	}
+	out := &wire.FetchResponse{Text: loader.Join(parser.Sort(sections)), Revision: a.config.State.Head().GetRevision()}
+	return connect.NewResponse(out), nil
+}
+
+func (a *Administrator) leads() bool {
+	return a.config.Sequencer.View().Standing == replicator.Leader
+}
+
+// leader returns a client of the leader, unless the call was passed on already.
+func (a *Administrator) leader(forwarded bool) (wireconnect.AdministrationServiceClient, error) {
+	m := a.config.Sequencer.View().Leader()
+	if m == nil || forwarded {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("no leader is known; nothing was done"))
+	}
+	return wireconnect.NewAdministrationServiceClient(a.client, a.config.Connector.URL(m.GetAddress())), nil
+}
+
+func (a *Administrator) submit(ctx context.Context, r *wire.SubmitRequest) *wire.SubmitResponse {
+	command, problems := compile(r)
+	if len(problems) > 0 {
+		a.config.Logger.Log(logger.TextRefused, logger.F("operator", r.GetOperator()), logger.F("problems", len(problems)))
+		return &wire.SubmitResponse{Result: wire.SubmitResult_SUBMIT_RESULT_REFUSED, Reasons: problems.Lines()}
+	}
+	out, err := a.config.Sequencer.Propose(ctx, &wire.Command{Kind: &wire.Command_Submit{Submit: command}})
+	if err != nil {
+		return &wire.SubmitResponse{Reasons: []string{err.Error()}}
+	}
+	event := logger.TextRefused
+	if out.Submit == wire.SubmitResult_SUBMIT_RESULT_ACCEPTED {
+		event = logger.TextAccepted
+	}
+	a.config.Logger.Log(event, logger.F("operator", r.GetOperator()), logger.F("revision", command.GetRevision()),
+		logger.F("result", out.Submit.String()))
+	return &wire.SubmitResponse{
+		Result: out.Submit, Revision: out.Revision.GetRevision(), Index: out.Revision.GetIndex(), Winner: out.Revision,
+	}
+}
+
+// compile checks a text and makes the command that proposes it.
+func compile(r *wire.SubmitRequest) (*wire.SubmitCommand, loader.Problems) {
+	sections, problems := loader.Split([]byte(r.GetText()))
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	c, problems := parser.Compile(sections)
+	if c == nil {
+		return nil, problems
+	}
+	out := &wire.SubmitCommand{Revision: c.Revision, Operator: r.GetOperator(), Digest: digester.Text(loader.Join(parser.Sort(sections)))}
+	for _, s := range sections {
+		out.Sections = append(out.Sections, wire.ToTextSection(s))
+	}
+	return out, nil
+}
+
+func (a *Administrator) status(confirmed bool) *wire.StatusResponse {
+	v := a.config.Sequencer.View()
+	out := &wire.StatusResponse{
+		Member:   a.config.Name,
+		Leader:   v.Leader().GetName(),
+		Quorum:   confirmed,
+		Revision: a.config.State.Head().GetRevision(),
+		Index:    a.config.State.Index(),
+		Members:  v.Members.GetMembers(),
+	}
+	out.InForceIndex, _ = a.config.Distributor.InForce()
+	now := a.config.Clock.Now()
+	for _, c := range a.config.Distributor.Callers() {
+		out.Entries = append(out.Entries, &wire.EntryStatus{
+			Member:           c.Member,
+			Applied:          c.Applied,
+			SecondsSincePoll: (now - c.Asked).Seconds(),
+			LeaseLapsed:      now-c.Fresh > timekeeper.FreshnessLease+timekeeper.DriftMargin,
+		})
+	}
+	sort.Slice(out.Entries, func(i, j int) bool {
+		return out.Entries[i].GetMember().GetName() < out.Entries[j].GetMember().GetName()
+	})
+	for _, r := range a.config.State.Roles() {
+		out.Roles = append(out.Roles, r)
+	}
+	sort.Slice(out.Roles, func(i, j int) bool { return out.Roles[i].GetName() < out.Roles[j].GetName() })
+	return out
+}
--- /dev/null
+++ b/control/applier/applier_test.go
@@ -0,0 +1,139 @@
+package applier
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/filberthoist/filberthoist/core/asserter"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+func TestSubmit(t *testing.T) {
+	accepted, conflict := wire.SubmitResult_SUBMIT_RESULT_ACCEPTED, wire.SubmitResult_SUBMIT_RESULT_CONFLICT
+	cases := []struct {
+		name     string
+		revision uint64
+		digest   string
+		want     wire.SubmitResult
+		winner   string
+	}{
+		{"next revision", 3, "c", accepted, "c"},
+		{"resent head", 2, "b", accepted, "b"},
+		{"resent past", 1, "a", accepted, "a"},
+		{"equal number, other text", 2, "x", conflict, "b"},
+		{"past number, other text", 1, "x", conflict, "a"},
+		{"number ahead", 4, "x", conflict, "b"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewState(asserter.NewPanicking())
+			submit(t, s, 1, "a")
+			submit(t, s, 2, "b")
+			r := submit(t, s, c.revision, c.digest)
+			is := is.New(t)
+			is.Equal(r.Submit, c.want)
+			is.Equal(r.Revision.GetDigest(), c.winner)
+		})
+	}
+}
+
+func TestRoles(t *testing.T) {
+	is := is.New(t)
+	s := NewState(asserter.NewPanicking())
+	assign := func(epoch uint64, holder string, vacant bool) bool {
+		r := &wire.Role{Name: "team/a", Holder: holder, Epoch: epoch, Vacant: vacant}
+		return apply(t, s, &wire.Command{Kind: &wire.Command_AssignRole{AssignRole: &wire.AssignRoleCommand{Role: r}}}).Done
+	}
+	is.True(assign(1, "one", false))
+	is.True(!assign(1, "two", false)) // the epoch is taken
+	is.True(assign(1, "one", true))
+	is.True(!assign(1, "one", true))
+	is.True(assign(2, "two", false))
+	is.Equal(s.Roles()["team/a"].GetHolder(), "two")
+}
+
+// TestDeltas checks that a follower of deltas ends with what a snapshot gives.
+func TestDeltas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState(asserter.NewPanicking())
+		follower := map[string]string{}
+		at := uint64(0)
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			sections := drawSections(t)
+			c := &wire.SubmitCommand{Revision: s.Head().GetRevision() + 1, Digest: fmt.Sprint(i), Sections: sections}
+			apply(t, s, &wire.Command{Kind: &wire.Command_Submit{Submit: c}})
+			if rapid.Bool().Draw(t, "restore") {
+				s = restored(t, s)
+			}
+			if rapid.Bool().Draw(t, "poll") {
+				at = follow(s, follower, at)
+			}
+		}
+		follow(s, follower, at)
+		whole := map[string]string{}
+		follow(s, whole, 0)
+		if fmt.Sprint(follower) != fmt.Sprint(whole) {
+			t.Fatalf("deltas lead to %v, the snapshot to %v", follower, whole)
+		}
+	})
+}
+
+func follow(s *State, into map[string]string, at uint64) uint64 {
+	records, to, whole := s.Since(at)
+	if whole {
+		clear(into)
+	}
+	for _, r := range records {
+		if r.GetDeleted() {
+			delete(into, r.GetKey())
+			continue
+		}
+		into[r.GetKey()] = string(r.GetValue())
+	}
+	return to
+}
+
+func drawSections(t *rapid.T) []*wire.TextSection {
+	var out []*wire.TextSection
+	for _, n := range []string{"a", "b", "c", "d"} {
+		if rapid.Bool().Draw(t, n) {
+			v := rapid.StringMatching("[xy]").Draw(t, "value")
+			out = append(out, &wire.TextSection{Name: n, Keys: []*wire.TextKey{{Name: "k", Value: v}}})
+		}
+	}
+	return out
+}
+
+// tester is what both kinds of test have.
+type tester interface {
+	Fatal(args ...any)
+}
+
+func restored(t tester, s *State) *State {
+	b, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := NewState(asserter.NewPanicking())
+	if err := n.Restore(s.Index(), b); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func submit(t tester, s *State, revision uint64, digest string) Result {
+	c := &wire.SubmitCommand{Revision: revision, Digest: digest}
+	return apply(t, s, &wire.Command{Kind: &wire.Command_Submit{Submit: c}})
+}
+
+func apply(t tester, s *State, c *wire.Command) Result {
+	b, err := proto.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Apply(s.Index()+1, b)
+}
--- /dev/null
+++ b/control/applier/apply.go
@@ -0,0 +1,176 @@
+package applier
+
+import (
+	"bytes"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// Result is the outcome of one applied command.
+type Result struct {
+	Submit   wire.SubmitResult
+	Revision *wire.RevisionRecord
+	// Done tells whether a command other than a submit took effect.
+	Done bool
+}
+
+// Apply applies the command of one log entry; empty commands only advance the index.
+func (s *State) Apply(index uint64, command []byte) Result {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.assert.That(index == s.index+1, "appliedMonotonic", "apply %d after %d", index, s.index)
+	s.index = index
+	var c wire.Command
+	err := proto.Unmarshal(command, &c)
+	s.assert.That(err == nil, "commandReadable", "index %d: %v", index, err)
+	var out Result
+	switch k := c.GetKind().(type) {
+	case *wire.Command_Submit:
+		out = s.applySubmit(k.Submit)
+	case *wire.Command_PutEntry:
+		out.Done = s.put(EntryPrefix+k.PutEntry.GetMember().GetName(), k.PutEntry.GetMember())
+	case *wire.Command_RemoveEntry:
+		out.Done = s.removeEntry(k.RemoveEntry)
+	case *wire.Command_AssignRole:
+		out.Done = s.assignRole(k.AssignRole.GetRole())
+	}
+	s.prune()
+	return out
+}
+
+// applySubmit accepts a text whose revision follows the one in force.
+func (s *State) applySubmit(c *wire.SubmitCommand) Result {
+	head := s.revision(HeadKey)
+	if c.GetRevision() != head.GetRevision()+1 {
+		return s.judgeOld(c, head)
+	}
+	now := &wire.RevisionRecord{
+		Revision: c.GetRevision(), Digest: c.GetDigest(), Operator: c.GetOperator(), Index: s.index,
+	}
+	s.putText(c.GetSections())
+	s.put(HeadKey, now)
+	s.put(revisionKey(now.GetRevision()), now)
+	if now.GetRevision() > KeptRevisions {
+		s.delete(revisionKey(now.GetRevision() - KeptRevisions))
+	}
+	return Result{Submit: wire.SubmitResult_SUBMIT_RESULT_ACCEPTED, Revision: now}
+}
+
+// judgeOld answers a text whose turn it is not: a resent one gets its first answer again.
+func (s *State) judgeOld(c *wire.SubmitCommand, head *wire.RevisionRecord) Result {
+	past := s.revision(revisionKey(c.GetRevision()))
+	if past.GetRevision() == c.GetRevision() && past.GetDigest() == c.GetDigest() {
+		return Result{Submit: wire.SubmitResult_SUBMIT_RESULT_ACCEPTED, Revision: past}
+	}
+	if past.GetRevision() == c.GetRevision() && past.GetRevision() > 0 {
+		return Result{Submit: wire.SubmitResult_SUBMIT_RESULT_CONFLICT, Revision: past}
+	}
+	return Result{Submit: wire.SubmitResult_SUBMIT_RESULT_CONFLICT, Revision: head}
+}
+
+func (s *State) putText(sections []*wire.TextSection) {
+	kept := map[string]bool{}
+	for _, t := range sections {
+		key := TextPrefix + t.GetName()
+		kept[key] = true
+		s.put(key, t)
+	}
+	for _, k := range s.sortedKeys() {
+		if strings.HasPrefix(k, TextPrefix) && !kept[k] {
+			s.delete(k)
+		}
+	}
+}
+
+func (s *State) removeEntry(c *wire.RemoveEntryCommand) bool {
+	key := EntryPrefix + c.GetName()
+	r := s.records[key]
+	if r == nil || r.GetDeleted() {
+		return false
+	}
+	var m wire.EntryMember
+	s.decode(r, &m)
+	if m.GetIncarnation() != c.GetIncarnation() {
+		return false
+	}
+	s.delete(key)
+	return true
+}
+
+// assignRole takes a role over if its epoch follows, or marks the same epoch vacant.
+func (s *State) assignRole(n *wire.Role) bool {
+	key := RolePrefix + n.GetName()
+	var old wire.Role
+	if r := s.records[key]; r != nil {
+		s.decode(r, &old)
+	}
+	next := n.GetEpoch() == old.GetEpoch()+1 && !n.GetVacant()
+	vacated := n.GetEpoch() == old.GetEpoch() && n.GetVacant() && !old.GetVacant()
+	if !next && !vacated {
+		return false
+	}
+	return s.put(key, n)
+}
+
+// put writes a record unless it is there already, and tells whether it wrote.
+func (s *State) put(key string, m proto.Message) bool {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	s.assert.That(err == nil, "recordWritable", "%s: %v", key, err)
+	old := s.records[key]
+	if old != nil && !old.GetDeleted() && bytes.Equal(old.GetValue(), b) {
+		return false
+	}
+	if old.GetDeleted() {
+		s.tombstones--
+	}
+	s.record(&wire.Record{Key: key, Value: b, Index: s.index})
+	return true
+}
+
+func (s *State) delete(key string) {
+	if old := s.records[key]; old == nil || old.GetDeleted() {
+		return
+	}
+	if !Distributed(key) {
+		delete(s.records, key)
+		return
+	}
+	s.tombstones++
+	s.record(&wire.Record{Key: key, Index: s.index, Deleted: true})
+}
+
+func (s *State) record(r *wire.Record) {
+	s.records[r.GetKey()] = r
+	s.changes = append(s.changes, change{r.GetIndex(), r.GetKey()})
+}
+
+// prune drops stale changes, and tombstones once there are too many.
+func (s *State) prune() {
+	if s.tombstones > maxTombstones {
+		s.dropTombstones()
+	}
+	if len(s.changes) <= 2*len(s.records)+16 {
+		return
+	}
+	live := s.changes[:0]
+	for _, c := range s.changes {
+		if r := s.records[c.key]; r != nil && r.GetIndex() == c.index {
+			live = append(live, c)
+		}
+	}
+	s.changes = live
+}
+
+func (s *State) dropTombstones() {
+	for k, r := range s.records {
+		if !r.GetDeleted() {
+			continue
+		}
+		s.floor = max(s.floor, r.GetIndex())
+		delete(s.records, k)
+	}
+	s.tombstones = 0
+}
--- /dev/null
+++ b/control/applier/keys.go
@@ -0,0 +1,25 @@
+package applier
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Prefixes of the keys of records.
+const (
+	TextPrefix     = "text/"
+	EntryPrefix    = "entry/"
+	RolePrefix     = "role/"
+	revisionPrefix = "revision/"
+	// HeadKey holds the RevisionRecord of the text in force.
+	HeadKey = "head"
+)
+
+// Distributed tells whether entries need the record of a key.
+func Distributed(key string) bool {
+	return !strings.HasPrefix(key, revisionPrefix)
+}
+
+func revisionKey(revision uint64) string {
+	return fmt.Sprintf("%s%020d", revisionPrefix, revision)
+}
--- /dev/null
+++ b/control/applier/state.go
@@ -0,0 +1,199 @@
+// Package applier applies committed commands to the replicated state.
+//
+// The state is a set of records, each with the index of the log entry that wrote it
+// last, so that the difference between two indexes is a list of records.
+package applier
+
+import (
+	"sort"
+	"strings"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/filberthoist/filberthoist/core/asserter"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// Bounds of what the state remembers.
+const (
+	// KeptRevisions is how many accepted revisions a resent text is recognised among.
+	KeptRevisions = 1000
+	// maxTombstones bounds the deleted records kept for differences.
+	maxTombstones = 4096
+)
+
+// State is the replicated state. It is safe for concurrent use.
+type State struct {
+	assert  *asserter.Asserter
+	mutex   sync.RWMutex
+	index   uint64
+	floor   uint64
+	records map[string]*wire.Record
+	// changes lists the keys in the order of their last change; older items are stale.
+	changes    []change
+	tombstones int
+}
+
+type change struct {
+	index uint64
+	key   string
+}
+
+// NewState returns an empty state.
+func NewState(a *asserter.Asserter) *State {
+	return &State{assert: a, records: map[string]*wire.Record{}}
+}
+
+// Index returns the index of the last applied entry.
+func (s *State) Index() uint64 {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.index
+}
+
+// Snapshot returns the whole state in its encoded form.
+func (s *State) Snapshot() ([]byte, error) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	out := &wire.StateSnapshot{Index: s.index, Floor: s.floor}
+	for _, k := range s.sortedKeys() {
+		out.Records = append(out.Records, s.records[k])
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(out)
+}
+
+// Restore replaces the state by a snapshot taken at index. No data is the empty state.
+func (s *State) Restore(index uint64, data []byte) error {
+	var in wire.StateSnapshot
+	if err := proto.Unmarshal(data, &in); err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.assert.That(index >= s.index, "appliedMonotonic", "restore at %d, applied %d", index, s.index)
+	s.index, s.floor = index, in.GetFloor()
+	s.records = map[string]*wire.Record{}
+	s.changes, s.tombstones = nil, 0
+	for _, r := range in.GetRecords() {
+		s.records[r.GetKey()] = r
+		s.changes = append(s.changes, change{r.GetIndex(), r.GetKey()})
+		if r.GetDeleted() {
+			s.tombstones++
+		}
+	}
+	sort.SliceStable(s.changes, func(i, j int) bool { return s.changes[i].index < s.changes[j].index })
+	return nil
+}
+
+// Since returns the distributed records changed after an index, and the index they
+// lead to. whole tells that they are the whole state, since the difference is not known.
+func (s *State) Since(index uint64) (records []*wire.Record, to uint64, whole bool) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	if index < s.floor || index > s.index || index == 0 {
+		return s.all(), s.index, true
+	}
+	from := sort.Search(len(s.changes), func(i int) bool { return s.changes[i].index > index })
+	for _, c := range s.changes[from:] {
+		r := s.records[c.key]
+		if r != nil && r.GetIndex() == c.index && Distributed(c.key) {
+			records = append(records, r)
+		}
+	}
+	return records, s.index, false
+}
+
+// ChangedSince tells whether a distributed record changed after an index.
+func (s *State) ChangedSince(index uint64) bool {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	for i := len(s.changes) - 1; i >= 0 && s.changes[i].index > index; i-- {
+		if Distributed(s.changes[i].key) {
+			return true
+		}
+	}
+	return index < s.floor || index == 0
+}
+
+// Head returns the revision in force; a zero record means that there is none yet.
+func (s *State) Head() *wire.RevisionRecord {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.revision(HeadKey)
+}
+
+// Sections returns the sections of the text in force.
+func (s *State) Sections() []*wire.TextSection {
+	var out []*wire.TextSection
+	s.each(TextPrefix, func(r *wire.Record) {
+		section := &wire.TextSection{}
+		s.decode(r, section)
+		out = append(out, section)
+	})
+	return out
+}
+
+// Entries returns the entries by name.
+func (s *State) Entries() map[string]*wire.EntryMember {
+	out := map[string]*wire.EntryMember{}
+	s.each(EntryPrefix, func(r *wire.Record) {
+		m := &wire.EntryMember{}
+		s.decode(r, m)
+		out[m.GetName()] = m
+	})
+	return out
+}
+
+// Roles returns the roles by name.
+func (s *State) Roles() map[string]*wire.Role {
+	out := map[string]*wire.Role{}
+	s.each(RolePrefix, func(r *wire.Record) {
+		m := &wire.Role{}
+		s.decode(r, m)
+		out[m.GetName()] = m
+	})
+	return out
+}
+
+func (s *State) each(prefix string, visit func(*wire.Record)) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	for _, k := range s.sortedKeys() {
+		if r := s.records[k]; strings.HasPrefix(k, prefix) && !r.GetDeleted() {
+			visit(r)
+		}
+	}
+}
+
+func (s *State) all() []*wire.Record {
+	var out []*wire.Record
+	for _, k := range s.sortedKeys() {
+		if r := s.records[k]; !r.GetDeleted() && Distributed(k) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (s *State) sortedKeys() []string {
+	keys := make([]string, 0, len(s.records))
+	for k := range s.records {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (s *State) revision(key string) *wire.RevisionRecord {
+	out := &wire.RevisionRecord{}
+	if r := s.records[key]; r != nil && !r.GetDeleted() {
+		s.decode(r, out)
+	}
+	return out
+}
+
+func (s *State) decode(r *wire.Record, into proto.Message) {
+	err := proto.Unmarshal(r.GetValue(), into)
+	s.assert.That(err == nil, "recordReadable", "%s: %v", r.GetKey(), err)
+}
--- /dev/null
+++ b/control/cmd/filberthoist-control/main.go
@@ -0,0 +1,22 @@
+// Command filberthoist-control keeps the state of a deployment on a VM with a disk.
+package main
+
+import (
+	"os"
+
+	"go.uber.org/fx"
+
+	"github.com/filberthoist/filberthoist/control"
+	"github.com/filberthoist/filberthoist/core/starter"
+)
+
+func main() {
+	os.Exit(starter.Main(starter.Config{
+		Use:   "filberthoist-control",
+		Short: "Keeps the state of a filberthoist deployment",
+		Read: func(s starter.Source) (func() *fx.App, error) {
+			settings, err := control.ReadSettings(s)
+			return func() *fx.App { return control.New(settings) }, err
+		},
+	}))
+}
--- /dev/null
+++ b/control/coordinator/coordinator.go
@@ -0,0 +1,118 @@
+// Package coordinator keeps the list of entries, and gives each role to one entry under
+// an epoch, never to two that can both act.
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/filberthoist/filberthoist/control/applier"
+	"github.com/filberthoist/filberthoist/control/distributor"
+	"github.com/filberthoist/filberthoist/control/sequencer"
+	"github.com/filberthoist/filberthoist/core/loader"
+	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// Times of the coordinator.
+const (
+	planInterval   = 50 * time.Millisecond
+	proposeTimeout = 2 * time.Second
+)
+
+// Config sets up a Coordinator.
+type Config struct {
+	Clock       timekeeper.Clock
+	Logger      logger.Logger
+	Sequencer   *sequencer.Sequencer
+	State       *applier.State
+	Distributor *distributor.Distributor
+}
+
+// Coordinator acts while its control member leads.
+type Coordinator struct {
+	config   Config
+	revision uint64
+	wanted   []WantedRole
+}
+
+// NewCoordinator returns a Coordinator.
+func NewCoordinator(c Config) *Coordinator {
+	return &Coordinator{config: c}
+}
+
+// Run plans again and again until the context ends.
+func (c *Coordinator) Run(ctx context.Context) error {
+	return c.run(ctx)
+}
+
+func (c *Coordinator) run(ctx context.Context) error {
+	t := time.NewTicker(planInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+		v := c.config.Sequencer.View()
+		if !v.Serving() {
+			continue
+		}
+		for _, command := range Plan(c.picture(v)) {
+			c.propose(ctx, command)
+		}
+	}
+}
+
+func (c *Coordinator) picture(v *sequencer.View) Picture {
+	return Picture{
+		LeaderSince: v.LeaderSince,
+		Entries:     c.config.State.Entries(),
+		Roles:       c.config.State.Roles(),
+		Callers:     c.config.Distributor.Callers(),
+		Wanted:      c.wantedRoles(),
+		// Read last, so that no silence is counted too long.
+		Now: c.config.Clock.Now(),
+	}
+}
+
+// wantedRoles compiles the text in force again only if it changed.
+func (c *Coordinator) wantedRoles() []WantedRole {
+	head := c.config.State.Head().GetRevision()
+	if head == c.revision {
+		return c.wanted
+	}
+	sections := make([]loader.Section, 0)
+	for _, s := range c.config.State.Sections() {
+		sections = append(sections, wire.FromTextSection(s))
+	}
+	compiled, problems := parser.Compile(sections)
+	if compiled == nil {
+		c.config.Logger.Log(logger.ConfigurationBad, logger.F("error", problems.Err()))
+		return c.wanted
+	}
+	c.revision, c.wanted = head, Wanted(compiled)
+	return c.wanted
+}
+
+func (c *Coordinator) propose(ctx context.Context, command *wire.Command) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	r, err := c.config.Sequencer.Propose(ctx, command)
+	if err != nil || !r.Done {
+		return // planned again from the state as it is then
+	}
+	switch k := command.GetKind().(type) {
+	case *wire.Command_PutEntry:
+		c.config.Logger.Log(logger.EntryJoined, logger.F("entry", k.PutEntry.GetMember().GetName()))
+	case *wire.Command_RemoveEntry:
+		c.config.Logger.Log(logger.EntryRemoved, logger.F("entry", k.RemoveEntry.GetName()))
+	case *wire.Command_AssignRole:
+		a := k.AssignRole.GetRole()
+		c.config.Logger.Log(logger.RoleAssigned, logger.F("role", a.GetName()), logger.F("holder", a.GetHolder()),
+			logger.F("epoch", a.GetEpoch()), logger.F("vacant", a.GetVacant()))
+	}
+}
--- /dev/null
+++ b/control/distributor/distributor.go
@@ -0,0 +1,202 @@
+// Package distributor hands the replicated state to entries, with a statement of how
+// fresh it is, and keeps account of who has it.
+package distributor
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/filberthoist/filberthoist/control/applier"
+	"github.com/filberthoist/filberthoist/control/replicator"
+	"github.com/filberthoist/filberthoist/control/sequencer"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// Bounds of a poll.
+const (
+	maxHold = 5 * time.Second
+	// confirmWait bounds the wait for a quorum round beyond the hold.
+	confirmWait = time.Second
+	// unconfirmedSpan is how long after a fresh answer changes may go out at once,
+	// without waiting for a quorum round.
+	unconfirmedSpan = 300 * time.Millisecond
+	// keptSpan is how long a silent caller is remembered.
+	keptSpan = 10 * timekeeper.FreshnessLease
+)
+
+// Config sets up a Distributor.
+type Config struct {
+	Clock     timekeeper.Clock
+	Sequencer *sequencer.Sequencer
+	State     *applier.State
+}
+
+// Caller is what is known of one incarnation of an entry or relay.
+type Caller struct {
+	Member *wire.EntryMember
+	// Applied is the highest index that it said to apply.
+	Applied uint64
+	// Asked is when it last polled.
+	Asked time.Duration
+	// Fresh is when it was last told that its index is the latest.
+	Fresh time.Duration
+	// Vacated holds the last epoch in which it stopped to act, by role.
+	Vacated map[string]uint64
+}
+
+// CallerName tells incarnations of one entry apart.
+type CallerName struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Distributor answers polls on the leader.
+type Distributor struct {
+	config  Config
+	mutex   sync.Mutex
+	callers map[CallerName]*Caller
+}
+
+// NewDistributor returns a Distributor that knows no caller.
+func NewDistributor(c Config) *Distributor {
+	return &Distributor{config: c, callers: map[CallerName]*Caller{}}
+}
+
+// Poll answers with changes as soon as there are any, or with the statement that there
+// are none once the hold time is over.
+func (d *Distributor) Poll(ctx context.Context, q *connect.Request[wire.PollRequest]) (*connect.Response[wire.PollResponse], error) {
+	r := q.Msg
+	v := d.config.Sequencer.View()
+	if v.Standing != replicator.Leader {
+		return connect.NewResponse(notLeader(v)), nil
+	}
+	d.note(r)
+	round := d.config.Sequencer.PendingRound()
+	hold := min(time.Duration(r.GetHoldMilliseconds())*time.Millisecond, maxHold)
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	limit := time.NewTimer(hold + confirmWait)
+	defer limit.Stop()
+	held := false
+	for {
+		v = d.config.Sequencer.View()
+		if v.Standing != replicator.Leader {
+			return connect.NewResponse(notLeader(v)), nil
+		}
+		confirmed := v.ConfirmedRound(round)
+		changed := v.Serving() && d.config.State.ChangedSince(r.GetApplied())
+		if (held && confirmed) || (changed && (confirmed || d.recentlyFresh(r))) {
+			return connect.NewResponse(d.answer(r, confirmed)), nil
+		}
+		select {
+		case <-v.Changed():
+		case <-timer.C:
+			held = true
+		case <-limit.C:
+			return connect.NewResponse(notLeader(v)), nil
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+		}
+	}
+}
+
+// Callers returns what is known of each caller.
+func (d *Distributor) Callers() map[CallerName]Caller {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	out := make(map[CallerName]Caller, len(d.callers))
+	for n, c := range d.callers {
+		out[n] = *c
+	}
+	return out
+}
+
+// InForce returns the highest index that every caller has whose lease may still run. ok
+// is false until this member has led for a whole lease.
+func (d *Distributor) InForce() (index uint64, ok bool) {
+	now, v := d.config.Clock.Now(), d.config.Sequencer.View()
+	if !v.Serving() || now-v.LeaderSince < timekeeper.FreshnessLease+timekeeper.DriftMargin {
+		return 0, false
+	}
+	index = d.config.State.Index()
+	for _, c := range d.Callers() {
+		if now-c.Fresh < timekeeper.FreshnessLease+timekeeper.DriftMargin {
+			index = min(index, d.effective(c))
+		}
+	}
+	return index, true
+}
+
+// effective returns the index up to which a caller has all that is distributed.
+func (d *Distributor) effective(c Caller) uint64 {
+	if !d.config.State.ChangedSince(c.Applied) {
+		return d.config.State.Index()
+	}
+	return c.Applied
+}
+
+func (d *Distributor) answer(r *wire.PollRequest, fresh bool) *wire.PollResponse {
+	records, index, whole := d.config.State.Since(r.GetApplied())
+	if fresh {
+		d.noteFresh(r)
+	}
+	return &wire.PollResponse{Index: index, Snapshot: whole, Records: records, Fresh: fresh}
+}
+
+func (d *Distributor) note(r *wire.PollRequest) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.config.Clock.Now()
+	n := nameOf(r.GetMember())
+	c := d.callers[n]
+	if c == nil {
+		d.forgetSilent(now)
+		// A lease that an earlier leader granted may still run.
+		c = &Caller{Fresh: d.config.Sequencer.View().LeaderSince, Vacated: map[string]uint64{}}
+		d.callers[n] = c
+	}
+	c.Member, c.Asked = r.GetMember(), now
+	c.Applied = max(c.Applied, r.GetApplied())
+	vacated := maps.Clone(c.Vacated) // copies of the Caller share the map
+	for _, t := range r.GetStopped() {
+		vacated[t.GetName()] = max(vacated[t.GetName()], t.GetEpoch())
+	}
+	c.Vacated = vacated
+}
+
+// noteFresh is called before the answer leaves, so that the caller's lease ends earlier.
+func (d *Distributor) noteFresh(r *wire.PollRequest) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if c := d.callers[nameOf(r.GetMember())]; c != nil {
+		c.Fresh = d.config.Clock.Now()
+	}
+}
+
+func (d *Distributor) recentlyFresh(r *wire.PollRequest) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	c := d.callers[nameOf(r.GetMember())]
+	return c != nil && d.config.Clock.Now()-c.Fresh < unconfirmedSpan
+}
+
+func (d *Distributor) forgetSilent(now time.Duration) {
+	for n, c := range d.callers {
+		if now-c.Asked > keptSpan && now-c.Fresh > keptSpan {
+			delete(d.callers, n)
+		}
+	}
+}
+
+func nameOf(m *wire.EntryMember) CallerName {
+	return CallerName{Name: m.GetName(), Incarnation: m.GetIncarnation()}
+}
+
+func notLeader(v *sequencer.View) *wire.PollResponse {
+	return &wire.PollResponse{NotLeader: true, LeaderAddress: v.Leader().GetAddress()}
+}
--- /dev/null
+++ b/control/recorder/disk.go
@@ -0,0 +1,65 @@
+package recorder
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+// Disk holds the operations that a failing disk may refuse; tests replace them.
+type Disk struct {
+	Write    func(f *os.File, b []byte) (int, error)
+	Sync     func(f *os.File) error
+	Truncate func(f *os.File, size int64) error
+	Rename   func(from, to string) error
+}
+
+// NewDisk returns the operations of the operating system.
+func NewDisk() Disk {
+	return Disk{
+		Write:    func(f *os.File, b []byte) (int, error) { return f.Write(b) },
+		Sync:     func(f *os.File) error { return f.Sync() },
+		Truncate: func(f *os.File, size int64) error { return f.Truncate(size) },
+		Rename:   os.Rename,
+	}
+}
+
+// createFile writes a file under a temporary name, syncs it and its folder, and returns it open.
+func (d Disk) createFile(path string, content []byte) (*os.File, error) {
+	temporary := path + temporarySuffix
+	f, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, errors.Wrap(err, "creating a file")
+	}
+	if err := d.fill(f, content); err != nil {
+		_ = f.Close()
+		_ = os.Remove(temporary) // it holds nothing that counts
+		return nil, err
+	}
+	if err := d.Rename(temporary, path); err != nil {
+		_ = f.Close()
+		return nil, errors.Wrap(err, "renaming a file")
+	}
+	if err := d.syncFolder(filepath.Dir(path)); err != nil {
+		_ = f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (d Disk) fill(f *os.File, content []byte) error {
+	if _, err := d.Write(f, content); err != nil {
+		return errors.Wrap(err, "writing a file")
+	}
+	return errors.Wrap(d.Sync(f), "syncing a file")
+}
+
+func (d Disk) syncFolder(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "opening the data folder")
+	}
+	defer f.Close()
+	return errors.Wrap(d.Sync(f), "syncing the data folder")
+}
--- /dev/null
+++ b/control/replicator/replicator_test.go
@@ -0,0 +1,166 @@
+package replicator
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// TestMain fixes the seed unless one is given; -rapid.checks sets the number of runs.
+func TestMain(m *testing.M) {
+	setDefault("rapid.seed", "20261204")
+	setDefault("rapid.checks", "400")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func setDefault(name, value string) {
+	if err := flag.Set(name, value); err != nil {
+		panic(err)
+	}
+}
+
+// input is a submit, output its answer.
+type (
+	input struct {
+		revision uint64
+		digest   string
+	}
+	output struct {
+		known  bool
+		result wire.SubmitResult
+		winner string
+	}
+	// head is the text in force.
+	head struct {
+		revision uint64
+		digest   string
+	}
+)
+
+// compareAndSwap is the specification of submits for the linearizability check.
+var compareAndSwap = porcupine.Model{
+	Init: func() any { return head{} },
+	Step: func(state, in, out any) (bool, any) {
+		s, i, o := state.(head), in.(input), out.(output)
+		if i.revision == s.revision+1 {
+			next := head(i)
+			return !o.known || (o.result == wire.SubmitResult_SUBMIT_RESULT_ACCEPTED && o.winner == i.digest), next
+		}
+		return !o.known || o.result == wire.SubmitResult_SUBMIT_RESULT_CONFLICT, s
+	},
+}
+
+// TestFaults runs members under random faults and checks every invariant and history.
+func TestFaults(t *testing.T) {
+	var total tally
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t)
+		plan := c.plan()
+		for range 200 + c.random.IntN(1000) {
+			plan[c.random.IntN(len(plan))].do(c, c.nodes[c.order[c.random.IntN(len(c.order))]])
+		}
+		c.recover()
+		for _, n := range c.nodes {
+			if n.up && n.core.Standing() == Leader && c.acknowledged > n.core.Applied() {
+				t.Fatalf("member %d lacks acknowledged index %d", n.id, c.acknowledged)
+			}
+		}
+		total.add(c)
+		if porcupine.CheckOperationsTimeout(compareAndSwap, c.history, 10*time.Second) != porcupine.Ok {
+			t.Fatalf("the history of %d submits is not linearizable", len(c.history))
+		}
+	})
+	t.Logf("%+v", total)
+	is := is.New(t)
+	is.True(total.answered > total.runs/2)  // submits are answered
+	is.True(total.repairs > total.runs/100) // disks are lost and replaced
+}
+
+// tally counts what the runs of a test went through, so that empty runs are seen.
+type tally struct {
+	runs, submits, answered, repairs, snapshots, terms int
+}
+
+func (y *tally) add(c *cluster) {
+	y.runs++
+	y.submits += len(c.history)
+	for _, o := range c.history {
+		if o.Output.(output).known {
+			y.answered++
+		}
+	}
+	y.repairs += len(c.gone)
+	for _, n := range c.nodes {
+		if n.core.log.offset > 1 {
+			y.snapshots++
+		}
+		y.terms = max(y.terms, int(n.core.Term()))
+	}
+}
+
+// action is one random thing that happens to a cluster, at member n where it has one.
+type action struct {
+	name   string
+	weight int
+	do     func(c *cluster, n *node)
+}
+
+var actions = []action{
+	{"time passes", 8, func(c *cluster, _ *node) { c.tick(time.Duration(5+c.random.IntN(56)) * time.Millisecond) }},
+	{"one member's time passes", 4, func(c *cluster, n *node) { c.tickOne(n, time.Duration(c.random.IntN(60))*time.Millisecond) }},
+	{"messages arrive", 20, func(c *cluster, _ *node) { c.deliverAny(1+c.random.IntN(4), false) }},
+	{"message repeats", 2, func(c *cluster, _ *node) { c.deliverAny(1, true) }},
+	{"messages are lost", 1, func(c *cluster, _ *node) { c.network = nil }},
+	{"quiet", 3, func(c *cluster, _ *node) { c.pass(1 + c.random.IntN(30)) }},
+	{"submit", 6, func(c *cluster, _ *node) { c.submitAnywhere(true) }},
+	{"crash in submit", 1, func(c *cluster, _ *node) { c.submitAnywhere(false) }},
+	{"one-way cut", 2, func(c *cluster, n *node) { c.cuts[[2]uint64{n.id, c.order[c.random.IntN(len(c.order))]}] = true }},
+	{"cuts heal", 2, func(c *cluster, _ *node) { clear(c.cuts) }},
+	{"crash before a write", 1, func(c *cluster, n *node) { c.settle(n, false) }},
+	{"crash after a write", 2, func(_ *cluster, n *node) { n.up = false }},
+	{"restart", 4, func(c *cluster, n *node) { c.restart(n) }},
+	{"freeze", 1, func(_ *cluster, n *node) { n.frozen = n.up }},
+	{"thaw", 2, func(c *cluster, n *node) { c.thaw(n) }},
+	{"compact", 1, func(c *cluster, n *node) { c.compact(n) }},
+	{"disk lost", 1, func(c *cluster, n *node) { c.loseDisk(n) }},
+	{"repair", 2, func(c *cluster, n *node) { c.replace(n) }},
+}
+
+// plan draws how often each action occurs in one run; some never do.
+func (c *cluster) plan() []action {
+	var out []action
+	for _, a := range actions {
+		for range a.weight * c.random.IntN(4) {
+			out = append(out, a)
+		}
+	}
+	return append(out, actions[0], actions[2])
+}
+
+func TestLogHints(t *testing.T) {
+	entry := func(index, term uint64) *wire.LogEntry { return &wire.LogEntry{Index: index, Term: term} }
+	l := newLog(&wire.Snapshot{Index: 4, Term: 1}, []*wire.LogEntry{entry(5, 2), entry(6, 2), entry(7, 3)})
+	cases := []struct {
+		name        string
+		index, want uint64
+	}{
+		{"behind the end", 9, 7},
+		{"last term", 7, 6},
+		{"run of a term", 6, 4},
+		{"at the snapshot", 4, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(l.conflictHint(c.index), c.want)
+		})
+	}
+}
--- /dev/null
+++ b/control/settings.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"strings"
+
+	"github.com/filberthoist/filberthoist/control/administrator"
+	"github.com/filberthoist/filberthoist/core/connector"
+	"github.com/filberthoist/filberthoist/core/loader"
+)
+
+// Settings are those of one control process.
+type Settings struct {
+	Name             string
+	Region           string
+	AvailabilityZone string
+	// PeerAddress serves control members and entries.
+	PeerAddress string
+	// AdministrationAddress serves operators' commands.
+	AdministrationAddress string
+	// ReportAddress serves metrics, health and dumps.
+	ReportAddress string
+	Folder        string
+	// Peers are the peer addresses of the other first members.
+	Peers     []string
+	Operators administrator.Operators
+	TLS       connector.Config
+	LogLevel  string
+}
+
+// ReadSettings reads and checks settings; its error lists every fault.
+func ReadSettings(s *loader.Settings) (Settings, error) {
+	var out Settings
+	r := s.Section("member")
+	out.Name = r.Required("name")
+	out.Region = r.Required("region")
+	out.AvailabilityZone = r.Required("availabilityZone")
+	r.Finish()
+	r = s.Section("listen")
+	out.PeerAddress = r.Address("peer")
+	out.AdministrationAddress = r.Address("administration")
+	out.ReportAddress = r.Address("report")
+	r.Finish()
+	r = s.Section("storage")
+	out.Folder = r.Required("folder")
+	r.Finish()
+	r = s.Section("peers")
+	out.Peers = r.Addresses("addresses")
+	r.Finish()
+	r = s.Section("log")
+	out.LogLevel = r.Choice("level", "info", "debug", "info", "warn", "error")
+	r.Finish()
+	listed := s.Section("administration")
+	names := listed.List("operators")
+	listed.Finish()
+	out.Operators = administrator.ReadOperators(s, names)
+	if len(names) == 0 && !strings.HasPrefix(out.AdministrationAddress, "127.") {
+		listed.Fail("operators", "missing; without operators the administration listener must be on loopback")
+	}
+	out.TLS = connector.ReadConfig(s, map[string]string{
+		"peer": out.PeerAddress, "administration": out.AdministrationAddress, "report": out.ReportAddress,
+	})
+	return out, s.Err()
+}
+
+// Public returns the settings without the operators' digests, for dumps.
+func (s Settings) Public() Settings {
+	s.Operators = nil
+	return s
+}
--- /dev/null
+++ b/core/logger/events.go
@@ -0,0 +1,61 @@
+package logger
+
+import "github.com/phuslu/log"
+
+// Event is one kind of log line. Its number never changes its meaning.
+type Event struct {
+	Number  int
+	Name    string
+	Level   log.Level
+	Meaning string
+}
+
+// Events of every process, by number: 1xx process, 2xx replication, 3xx
+// configuration, 4xx entries and roles, 5xx requests, 6xx dispatch, 7xx limits, 9xx invariants.
+var (
+	ProcessStarted     = Event{101, "processStarted", log.InfoLevel, "The process listens on all its addresses."}
+	ProcessStopping    = Event{102, "processStopping", log.InfoLevel, "The process was asked to stop and drains."}
+	ProcessStopped     = Event{103, "processStopped", log.InfoLevel, "The process ends after its last request."}
+	ListenerFailed     = Event{104, "listenerFailed", log.ErrorLevel, "A listener ended for another reason than shutdown."}
+	LoopFailed         = Event{105, "loopFailed", log.ErrorLevel, "A background loop ended with an error; the process stops."}
+	LeaderElected      = Event{201, "leaderElected", log.InfoLevel, "This control member became leader of a term."}
+	LeaderLost         = Event{202, "leaderLost", log.WarnLevel, "This control member is leader no more."}
+	StorageFailed      = Event{203, "storageFailed", log.ErrorLevel, "The data folder refused a write; nothing is acknowledged until it takes one."}
+	TornTailCut        = Event{204, "tornTailCut", log.WarnLevel, "An unfinished last write was cut from the log at start."}
+	SnapshotSaved      = Event{205, "snapshotSaved", log.InfoLevel, "A snapshot was saved and the log before it dropped."}
+	MembershipChanged  = Event{206, "membershipChanged", log.InfoLevel, "The control members changed."}
+	PeerUnreachable    = Event{207, "peerUnreachable", log.WarnLevel, "A control member does not answer."}
+	PeerReachable      = Event{208, "peerReachable", log.InfoLevel, "A control member answers again."}
+	SnapshotInstalled  = Event{209, "snapshotInstalled", log.InfoLevel, "A snapshot from the leader replaced the state."}
+	TextAccepted       = Event{301, "textAccepted", log.InfoLevel, "A text was accepted under its revision."}
+	TextRefused        = Event{302, "textRefused", log.WarnLevel, "A submitted text was refused or in conflict."}
+	ConfigurationInUse = Event{303, "configurationInUse", log.InfoLevel, "This entry uses a new configuration."}
+	ConfigurationBad   = Event{304, "configurationBad", log.ErrorLevel, "A received configuration does not compile; the one in use stays."}
+	LeaseLapsed        = Event{305, "leaseLapsed", log.WarnLevel, "No fresh word from control within the lease; keyed requests are refused."}
+	LeaseRenewed       = Event{306, "leaseRenewed", log.InfoLevel, "Fresh word from control again; keyed requests are served."}
+	ControlUnreachable = Event{307, "controlUnreachable", log.WarnLevel, "A control member does not answer this entry."}
+	EntryJoined        = Event{401, "entryJoined", log.InfoLevel, "An entry joined or came back."}
+	EntryRemoved       = Event{402, "entryRemoved", log.WarnLevel, "An entry was silent past its lease or left."}
+	RoleAssigned       = Event{403, "roleAssigned", log.InfoLevel, "A role was assigned to an entry under a new epoch."}
+	RequestCut         = Event{501, "requestCut", log.WarnLevel, "An answer broke off midway; the caller's connection was closed."}
+	RequestUnknown     = Event{502, "requestUnknown", log.WarnLevel, "A request may have run; the caller was told so."}
+	TargetEjected      = Event{601, "targetEjected", log.WarnLevel, "A target failed repeatedly and gets probes only."}
+	TargetReadmitted   = Event{602, "targetReadmitted", log.InfoLevel, "A probe succeeded; the target takes work again."}
+	TargetLeaving      = Event{603, "targetLeaving", log.InfoLevel, "A target is leaving and gets no new work."}
+	DispatcherReady    = Event{604, "dispatcherReady", log.InfoLevel, "A new dispatcher knows the permits in use and grants."}
+	OwnerStarted       = Event{701, "ownerStarted", log.InfoLevel, "This entry owns a team's bucket under a new epoch."}
+	InvariantBroken    = Event{901, "invariantBroken", log.FatalLevel, "An invariant does not hold; the process stops."}
+)
+
+// Catalogue lists every event in the order of its number.
+var Catalogue = []Event{
+	ProcessStarted, ProcessStopping, ProcessStopped, ListenerFailed, LoopFailed,
+	LeaderElected, LeaderLost, StorageFailed, TornTailCut, SnapshotSaved,
+	MembershipChanged, PeerUnreachable, PeerReachable, SnapshotInstalled,
+	TextAccepted, TextRefused, ConfigurationInUse, ConfigurationBad,
+	LeaseLapsed, LeaseRenewed, ControlUnreachable,
+	EntryJoined, EntryRemoved, RoleAssigned,
+	RequestCut, RequestUnknown,
+	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady,
+	OwnerStarted, InvariantBroken,
+}
--- /dev/null
+++ b/core/parser/checks.go
@@ -0,0 +1,101 @@
+package parser
+
+import (
+	"slices"
+	"sort"
+	"strings"
+)
+
+// checkServices refuses services that name unknown ones or that nobody serves.
+func (c *compiler) checkServices() {
+	for _, s := range c.sortedServices() {
+		for _, d := range s.DependsOn {
+			if c.out.Services[d] == nil {
+				c.fail("service "+s.Name, "dependsOn", "service "+d+" is not in the text")
+			}
+		}
+		if !hasVersion(s, s.Version) {
+			c.fail("service "+s.Name, "version", "no target runs version "+s.Version)
+		}
+	}
+	for _, m := range c.out.Moves {
+		if s := c.out.Services[m.Service]; s != nil && !hasVersion(s, m.To) {
+			c.fail("move "+m.Name, "to", "no target runs version "+m.To)
+		}
+	}
+}
+
+func hasVersion(s *Service, version string) bool {
+	return slices.ContainsFunc(s.Targets, func(t *Target) bool { return t.Version == version })
+}
+
+// checkCycles refuses services that depend on themselves, directly or not.
+func (c *compiler) checkCycles() {
+	const visiting, done = 1, 2
+	state := map[string]int{}
+	var path []string
+	var visit func(name string)
+	visit = func(name string) {
+		s := c.out.Services[name]
+		if s == nil || state[name] == done {
+			return
+		}
+		if state[name] == visiting {
+			from := slices.Index(path, name)
+			cycle := append(slices.Clone(path[from:]), name)
+			c.fail("service "+name, "dependsOn", "cycle: "+strings.Join(cycle, " -> "))
+			return
+		}
+		state[name] = visiting
+		path = append(path, name)
+		for _, d := range s.DependsOn {
+			visit(d)
+		}
+		path = path[:len(path)-1]
+		state[name] = done
+	}
+	for _, s := range c.sortedServices() {
+		visit(s.Name)
+	}
+}
+
+// checkRoutes refuses two routes that take the same request.
+func (c *compiler) checkRoutes() {
+	for i, a := range c.out.Routes {
+		for _, b := range c.out.Routes[:i] {
+			if a.Path == b.Path && overlap(a.Methods, b.Methods) {
+				c.fail("route "+b.Name, "path", "route "+a.Name+" takes the same path and method")
+			}
+		}
+	}
+}
+
+func overlap(a, b []string) bool {
+	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
+}
+
+// checkAddresses refuses two targets at one address.
+func (c *compiler) checkAddresses() {
+	owners := map[string]string{}
+	names := make([]string, 0, len(c.out.Targets))
+	for n := range c.out.Targets {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		a := c.out.Targets[n].Address
+		if other := owners[a]; other != "" && a != "" {
+			c.fail("target "+n, "address", "target "+other+" has the same address")
+		}
+		owners[a] = n
+	}
+}
+
+func (c *compiler) sortedServices() []*Service {
+	out := make([]*Service, 0, len(c.out.Services))
+	for _, s := range c.out.Services {
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/core/parser/sections.go
@@ -0,0 +1,211 @@
+package parser
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/filberthoist/filberthoist/core/digester"
+	"github.com/filberthoist/filberthoist/core/loader"
+)
+
+func (c *compiler) readHead(_ string, r *loader.Reader) {
+	c.seen["configuration"] = true
+	c.out.Revision = uint64(r.Int("revision", 0, 1, math.MaxInt))
+	if r.Optional("revision", "") == "" {
+		r.Fail("revision", "missing")
+	}
+	c.out.Deployment = r.Required("deployment")
+	r.Finish()
+}
+
+func (c *compiler) readLimits(_ string, r *loader.Reader) {
+	l := &c.out.Limits
+	l.BodyBytes = r.Int("bodyBytes", l.BodyBytes, 0, maxBody)
+	l.BodyTimeout = r.Duration("bodyTimeout", l.BodyTimeout, 100*time.Millisecond, maxTimeout)
+	l.LimitWait = r.Duration("limitWait", l.LimitWait, 0, 10*time.Second)
+	l.LookupLifetime = r.Duration("lookupLifetime", l.LookupLifetime, time.Second, time.Minute)
+	l.RetryShare = r.Float("retryShare", l.RetryShare, 0, 1)
+	r.Finish()
+}
+
+func (c *compiler) readRegion(name string, r *loader.Reader) {
+	g := &Region{Name: name, AvailabilityZones: r.List("availabilityZones")}
+	if len(g.AvailabilityZones) == 0 {
+		r.Fail("availabilityZones", "missing")
+	}
+	for _, z := range g.AvailabilityZones {
+		for _, other := range c.out.Regions {
+			if slices.Contains(other.AvailabilityZones, z) {
+				r.Fail("availabilityZones", "%s belongs to region %s already", z, other.Name)
+			}
+		}
+	}
+	c.out.Regions[name] = g
+	r.Finish()
+}
+
+func (c *compiler) readLink(name string, r *loader.Reader) {
+	l := &Link{}
+	l.BitsPerSecond = r.Float("bitsPerSecond", 0, minLeastCapacity, maxCapacity)
+	r.Required("bitsPerSecond")
+	l.Delay = r.Duration("delay", 0, 0, 10*time.Second)
+	ends := strings.Fields(name)
+	if len(ends) != 2 || ends[0] == ends[1] {
+		r.Fail("", "a link names two regions, as in [link cairo aswan]")
+		return
+	}
+	for _, e := range ends {
+		if c.out.Regions[e] == nil {
+			r.Fail("", "region %s is not in the text", e)
+		}
+	}
+	l.Name = NewLinkName(ends[0], ends[1])
+	if c.out.Links[l.Name] != nil {
+		r.Fail("", "the link stands twice")
+	}
+	c.out.Links[l.Name] = l
+	r.Finish()
+}
+
+func (c *compiler) readService(name string, r *loader.Reader) {
+	s := &Service{Name: name, DependsOn: r.List("dependsOn"), Version: r.Required("version")}
+	s.AnswerBytes = r.Int("answerBytes", defaultAnswer, 1, maxBody)
+	c.out.Services[name] = s
+	r.Finish()
+}
+
+func (c *compiler) readRoute(name string, r *loader.Reader) {
+	t := &Route{Name: name, Path: r.Required("path"), Methods: r.List("methods")}
+	if !strings.HasPrefix(t.Path, "/") {
+		r.Fail("path", "%q does not begin with /", t.Path)
+	}
+	t.Class = Class(r.Choice("class", "", string(ClassIdempotent), string(ClassAtMostOnce), string(ClassOpen)))
+	t.Timeout = r.Duration("timeout", defaultTimeout, time.Millisecond, maxTimeout)
+	if service := r.Required("service"); service != "" {
+		t.Service = c.out.Services[service]
+		if t.Service == nil {
+			r.Fail("service", "service %s is not in the text", service)
+		}
+	}
+	if len(t.Methods) == 0 {
+		r.Fail("methods", "missing")
+	}
+	for _, m := range t.Methods {
+		if m != strings.ToUpper(m) {
+			r.Fail("methods", "%q is not in capitals", m)
+		}
+	}
+	c.out.Routes = append(c.out.Routes, t)
+	r.Finish()
+}
+
+func (c *compiler) readTarget(name string, r *loader.Reader) {
+	t := &Target{Name: name, Service: r.Required("service"), Address: r.Address("address")}
+	t.Region = r.Required("region")
+	t.AvailabilityZone = r.Required("availabilityZone")
+	t.Slots = r.Int("slots", 0, 1, maxSlots)
+	r.Required("slots")
+	t.Version = r.Required("version")
+	if t.Service != "" && c.out.Services[t.Service] == nil {
+		r.Fail("service", "service %s is not in the text", t.Service)
+	}
+	c.checkPlace(t, r)
+	c.out.Targets[name] = t
+	r.Finish()
+}
+
+func (c *compiler) checkPlace(t *Target, r *loader.Reader) {
+	if t.Region == "" || t.AvailabilityZone == "" {
+		return
+	}
+	g := c.out.Regions[t.Region]
+	if g == nil {
+		r.Fail("region", "region %s is not in the text", t.Region)
+		return
+	}
+	if !slices.Contains(g.AvailabilityZones, t.AvailabilityZone) {
+		r.Fail("availabilityZone", "%s is not in region %s", t.AvailabilityZone, t.Region)
+	}
+}
+
+func (c *compiler) readTeam(name string, r *loader.Reader) {
+	t := &Team{Name: name}
+	t.Rate = r.Float("rate", 0, 0, maxRate)
+	r.Required("rate")
+	t.Burst = r.Float("burst", 1, 1, maxRate)
+	r.Required("burst")
+	t.Weight = r.Float("weight", 1, 0.001, 1000)
+	c.out.Teams[name] = t
+	r.Finish()
+}
+
+func (c *compiler) readKey(name string, r *loader.Reader) {
+	k := &Key{Name: name}
+	if team := r.Required("team"); team != "" {
+		k.Team = c.out.Teams[team]
+		if k.Team == nil {
+			r.Fail("team", "team %s is not in the text", team)
+		}
+	}
+	text := r.Required("digest")
+	d, ok := digester.Parse(text)
+	if text != "" && !ok {
+		r.Fail("digest", "not a SHA-256 digest in hexadecimal; 'filberthoist keys new' prints one")
+	}
+	if other := c.out.Keys[d]; ok && other != nil {
+		r.Fail("digest", "key %s has the same digest", other.Name)
+	}
+	k.Digest = d
+	c.out.Keys[d] = k
+	r.Finish()
+}
+
+func (c *compiler) readMove(name string, r *loader.Reader) {
+	m := &Move{Name: name, Service: r.Required("service"), From: r.Required("from"), To: r.Required("to")}
+	m.Cap = c.percent(r, "cap")
+	if d := r.Required("deadline"); d != "" {
+		t, err := time.Parse(time.RFC3339, d)
+		if err != nil {
+			r.Fail("deadline", "%q is not a time such as 2027-03-01T18:00:00Z", d)
+		}
+		m.Deadline = t
+	}
+	s := c.out.Services[m.Service]
+	if m.Service != "" && s == nil {
+		r.Fail("service", "service %s is not in the text", m.Service)
+	}
+	if m.From == m.To {
+		r.Fail("to", "from and to are the same version")
+	}
+	if s != nil && m.From != s.Version {
+		r.Fail("from", "service %s runs version %s", s.Name, s.Version)
+	}
+	for _, o := range c.out.Moves {
+		if o.Service == m.Service {
+			r.Fail("service", "move %s moves service %s already", o.Name, m.Service)
+		}
+	}
+	c.out.Moves[name] = m
+	r.Finish()
+}
+
+// percent reads a share written as "10%" and returns it between 0 and 1.
+func (c *compiler) percent(r *loader.Reader, key string) float64 {
+	v := r.Required(key)
+	if v == "" {
+		return 0
+	}
+	f, err := strconv.ParseFloat(strings.TrimSuffix(v, "%"), 64)
+	if err != nil || !strings.HasSuffix(v, "%") {
+		r.Fail(key, "%q is not a share such as 10%%", v)
+		return 0
+	}
+	if !(f > 0 && f <= 100) {
+		r.Fail(key, "%s is not above 0%% and at most 100%%", v)
+		return 0
+	}
+	return f / 100
+}
--- /dev/null
+++ b/core/wire/roles.go
@@ -0,0 +1,24 @@
+package wire
+
+import "strconv"
+
+// Prefixes of the names of roles.
+const (
+	TeamPrefix = "team/"
+	PoolPrefix = "pool/"
+)
+
+// TeamRole names the role of the owner of a team's bucket.
+func TeamRole(team string) string {
+	return TeamPrefix + team
+}
+
+// PoolRole names the role of the dispatcher of a service's targets in a region.
+func PoolRole(service, region string) string {
+	return PoolPrefix + service + "/" + region
+}
+
+// Incarnation names one run of an entry.
+func Incarnation(entry string, incarnation uint64) string {
+	return entry + "/" + strconv.FormatUint(incarnation, 36)
+}
--- /dev/null
+++ b/entry/cmd/filberthoist-entry/main.go
@@ -0,0 +1,22 @@
+// Command filberthoist-entry serves callers on an entry VM.
+package main
+
+import (
+	"os"
+
+	"go.uber.org/fx"
+
+	"github.com/filberthoist/filberthoist/core/starter"
+	"github.com/filberthoist/filberthoist/entry"
+)
+
+func main() {
+	os.Exit(starter.Main(starter.Config{
+		Use:   "filberthoist-entry",
+		Short: "Serves callers: look-ups and requests",
+		Read: func(s starter.Source) (func() *fx.App, error) {
+			settings, err := entry.ReadSettings(s)
+			return func() *fx.App { return entry.New(settings) }, err
+		},
+	}))
+}
--- /dev/null
+++ b/entry/dispatcher/dispatcher.go
@@ -0,0 +1,225 @@
+// Package dispatcher sends each request to a target with a free slot. One dispatcher for
+// each service and region counts the slots; permits are granted by weighted fair queueing.
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/entry/handler"
+)
+
+// Bounds of one request's dispatch.
+const (
+	// maxAttempts is the number of targets that one request may be sent to.
+	maxAttempts = 3
+	// detourFloor is the least wait at home before another region is asked.
+	detourFloor = 10 * time.Millisecond
+	// retryReserve is the number of retries that may run ahead of their share.
+	retryReserve = 10
+	// emptyPause is the pause while no dispatcher is known.
+	emptyPause = 20 * time.Millisecond
+)
+
+// Config sets up a Dispatcher.
+type Config struct {
+	Clock  timekeeper.Clock
+	Scope  tally.Scope
+	Region string
+	Client *Client
+	// Forward sends a request to a target, whose permit is held.
+	Forward func(ctx context.Context, e *handler.Exchange, t *parser.Target) (handler.Outcome, Result)
+}
+
+// Dispatcher is the step that finds a target and has the request sent to it.
+type Dispatcher struct {
+	config  Config
+	mutex   sync.Mutex
+	budgets map[string]*budget
+	waits   tally.Timer
+	retries tally.Counter
+}
+
+// NewDispatcher returns a Dispatcher.
+func NewDispatcher(c Config) *Dispatcher {
+	return &Dispatcher{
+		config: c, budgets: map[string]*budget{},
+		waits: c.Scope.Timer("permitWait"), retries: c.Scope.Counter("retries"),
+	}
+}
+
+// Step returns the pipeline step.
+func (d *Dispatcher) Step() handler.Step {
+	return handler.Step{Name: "dispatcher", Handle: d.dispatch}
+}
+
+// Acquire serves other entries.
+func (d *Dispatcher) Acquire(ctx context.Context, r *connect.Request[wire.AcquireRequest]) (*connect.Response[wire.AcquireResponse], error) {
+	return connect.NewResponse(d.config.Client.config.Granter.Acquire(ctx, r.Msg)), nil
+}
+
+// Report serves other entries.
+func (d *Dispatcher) Report(_ context.Context, r *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error) {
+	return connect.NewResponse(d.config.Client.config.Granter.Report(r.Msg)), nil
+}
+
+func (d *Dispatcher) dispatch(ctx context.Context, e *handler.Exchange) handler.Outcome {
+	b := d.budget(e.Route.Service.Name)
+	b.earn(e.View.Configuration.Limits.RetryShare)
+	var excluded []string
+	last := handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoRoom)
+	for attempt := range maxAttempts {
+		held := d.acquire(ctx, e, excluded)
+		if held == nil {
+			return d.noPermit(ctx, e, last, attempt)
+		}
+		o, again := d.send(ctx, e, held)
+		if !again {
+			return o
+		}
+		if !b.spend() {
+			return o
+		}
+		d.retries.Inc(1)
+		last, excluded = o, append(excluded, held.Target)
+	}
+	return last
+}
+
+// send forwards on a permit and tells whether another target may be tried.
+func (d *Dispatcher) send(ctx context.Context, e *handler.Exchange, held *Held) (o handler.Outcome, again bool) {
+	t := e.View.Configuration.Targets[held.Target]
+	if t == nil {
+		d.config.Client.Release(held, Result{})
+		return handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoRoom), true
+	}
+	result := Result{Failed: true} // if Forward ends in a panic
+	defer func() { d.config.Client.Release(held, result) }()
+	o, result = d.config.Forward(ctx, e, t)
+	mayRepeat := o.Run == handler.NotRun || (o.Run == handler.Unknown && e.Route.Repeatable())
+	alive := ctx.Err() == nil && d.config.Clock.Now() < e.Deadline
+	return o, mayRepeat && !e.AnswerBegun && alive && result.Failed
+}
+
+// noPermit is the outcome of a request that found no slot. An earlier attempt's outcome
+// stands, since that one may have run.
+func (d *Dispatcher) noPermit(ctx context.Context, e *handler.Exchange, last handler.Outcome, attempt int) handler.Outcome {
+	switch {
+	case attempt > 0:
+		return last
+	case ctx.Err() != nil:
+		return handler.Refuse(statusCallerGone, handler.ReasonCallerGone)
+	case d.config.Clock.Now() >= e.Deadline:
+		return handler.Refuse(http.StatusGatewayTimeout, handler.ReasonDeadline)
+	}
+	return last
+}
+
+// statusCallerGone is never seen; the caller closed its connection.
+const statusCallerGone = 499
+
+// acquire asks for a permit at home as long as a detour would take, then in the other
+// regions, nearest first, and then waits at home until the deadline.
+func (d *Dispatcher) acquire(ctx context.Context, e *handler.Exchange, excluded []string) *Held {
+	watch := d.waits.Start()
+	defer watch.Stop()
+	c := e.View.Configuration
+	regions := regionsFor(c, e.Route.Service, d.config.Region)
+	for i, region := range regions {
+		wait := time.Duration(0)
+		if i == 0 && len(regions) > 1 {
+			wait = max(detourFloor, detour(c, d.config.Region, regions[1]))
+		}
+		if i == 0 && len(regions) == 1 {
+			break
+		}
+		if h := d.ask(ctx, e, region, wait, excluded); h != nil {
+			return h
+		}
+	}
+	return d.insist(ctx, e, regions, excluded)
+}
+
+// insist waits in the nearest region until the deadline.
+func (d *Dispatcher) insist(ctx context.Context, e *handler.Exchange, regions, excluded []string) *Held {
+	for len(regions) > 0 && ctx.Err() == nil {
+		left := e.Deadline - d.config.Clock.Now()
+		if left <= 0 {
+			return nil
+		}
+		if h := d.ask(ctx, e, regions[0], left, excluded); h != nil {
+			return h
+		}
+		if d.known(e, regions[0]) {
+			return nil // the dispatcher says that it can't be met
+		}
+		d.pause(ctx)
+	}
+	return nil
+}
+
+func (d *Dispatcher) ask(ctx context.Context, e *handler.Exchange, region string, wait time.Duration, excluded []string) *Held {
+	left := e.Deadline - d.config.Clock.Now()
+	role := wire.PoolRole(e.Route.Service.Name, region)
+	return d.config.Client.Acquire(ctx, role, e.TeamName(), min(wait, left), left, excluded)
+}
+
+// known tells whether a region's pool has a dispatcher.
+func (d *Dispatcher) known(e *handler.Exchange, region string) bool {
+	v := d.config.Client.config.View()
+	h := v.Roles[wire.PoolRole(e.Route.Service.Name, region)]
+	return h != nil && !h.GetVacant() && v.Entries[h.GetHolder()] != nil
+}
+
+func (d *Dispatcher) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(emptyPause):
+	}
+}
+
+func (d *Dispatcher) budget(service string) *budget {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	b := d.budgets[service]
+	if b == nil {
+		b = &budget{left: retryReserve}
+		d.budgets[service] = b
+	}
+	return b
+}
+
+// budget bounds the retries of a service to a share of its requests.
+type budget struct {
+	mutex sync.Mutex
+	left  float64
+}
+
+func (b *budget) earn(share float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.left = min(retryReserve, b.left+share)
+}
+
+func (b *budget) spend() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
+
+func isPool(role string) bool {
+	return strings.HasPrefix(role, wire.PoolPrefix)
+}
--- /dev/null
+++ b/entry/dispatcher/pool.go
@@ -0,0 +1,132 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/entry/receiver"
+)
+
+// learnBrief is how long a new dispatcher waits for the reports of all entries before it
+// grants around the silent ones.
+const learnBrief = 300 * time.Millisecond
+
+// pool is the ledger of one service's targets in one region, for one epoch.
+type pool struct {
+	service string
+	region  string
+	epoch   uint64
+	ledger  *Ledger
+	waiting map[PermitID]chan *Permit
+	// unreported holds the entries whose earlier permits are not known yet.
+	unreported map[string]bool
+	began      time.Duration
+	learnUntil time.Duration
+	ready      bool
+	revision   *parser.Configuration
+}
+
+// learn sets up what a dispatcher of a later epoch has to find out first.
+func (p *pool) learn(now time.Duration, v *receiver.View) {
+	p.began = now
+	for n := range v.Entries {
+		p.unreported[n] = true
+	}
+	longest := time.Duration(0)
+	for _, r := range v.Configuration.Routes {
+		if r.Service.Name == p.service {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	p.learnUntil = now + longest + timekeeper.SlotGrace
+}
+
+// reported notes that an entry told its permits.
+func (p *pool) reported(entry string, held []Permit) {
+	for _, h := range held {
+		p.ledger.Hold(h)
+	}
+	delete(p.unreported, entry)
+}
+
+// mayGrant tells whether enough is known to grant, and keeps slots for what is not.
+func (p *pool) mayGrant(now time.Duration) bool {
+	if now >= p.learnUntil {
+		clear(p.unreported)
+	}
+	if len(p.unreported) > 0 && now-p.began < learnBrief {
+		return false
+	}
+	p.ledger.Reserve(len(p.unreported))
+	return true
+}
+
+// useTargets takes the pool's targets from a configuration, unless it has them already.
+func (p *pool) useTargets(now time.Duration, c *parser.Configuration) {
+	if c == p.revision {
+		return
+	}
+	p.revision = c
+	var list []*parser.Target
+	if s := c.Services[p.service]; s != nil {
+		for _, t := range s.Targets {
+			if t.Region == p.region && t.Version == s.Version {
+				list = append(list, t)
+			}
+		}
+	}
+	p.ledger.SetTargets(now, list)
+}
+
+// pump grants what can be granted and hands it to those that wait.
+func (p *pool) pump(now time.Duration) {
+	if !p.mayGrant(now) {
+		return
+	}
+	for permit := p.ledger.Next(now); permit != nil; permit = p.ledger.Next(now) {
+		w := p.waiting[permit.ID]
+		if w == nil {
+			p.ledger.Release(now, permit.ID, Result{}) // nobody waits for it any more
+			continue
+		}
+		delete(p.waiting, permit.ID)
+		w <- permit // has room for one
+	}
+}
+
+// regionsFor returns the regions that serve a service, the nearest first.
+func regionsFor(c *parser.Configuration, s *parser.Service, home string) []string {
+	var out []string
+	for _, t := range s.Targets {
+		if t.Version == s.Version && !slices.Contains(out, t.Region) {
+			out = append(out, t.Region)
+		}
+	}
+	slices.SortFunc(out, func(a, b string) int {
+		if d := detour(c, home, a) - detour(c, home, b); d != 0 {
+			return int(d)
+		}
+		if a < b {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// unknownDetour is assumed between regions without a link in the text.
+const unknownDetour = 100 * time.Millisecond
+
+// detour returns the time that a trip to a region and back adds.
+func detour(c *parser.Configuration, home, region string) time.Duration {
+	if home == region {
+		return 0
+	}
+	l := c.Links[parser.NewLinkName(home, region)]
+	if l == nil {
+		return unknownDetour
+	}
+	return 2 * l.Delay
+}
--- /dev/null
+++ b/entry/handler/exchange.go
@@ -0,0 +1,58 @@
+package handler
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/entry/receiver"
+)
+
+// Headers between callers, entries and upstreams.
+const (
+	// KeyHeader carries the caller's key; it never reaches an upstream.
+	KeyHeader = "Filberthoist-Key"
+	// DeadlineHeader carries the milliseconds left for the request.
+	DeadlineHeader = "Filberthoist-Deadline"
+	// RequestHeader carries the request's id; an upstream may echo it.
+	RequestHeader = "Filberthoist-Request"
+	// TeamHeader tells the upstream whose request it is.
+	TeamHeader = "Filberthoist-Team"
+	// OutcomeHeader tells the caller whether the request ran.
+	OutcomeHeader = "Filberthoist-Outcome"
+	// HeaderPrefix begins every header of the system; callers' own ones are dropped.
+	HeaderPrefix = "Filberthoist-"
+)
+
+// Exchange is one request on its way through the pipeline.
+type Exchange struct {
+	Writer  http.ResponseWriter
+	Request *http.Request
+	// View is the state that the whole request is judged by.
+	View *receiver.View
+	// ID identifies the request towards the upstream.
+	ID string
+	// Begun and Deadline are moments on the process's Clock.
+	Begun    time.Duration
+	Deadline time.Duration
+	Route    *parser.Route
+	// Team is nil on open routes.
+	Team *parser.Team
+	// Key is the digest-checked key's record; nil on open routes.
+	Key *parser.Key
+	// Body is the whole body of the request, read before the request is sent on.
+	Body []byte
+	// AnswerBegun is set once something of an answer went to the caller.
+	AnswerBegun bool
+}
+
+// TeamName returns the team's name, or the name that open requests share.
+func (e *Exchange) TeamName() string {
+	if e.Team == nil {
+		return OpenTeam
+	}
+	return e.Team.Name
+}
+
+// OpenTeam is the name that requests of open routes share.
+const OpenTeam = "-open"
--- /dev/null
+++ b/entry/limiter/owner.go
@@ -0,0 +1,190 @@
+package limiter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/filberthoist/filberthoist/core/asserter"
+	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/entry/receiver"
+)
+
+// Bounds of a call to an owner.
+const (
+	maxWait = time.Second
+	minNap  = time.Millisecond
+)
+
+// OwnerConfig sets up an Owner.
+type OwnerConfig struct {
+	Clock  timekeeper.Clock
+	Logger logger.Logger
+	Assert *asserter.Asserter
+	View   func() *receiver.View
+	// Holds returns the epoch under which this entry holds a role now.
+	Holds func(role string) (epoch uint64, ok bool)
+}
+
+// Owner holds the buckets of the teams that this entry owns.
+type Owner struct {
+	config  OwnerConfig
+	mutex   sync.Mutex
+	buckets map[string]*owned
+}
+
+// owned is the bucket of one team in one epoch.
+type owned struct {
+	epoch   uint64
+	bucket  *Bucket
+	answers map[string]givenAnswer
+	// reported is the last call of each incarnation whose uses and returns were taken in.
+	reported map[string]uint64
+	// waiting counts the calls that wait for tokens.
+	waiting int
+}
+
+// givenAnswer is the last answer to an incarnation, for the same call sent again.
+type givenAnswer struct {
+	sequence uint64
+	granted  float64
+	at       time.Duration
+}
+
+// NewOwner returns an Owner without buckets.
+func NewOwner(c OwnerConfig) *Owner {
+	return &Owner{config: c, buckets: map[string]*owned{}}
+}
+
+// Grant answers a call for tokens; it waits up to the caller's bound for the least number.
+func (o *Owner) Grant(ctx context.Context, r *wire.GrantRequest) *wire.GrantResponse {
+	deadline := o.config.Clock.Now() + min(time.Duration(r.GetWaitMilliseconds())*time.Millisecond, maxWait)
+	for {
+		answer, nap := o.try(r, deadline)
+		if answer != nil {
+			return answer
+		}
+		select {
+		case <-ctx.Done():
+			deadline = 0
+		case <-time.After(nap):
+		}
+		o.stopWaiting(r)
+	}
+}
+
+// Dump describes the buckets.
+func (o *Owner) Dump() any {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	out := map[string]BucketDump{}
+	for team, w := range o.buckets {
+		out[team] = BucketDump{Epoch: w.epoch, Free: w.bucket.Free(o.config.Clock.Now()), Lent: w.bucket.lent, Waiting: w.waiting}
+	}
+	return out
+}
+
+// BucketDump describes one bucket.
+type BucketDump struct {
+	Epoch   uint64
+	Free    float64
+	Lent    float64
+	Waiting int
+}
+
+// try answers if it can, and otherwise returns how long to wait before the next try.
+func (o *Owner) try(r *wire.GrantRequest, deadline time.Duration) (*wire.GrantResponse, time.Duration) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	now := o.config.Clock.Now()
+	w := o.owned(r, now)
+	if w == nil {
+		return &wire.GrantResponse{NotOwner: true}, 0
+	}
+	caller := callerName(r)
+	if last, ok := w.answers[caller]; ok && last.sequence >= r.GetSequence() {
+		return o.again(last, r, now), 0
+	}
+	if r.GetSequence() > w.reported[caller] {
+		w.reported[caller] = r.GetSequence()
+		w.bucket.Report(now, caller, usesOf(r), r.GetReturned())
+	}
+	need := min(max(r.GetLeast(), 0), r.GetWanted())
+	if w.bucket.Free(now) < need && now < deadline {
+		w.waiting++
+		nap := w.bucket.Until(now, need) * time.Duration(w.waiting)
+		return nil, max(minNap, min(nap, deadline-now))
+	}
+	granted := 0.0
+	if w.bucket.Free(now) >= need {
+		share := w.bucket.Free(now) / float64(w.waiting+1)
+		granted = w.bucket.Grant(now, caller, min(r.GetWanted(), max(need, share)))
+	}
+	w.answers[caller] = givenAnswer{r.GetSequence(), granted, now}
+	return answerOf(granted, PotLifetime), 0
+}
+
+// again repeats an answer; its tokens have run for a while.
+func (o *Owner) again(last givenAnswer, r *wire.GrantRequest, now time.Duration) *wire.GrantResponse {
+	if last.sequence > r.GetSequence() {
+		return answerOf(0, 0)
+	}
+	return answerOf(last.granted, max(0, PotLifetime-(now-last.at)))
+}
+
+func (o *Owner) stopWaiting(r *wire.GrantRequest) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if w := o.buckets[r.GetTeam()]; w != nil && w.waiting > 0 {
+		w.waiting--
+	}
+}
+
+// owned returns the bucket that a call is for, or nil if this entry may not grant from it.
+func (o *Owner) owned(r *wire.GrantRequest, now time.Duration) *owned {
+	epoch, ok := o.config.Holds(wire.TeamRole(r.GetTeam()))
+	c := o.config.View().Configuration
+	if !ok || epoch != r.GetEpoch() || c == nil || c.Teams[r.GetTeam()] == nil {
+		return nil
+	}
+	team := c.Teams[r.GetTeam()]
+	w := o.buckets[team.Name]
+	if w == nil || w.epoch != epoch {
+		w = &owned{epoch: epoch, answers: map[string]givenAnswer{}, reported: map[string]uint64{}}
+		w.bucket = o.newBucket(epoch, now, team.Rate, team.Burst)
+		o.buckets[team.Name] = w
+		o.config.Logger.Log(logger.OwnerStarted, logger.F("team", team.Name), logger.F("epoch", epoch))
+	}
+	if w.bucket.rate != team.Rate || w.bucket.burst != team.Burst {
+		w.bucket.SetLimits(now, team.Rate, team.Burst)
+	}
+	return w
+}
+
+func (o *Owner) newBucket(epoch uint64, now time.Duration, rate, burst float64) *Bucket {
+	if epoch == firstEpoch {
+		return NewBucket(o.config.Assert, now, rate, burst)
+	}
+	return NewSuccessor(o.config.Assert, now, rate, burst)
+}
+
+// firstEpoch is the epoch of a role's first holder.
+const firstEpoch = 1
+
+func callerName(r *wire.GrantRequest) string {
+	return wire.Incarnation(r.GetEntry(), r.GetIncarnation())
+}
+
+func usesOf(r *wire.GrantRequest) []Use {
+	var out []Use
+	for _, u := range r.GetUses() {
+		out = append(out, Use{Tokens: u.GetTokens(), Age: time.Duration(u.GetAgeMilliseconds()) * time.Millisecond})
+	}
+	return out
+}
+
+func answerOf(granted float64, lifetime time.Duration) *wire.GrantResponse {
+	return &wire.GrantResponse{Granted: granted, LifetimeMilliseconds: uint32(lifetime / time.Millisecond)}
+}
--- /dev/null
+++ b/entry/receiver/receiver.go
@@ -0,0 +1,286 @@
+// Package receiver follows the replicated state and knows how fresh it is.
+package receiver
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/filberthoist/filberthoist/core/asserter"
+	"github.com/filberthoist/filberthoist/core/connector"
+	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/core/wire/wireconnect"
+)
+
+// Times of the polls.
+const (
+	// pollTimeout bounds a poll, so that a silent connection costs less than a lease.
+	pollTimeout = timekeeper.PollHold + 600*time.Millisecond
+	retryPause  = 50 * time.Millisecond
+)
+
+// Config sets up a Receiver.
+type Config struct {
+	Clock     timekeeper.Clock
+	Logger    logger.Logger
+	Assert    *asserter.Asserter
+	Scope     tally.Scope
+	Connector *connector.Connector
+	// Controls are the peer addresses of control members.
+	Controls []string
+	Self     *wire.EntryMember
+}
+
+// Receiver polls control and holds the latest View.
+type Receiver struct {
+	config  Config
+	client  *http.Client
+	records records
+	view    atomic.Pointer[View]
+	// asked is when the last poll with a fresh answer was sent; leases count from it.
+	asked   atomic.Int64
+	leaving atomic.Bool
+	changed atomic.Pointer[chan struct{}]
+	target  int
+	leader  string
+	lapsed  bool
+	silent  bool
+	failing bool
+	polls   tally.Counter
+	bytes   tally.Counter
+}
+
+// neverAsked is the value of asked before the first fresh answer.
+const neverAsked = int64(-1 << 62)
+
+// NewReceiver returns a Receiver with an empty View.
+func NewReceiver(c Config) *Receiver {
+	r := &Receiver{
+		config:  c,
+		client:  c.Connector.Client(),
+		records: records{},
+		lapsed:  true,
+		polls:   c.Scope.Counter("polls"),
+		bytes:   c.Scope.Counter("pollBytes"),
+	}
+	r.asked.Store(neverAsked)
+	r.view.Store(&View{})
+	wake := make(chan struct{})
+	r.changed.Store(&wake)
+	return r
+}
+
+// Run polls until the context ends.
+func (r *Receiver) Run(ctx context.Context) error {
+	return r.run(ctx)
+}
+
+// View returns the latest View.
+func (r *Receiver) View() *View {
+	return r.view.Load()
+}
+
+// Changed is closed when a newer View exists than the one loaded after this call.
+func (r *Receiver) Changed() <-chan struct{} {
+	return *r.changed.Load()
+}
+
+// FreshUntil returns the end of the freshness lease on the Clock.
+func (r *Receiver) FreshUntil() time.Duration {
+	return time.Duration(r.asked.Load()) + timekeeper.FreshnessLease
+}
+
+// Fresh tells whether keyed requests may be served now.
+func (r *Receiver) Fresh() bool {
+	return r.config.Clock.Now() < r.FreshUntil()
+}
+
+// RoleUntil returns the end of the lease on this entry's roles, on the Clock.
+func (r *Receiver) RoleUntil() time.Duration {
+	return time.Duration(r.asked.Load()) + timekeeper.RoleLease
+}
+
+// Holds returns the epoch under which this entry may act in a role now.
+func (r *Receiver) Holds(role string) (epoch uint64, ok bool) {
+	h := r.View().Roles[role]
+	if !r.mine(h) || h.GetVacant() {
+		return 0, false
+	}
+	return h.GetEpoch(), r.config.Clock.Now() < r.RoleUntil()
+}
+
+// Leave tells control with the next poll that this entry takes no new callers.
+func (r *Receiver) Leave() {
+	r.leaving.Store(true)
+}
+
+// Left tells whether control has taken this entry out of the look-ups.
+func (r *Receiver) Left() bool {
+	m := r.View().Entries[r.config.Self.GetName()]
+	return m == nil || m.GetState() == wire.EntryState_ENTRY_STATE_LEAVING
+}
+
+// Self describes this entry.
+func (r *Receiver) Self() *wire.EntryMember {
+	return r.config.Self
+}
+
+// Healthy returns an error unless keyed requests may be served.
+func (r *Receiver) Healthy() error {
+	switch {
+	case !r.Fresh():
+		return errors.New("no fresh word from control")
+	case r.View().Configuration == nil:
+		return errors.New("no configuration is in force")
+	}
+	return nil
+}
+
+func (r *Receiver) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !r.poll(ctx) {
+			r.pause(ctx)
+		}
+		r.noteLease()
+	}
+	return ctx.Err()
+}
+
+// poll asks one control member once, and tells whether that moved something.
+func (r *Receiver) poll(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	address := r.address()
+	start := r.config.Clock.Now()
+	c := wireconnect.NewDistributionServiceClient(r.client, r.config.Connector.URL(address))
+	answer, err := c.Poll(ctx, connect.NewRequest(r.request()))
+	r.polls.Inc(1)
+	if err != nil {
+		r.unreachable(address, err)
+		return false
+	}
+	r.silent = false
+	r.bytes.Inc(int64(proto.Size(answer.Msg)))
+	if answer.Msg.GetNotLeader() {
+		r.follow(answer.Msg.GetLeaderAddress())
+		return r.leader != ""
+	}
+	r.leader = address
+	r.take(answer.Msg, start)
+	return true
+}
+
+func (r *Receiver) request() *wire.PollRequest {
+	self := proto.CloneOf(r.config.Self)
+	if r.leaving.Load() {
+		self.State = wire.EntryState_ENTRY_STATE_LEAVING
+	}
+	v := r.View()
+	q := &wire.PollRequest{Member: self, Applied: v.Index, HoldMilliseconds: uint32(timekeeper.PollHold / time.Millisecond)}
+	for _, h := range v.Roles {
+		if r.mine(h) && h.GetVacant() {
+			q.Stopped = append(q.Stopped, &wire.StoppedRole{Name: h.GetName(), Epoch: h.GetEpoch()})
+		}
+	}
+	return q
+}
+
+// take applies an answer to the poll that was sent at start.
+func (r *Receiver) take(p *wire.PollResponse, start time.Duration) {
+	old := r.View()
+	if p.GetIndex() < old.Index {
+		return // never back
+	}
+	if len(p.GetRecords()) > 0 || p.GetSnapshot() {
+		r.failing = !r.apply(p, old)
+	}
+	if r.failing {
+		return // without the change this entry must not count as up to date
+	}
+	if p.GetIndex() > r.View().Index {
+		r.store(&View{Index: p.GetIndex(), Configuration: old.Configuration, Entries: old.Entries, Roles: old.Roles})
+	}
+	if p.GetFresh() {
+		r.asked.Store(int64(start))
+	}
+}
+
+func (r *Receiver) apply(p *wire.PollResponse, old *View) bool {
+	textChanged := r.records.merge(p) || r.failing
+	v, err := r.records.compile(p.GetIndex(), old, textChanged)
+	if err != nil {
+		r.config.Logger.Log(logger.ConfigurationBad, logger.F("index", p.GetIndex()), logger.F("error", err))
+		return false
+	}
+	r.store(v)
+	if textChanged && v.Configuration != nil {
+		r.config.Logger.Log(logger.ConfigurationInUse, logger.F("revision", v.Configuration.Revision), logger.F("index", v.Index))
+	}
+	return true
+}
+
+func (r *Receiver) store(v *View) {
+	r.config.Assert.That(v.Index >= r.View().Index, "indexNeverBack", "index %d after %d", v.Index, r.View().Index)
+	r.view.Store(v)
+	wake := make(chan struct{})
+	close(*r.changed.Swap(&wake))
+}
+
+func (r *Receiver) mine(h *wire.Role) bool {
+	s := r.config.Self
+	return h.GetHolder() == s.GetName() && h.GetIncarnation() == s.GetIncarnation()
+}
+
+func (r *Receiver) address() string {
+	if r.leader != "" {
+		return r.leader
+	}
+	return r.config.Controls[r.target%len(r.config.Controls)]
+}
+
+// follow asks the named leader next, or the next member if none is known.
+func (r *Receiver) follow(leader string) {
+	if leader == "" || leader == r.leader {
+		r.leader = ""
+		r.target++
+		return
+	}
+	r.leader = leader
+}
+
+func (r *Receiver) unreachable(address string, err error) {
+	if !r.silent {
+		r.config.Logger.Log(logger.ControlUnreachable, logger.F("address", address), logger.F("error", err))
+	}
+	r.silent = true
+	r.leader = ""
+	r.target++
+}
+
+func (r *Receiver) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryPause):
+	}
+}
+
+func (r *Receiver) noteLease() {
+	lapsed := !r.Fresh()
+	if lapsed == r.lapsed {
+		return
+	}
+	r.lapsed = lapsed
+	if lapsed {
+		r.config.Logger.Log(logger.LeaseLapsed)
+		return
+	}
+	r.config.Logger.Log(logger.LeaseRenewed)
+}
--- /dev/null
+++ b/entry/receiver/view.go
@@ -0,0 +1,118 @@
+package receiver
+
+import (
+	"sort"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/filberthoist/filberthoist/core/loader"
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// Prefixes of the records that control distributes.
+const (
+	textPrefix  = "text/"
+	entryPrefix = "entry/"
+	rolePrefix  = "role/"
+)
+
+// View is the replicated state at one index, compiled for use. It never changes.
+type View struct {
+	Index         uint64
+	Configuration *parser.Configuration
+	// Entries by name, this one included once control knows it.
+	Entries map[string]*wire.EntryMember
+	Roles   map[string]*wire.Role
+}
+
+// records is the replicated state as received.
+type records map[string]*wire.Record
+
+// merge adds the records of an answer and tells whether the text changed.
+func (r records) merge(p *wire.PollResponse) (textChanged bool) {
+	if p.GetSnapshot() {
+		clear(r)
+		textChanged = true
+	}
+	for _, n := range p.GetRecords() {
+		textChanged = textChanged || strings.HasPrefix(n.GetKey(), textPrefix)
+		if n.GetDeleted() {
+			delete(r, n.GetKey())
+			continue
+		}
+		r[n.GetKey()] = n
+	}
+	return textChanged
+}
+
+// compile makes a View; the configuration is taken from old unless the text changed.
+func (r records) compile(index uint64, old *View, textChanged bool) (*View, error) {
+	v := &View{
+		Index:         index,
+		Configuration: old.Configuration,
+		Entries:       map[string]*wire.EntryMember{},
+		Roles:         map[string]*wire.Role{},
+	}
+	for k, n := range r {
+		if err := v.add(k, n); err != nil {
+			return nil, err
+		}
+	}
+	if !textChanged {
+		return v, nil
+	}
+	return v, v.compileText(r)
+}
+
+func (v *View) add(key string, r *wire.Record) error {
+	switch {
+	case strings.HasPrefix(key, entryPrefix):
+		m := &wire.EntryMember{}
+		if err := proto.Unmarshal(r.GetValue(), m); err != nil {
+			return err
+		}
+		v.Entries[m.GetName()] = m
+	case strings.HasPrefix(key, rolePrefix):
+		m := &wire.Role{}
+		if err := proto.Unmarshal(r.GetValue(), m); err != nil {
+			return err
+		}
+		v.Roles[m.GetName()] = m
+	}
+	return nil
+}
+
+func (v *View) compileText(r records) error {
+	sections, err := r.sections()
+	if err != nil {
+		return err
+	}
+	if len(sections) == 0 {
+		v.Configuration = nil
+		return nil
+	}
+	c, problems := parser.Compile(sections)
+	v.Configuration = c
+	return problems.Err()
+}
+
+func (r records) sections() ([]loader.Section, error) {
+	var keys []string
+	for k := range r {
+		if strings.HasPrefix(k, textPrefix) {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	var out []loader.Section
+	for _, k := range keys {
+		s := &wire.TextSection{}
+		if err := proto.Unmarshal(r[k].GetValue(), s); err != nil {
+			return nil, err
+		}
+		out = append(out, wire.FromTextSection(s))
+	}
+	return out, nil
+}
