Test the programs as processes under kills, stops, cuts and a lost disk

Five tests start the real programs: the whole path with the leader and an entry killed; a key withdrawn while callers stay connected, one entry frozen meanwhile; a lost disk repaired and the leader killed right after; a control member cut off by a silent relay; two texts under one revision.

--- /dev/null
+++ b/bench/endtoend/endtoend_test.go
@@ -0,0 +1,150 @@
+package endtoend
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestWholePath serves through look-up and entry, loses the leader and an entry, and goes on.
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 3)
+	c := newCaller(t, d.callers[0])
+	d.checkServed(c, goodKey)
+
+	t.Run("look-up names the live entries", func(t *testing.T) {
+		r, err := c.send(http.MethodGet, "/filberthoist/lookup?service=lamps", "", "")
+		is := is.New(t)
+		is.NoErr(err)
+		for _, a := range d.callers {
+			is.True(strings.Contains(r.body, a))
+		}
+	})
+	t.Run("open routes need no key", func(t *testing.T) {
+		r, err := c.send(http.MethodGet, "/help/arming", "", "")
+		is := is.New(t)
+		is.NoErr(err)
+		is.Equal(r.outcome, "done")
+	})
+	t.Run("unknown and missing keys are refused alike", func(t *testing.T) {
+		is := is.New(t)
+		a, err := c.send(http.MethodGet, "/lamps/7", "wrong", "")
+		is.NoErr(err)
+		b, err := c.send(http.MethodGet, "/lamps/7", "", "")
+		is.NoErr(err)
+		is.Equal(a.outcome, "notRun; reason=key")
+		is.Equal(a.outcome, b.outcome)
+		is.Equal(a.body, b.body)
+	})
+
+	d.controls[d.leader()].kill()
+	d.entries[2].kill()
+	d.wait("the dead entry leaves the look-ups", func() bool {
+		r, err := c.send(http.MethodGet, "/filberthoist/lookup?service=lamps", "", "")
+		return err == nil && r.status == http.StatusOK && !strings.Contains(r.body, d.callers[2])
+	})
+	d.wait("keyed requests are served again", func() bool {
+		r, err := c.send(http.MethodGet, "/lamps/7", goodKey, "")
+		return err == nil && r.outcome == "done"
+	})
+	d.text.revision = 2
+	d.apply()
+	for _, f := range d.fakes {
+		is.Equal(f.Counts().SawKey, 0) // no upstream sees a key
+	}
+}
+
+// TestWithdrawnKey: a withdrawn key stops working on a connection that stays open, also
+// on an entry that was frozen while it was withdrawn.
+func TestWithdrawnKey(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	open, frozen := newCaller(t, d.callers[0]), newCaller(t, d.callers[1])
+	d.checkServed(open, otherKey)
+	d.checkServed(frozen, otherKey)
+
+	d.entries[1].signal(syscall.SIGSTOP)
+	begun := time.Now()
+	d.must("keys", "withdraw", "other1", "--wait")
+	inForce := time.Since(begun)
+	r, err := open.send(http.MethodGet, "/lamps/7", otherKey, "")
+	is.NoErr(err)
+	is.Equal(r.outcome, "notRun; reason=key")
+	t.Logf("in force with one entry frozen after %v", inForce)
+
+	d.entries[1].signal(syscall.SIGCONT)
+	r, err = frozen.send(http.MethodGet, "/lamps/7", otherKey, "")
+	is.NoErr(err)
+	is.True(strings.HasPrefix(r.outcome, "notRun")) // its lease ran out while it was frozen
+	d.wait("the entry serves again", func() bool {
+		r, err := frozen.send(http.MethodGet, "/lamps/7", goodKey, "")
+		return err == nil && r.outcome == "done"
+	})
+}
+
+// TestLostDisk repairs a control member and loses another right after.
+func TestLostDisk(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	d.text.revision = 2
+	d.apply()
+	lost := (d.leader() + 1) % 3
+	d.controls[lost].kill()
+	is.NoErr(os.RemoveAll(d.dataFolder(lost)))
+	d.controls[lost] = d.startControl(lost)
+	name := "control" + string(rune('0'+lost))
+	d.must("members", "replace", name, d.relays[lost].address)
+	d.wait("the repair is done", func() bool {
+		out := d.must("members", "list")
+		return strings.Count(out, "voter") == 3 && strings.Count(out, "\n") == 3 && !strings.Contains(out, "replacing")
+	})
+	d.controls[d.leader()].kill()
+	out := d.must("fetch")
+	is.True(strings.Contains(out, "revision = 2"))
+	d.text.revision = 3
+	d.apply()
+}
+
+// TestCutControl: a control member that nobody reaches neither disturbs the others nor
+// loses what was accepted meanwhile, and hundreds of changes later it catches up.
+func TestCutControl(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	leader := d.leader()
+	cut := (leader + 1) % 3
+	d.relays[cut].setCut(true)
+	c := newCaller(t, d.callers[0])
+	for range 20 {
+		d.text.revision++
+		d.must("apply", d.writeText())
+		d.checkServed(c, goodKey)
+	}
+	is.Equal(d.leader(), leader) // the cut member did not force an election
+	d.relays[cut].setCut(false)
+	d.controls[leader].kill()
+	out := d.must("fetch")
+	is.True(strings.Contains(out, "revision = 21"))
+}
+
+// TestRacingOperators: of two texts under one revision exactly one is accepted.
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	d.text.revision = 2
+	first := d.writeText()
+	status, _, _ := d.run("apply", first)
+	is.Equal(status, 0)
+	status, out, _ := d.run("apply", first)
+	is.Equal(status, 0) // resent after a lost answer
+	is.True(strings.Contains(out, "accepted: revision 2"))
+	d.text.limits += "retryShare = 0.2\n"
+	status, _, problems := d.run("apply", d.writeText())
+	is.Equal(status, 3)
+	is.True(strings.Contains(problems, "conflict: revision 2"))
+}
--- a/control/control.go
+++ b/control/control.go
@@ -99,7 +99,7 @@
 func newMessenger(s Settings, l logger.Logger, c *connector.Connector, g *supervisor.Group) (*messenger.Messenger, *sequencerSlot) {
 	slot := &sequencerSlot{}
 	m := messenger.NewMessenger(messenger.Config{
-		Name: s.Name, Address: s.PeerAddress, Logger: l, Connector: c, Group: g,
+		Name: s.Name, Address: s.Advertised, Logger: l, Connector: c, Group: g,
 		Sequencer: func() *sequencer.Sequencer { return slot.value },
 	})
 	return m, slot
@@ -128,7 +128,7 @@
 	t *applier.State, d *distributor.Distributor, m *messenger.Messenger,
 ) *administrator.Administrator {
 	return administrator.NewAdministrator(administrator.Config{
-		Name: s.Name, PeerAddress: s.PeerAddress, Peers: s.Peers, Clock: c, Logger: l, Connector: n,
+		Name: s.Name, PeerAddress: s.Advertised, Peers: s.Peers, Clock: c, Logger: l, Connector: n,
 		Sequencer: q, State: t, Distributor: d, Messenger: m,
 	})
 }
--- a/control/settings.go
+++ b/control/settings.go
@@ -15,6 +15,8 @@
 	AvailabilityZone string
 	// PeerAddress serves control members and entries.
 	PeerAddress string
+	// Advertised is the address under which peers and entries reach PeerAddress.
+	Advertised string
 	// AdministrationAddress serves operators' commands.
 	AdministrationAddress string
 	// ReportAddress serves metrics, health and dumps.
@@ -37,6 +39,10 @@
 	r.Finish()
 	r = s.Section("listen")
 	out.PeerAddress = r.Address("peer")
+	out.Advertised = out.PeerAddress
+	if r.Optional("advertised", "") != "" {
+		out.Advertised = r.Address("advertised")
+	}
 	out.AdministrationAddress = r.Address("administration")
 	out.ReportAddress = r.Address("report")
 	r.Finish()
