--- /dev/null
+++ b/entry/limiter/limiter_test.go
@@ -0,0 +1,387 @@
+package limiter
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/filberthoist/filberthoist/core/asserter"
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/entry/receiver"
+)
+
+// TestMain fixes the seed unless one is given; -rapid.checks sets the number of runs.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "300"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// simulation is a set of entries that share one team's limit, with messages between them
+// that are late, lost or repeated, and owners that die or freeze.
+type simulation struct {
+	t       *rapid.T
+	random  *rand.Rand
+	now     time.Duration
+	team    *parser.Team
+	members []*member
+	holder  int
+	epoch   uint64
+	network []delivery
+	// flushing is how often entries report without demand, one in so many steps.
+	flushing int
+	// pace is the mean number of steps after which a member turns idle or busy.
+	pace     int
+	ideal    float64
+	idealAt  time.Duration
+	admitted int
+}
+
+// member is one entry: its side of the limit, and its side as an owner.
+type member struct {
+	simulation *simulation
+	number     int
+	team       *team
+	owner      *Owner
+	// epoch and leased are what it believes of its role.
+	epoch  uint64
+	leased time.Duration
+	// seen is the epoch that it knows of.
+	seen    uint64
+	pending bool
+	waiting []*waiter
+	frozen  bool
+	// cut owners go on granting, but control does not hear them.
+	cut bool
+	// idle members have no requests for a while.
+	idle bool
+}
+
+// delivery is something that happens at a moment.
+type delivery struct {
+	at time.Duration
+	do func()
+}
+
+func newSimulation(t *rapid.T) *simulation {
+	s := &simulation{t: t, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), epoch: 1, now: time.Hour}
+	s.team = &parser.Team{Name: "a", Rate: float64(1 + s.random.IntN(2000)), Burst: float64(1 + s.random.IntN(500))}
+	s.ideal, s.idealAt = s.team.Burst, s.now
+	s.flushing, s.pace = 1<<s.random.IntN(10), 1<<(3+s.random.IntN(6))
+	for i := range 2 + s.random.IntN(5) {
+		s.members = append(s.members, s.newMember(i))
+	}
+	s.assign(0)
+	return s
+}
+
+func (s *simulation) newMember(i int) *member {
+	m := &member{simulation: s, number: i}
+	clock := timekeeper.Clock{Now: func() time.Duration { return s.now }}
+	view := func() *receiver.View {
+		return &receiver.View{Configuration: &parser.Configuration{Teams: map[string]*parser.Team{"a": s.team}}}
+	}
+	m.owner = NewOwner(OwnerConfig{
+		Clock: clock, Assert: asserter.NewPanicking(), View: view,
+		Holds: func(string) (uint64, bool) { return m.epoch, m.epoch > 0 && s.now < m.leased },
+	})
+	self := &wire.EntryMember{Name: fmt.Sprint("entry", i), Incarnation: uint64(i + 1)}
+	m.team = newTeam(&Limiter{config: Config{Clock: clock, Scope: tally.NoopScope, Self: self, View: view}}, "a")
+	return m
+}
+
+// assign makes a member the owner under the present epoch.
+func (s *simulation) assign(i int) {
+	s.holder = i
+	s.members[i].epoch, s.members[i].leased = s.epoch, s.now+timekeeper.RoleLease
+}
+
+// later puts something on the network, which may lose, repeat or delay it.
+func (s *simulation) later(do func()) {
+	if s.random.IntN(20) == 0 {
+		return
+	}
+	for range 1 + s.random.IntN(20)/19 {
+		delay := time.Duration(s.random.IntN(50)) * time.Millisecond
+		if s.random.IntN(50) == 0 {
+			delay *= 20
+		}
+		s.network = append(s.network, delivery{s.now + delay, do})
+	}
+}
+
+// step lets a little time pass and everything due happen.
+func (s *simulation) step() {
+	s.now += time.Duration(s.random.IntN(5000)) * time.Microsecond
+	var due []delivery
+	kept := s.network[:0]
+	for _, d := range s.network {
+		if d.at <= s.now {
+			due = append(due, d)
+		} else {
+			kept = append(kept, d)
+		}
+	}
+	s.network = kept
+	for _, d := range due {
+		d.do()
+	}
+	if h := s.members[s.holder]; !h.frozen && !h.cut {
+		h.leased = s.now + timekeeper.RoleLease
+	}
+	for _, m := range s.members {
+		m.act()
+	}
+}
+
+// act sends requests into an entry and its calls to the owner.
+func (m *member) act() {
+	if m.frozen {
+		return
+	}
+	s := m.simulation
+	if s.random.IntN(10) > 0 {
+		m.seen = s.epoch
+		m.team.noteEpoch(m.seen)
+	}
+	if s.random.IntN(s.pace) == 0 {
+		m.idle = !m.idle
+	}
+	requests := s.random.IntN(4) * (1 + m.number%2*3)
+	if m.idle {
+		requests = 0
+	}
+	for range requests {
+		if m.team.take() {
+			s.admit()
+		} else if len(m.waiting) < 10 {
+			w := &waiter{granted: make(chan struct{})}
+			m.waiting = append(m.waiting, w)
+			m.team.waiters = append(m.team.waiters, w)
+		}
+	}
+	m.collect()
+	m.call()
+}
+
+// collect counts the waiters that were granted, and lets some give up.
+func (m *member) collect() {
+	kept := m.waiting[:0]
+	for _, w := range m.waiting {
+		select {
+		case <-w.granted:
+			m.simulation.admit()
+			continue
+		default:
+		}
+		w.gone = m.simulation.random.IntN(20) == 0
+		if !w.gone {
+			kept = append(kept, w)
+		}
+	}
+	m.waiting = kept
+}
+
+// call sends the call that is due, at most one at a time until it is given up.
+func (m *member) call() {
+	s := m.simulation
+	if m.pending && s.random.IntN(30) > 0 {
+		return
+	}
+	c := m.team.next(s.random.IntN(s.flushing) == 0)
+	if c == nil {
+		return
+	}
+	m.pending = true
+	owner, request := s.members[s.holder], proto.CloneOf(c.request)
+	s.later(func() { s.serve(owner, m, c, request) })
+}
+
+// serve lets an owner answer; a call that waits there is tried again later.
+func (s *simulation) serve(owner, m *member, c *call, request *wire.GrantRequest) {
+	if owner.frozen {
+		s.network = append(s.network, delivery{s.now + 10*time.Millisecond, func() { s.serve(owner, m, c, request) }})
+		return
+	}
+	answer, nap := owner.owner.try(request, c.sent+ownerWait)
+	if answer == nil {
+		owner.owner.stopWaiting(request)
+		s.network = append(s.network, delivery{s.now + nap, func() { s.serve(owner, m, c, request) }})
+		return
+	}
+	s.later(func() {
+		if m.team.pending == c {
+			m.team.finish(c, answer, nil)
+			m.pending = false
+		}
+	})
+}
+
+// admit checks an admitted request against one ideal bucket: a sequence conforms to rate
+// and burst over every window exactly if that bucket never runs dry.
+func (s *simulation) admit() {
+	s.admitted++
+	s.ideal = min(s.team.Burst, s.ideal+s.team.Rate*(s.now-s.idealAt).Seconds()) - 1
+	s.idealAt = s.now
+	if s.ideal < -tolerance*s.team.Burst {
+		s.t.Fatalf("admitted %v more than rate and burst allow", -s.ideal)
+	}
+}
+
+// fail kills, freezes or thaws the owner.
+func (s *simulation) fail() {
+	switch s.random.IntN(4) {
+	case 3:
+		s.members[s.holder].cut = true
+	case 0:
+		s.members[s.holder].frozen = true
+	case 1:
+		s.members[s.random.IntN(len(s.members))].frozen = false
+	case 2:
+		s.succeed()
+	}
+}
+
+// succeed gives the role to another member once the holder's lease has run out.
+func (s *simulation) succeed() {
+	old := s.members[s.holder]
+	if s.now < old.leased {
+		old.cut = true
+		return
+	}
+	s.epoch++
+	s.assign((s.holder + 1) % len(s.members))
+	s.members[s.holder].frozen, s.members[s.holder].cut = false, false
+}
+
+// TestRateAndBurstOverAllEntries runs entries and owners under random faults; over no
+// window may more be admitted than rate and burst allow.
+func TestRateAndBurstOverAllEntries(t *testing.T) {
+	total, epochs := 0, uint64(0)
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t)
+		for range 200 + s.random.IntN(2000) {
+			s.step()
+			if s.random.IntN(100) == 0 {
+				s.fail()
+			}
+		}
+		total += s.admitted
+		epochs += s.epoch
+	})
+	t.Logf("admitted %d under %d epochs", total, epochs)
+	is := is.New(t)
+	is.True(total > 10_000) // the runs admit something
+	is.True(epochs > 400)   // owners change
+}
+
+func TestBucket(t *testing.T) {
+	start := time.Hour
+	cases := []struct {
+		name string
+		do   func(b *Bucket) float64
+		want float64
+	}{
+		{"full at first", func(b *Bucket) float64 { return b.Grant(start, "a", 100) }, 10},
+		{"grants no more than is free", func(b *Bucket) float64 {
+			b.Grant(start, "a", 8)
+			return b.Grant(start, "b", 8)
+		}, 2},
+		{"does not refill beside pots", func(b *Bucket) float64 {
+			b.Grant(start, "a", 10)
+			return b.Grant(start+100*time.Millisecond, "b", 10)
+		}, 0},
+		{"makes up for refill once uses are reported", func(b *Bucket) float64 {
+			b.Grant(start, "a", 10)
+			b.Report(start+100*time.Millisecond, "a", []Use{{Tokens: 10, Age: 100 * time.Millisecond}}, 0)
+			return b.Free(start + 100*time.Millisecond)
+		}, 10},
+		{"a late use makes up for no earlier refill", func(b *Bucket) float64 {
+			b.Grant(start, "a", 10)
+			b.Report(start+100*time.Millisecond, "a", []Use{{Tokens: 10, Age: 50 * time.Millisecond}}, 0)
+			return b.Free(start + 100*time.Millisecond)
+		}, 5},
+		{"takes back what is returned", func(b *Bucket) float64 {
+			b.Grant(start, "a", 10)
+			b.Report(start, "a", nil, 4)
+			return b.Free(start)
+		}, 4},
+		{"what runs out counts as spent", func(b *Bucket) float64 {
+			b.Grant(start, "a", 10)
+			b.Free(start + PotLifetime)
+			return b.Free(start + PotLifetime)
+		}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got := c.do(NewBucket(asserter.NewPanicking(), start, 100, 10))
+			is.True(got > c.want-0.001 && got < c.want+0.001)
+		})
+	}
+	t.Run("a successor begins empty until earlier pots ran out", func(t *testing.T) {
+		is := is.New(t)
+		b := NewSuccessor(asserter.NewPanicking(), start, 100, 10)
+		is.Equal(b.Grant(start+PotLifetime-1, "a", 10), 0.0)
+		is.True(b.Grant(start+PotLifetime+50*time.Millisecond, "a", 10) < 6)
+	})
+}
+
+func TestAllowance(t *testing.T) {
+	const sent, answered = time.Hour, time.Hour + 100*time.Millisecond
+	t.Run("tokens run out a lifetime after the call was sent", func(t *testing.T) {
+		is := is.New(t)
+		var a Allowance
+		a.Add(answered, sent, 2, PotLifetime)
+		is.True(a.Take(sent + PotLifetime - 1))
+		is.True(!a.Take(sent + PotLifetime))
+	})
+	t.Run("tokens that come too late are dropped", func(t *testing.T) {
+		is := is.New(t)
+		var a Allowance
+		a.Add(sent+PotLifetime, sent, 2, PotLifetime)
+		is.Equal(a.total(), 0.0)
+	})
+	t.Run("unspent tokens are returned before they run out", func(t *testing.T) {
+		is := is.New(t)
+		var a Allowance
+		a.Add(answered, sent, 2, PotLifetime)
+		is.Equal(a.Returns(answered), 0.0)
+		is.Equal(a.Returns(sent+PotLifetime-returnBefore), 2.0)
+		is.Equal(a.total(), 0.0)
+	})
+	t.Run("uses are reported once, with their age", func(t *testing.T) {
+		is := is.New(t)
+		var a Allowance
+		a.Add(answered, sent, 2, PotLifetime)
+		is.True(a.Take(answered))
+		is.Equal(a.Reports(answered+time.Millisecond), []Use{{Tokens: 1, Age: time.Millisecond}})
+		is.Equal(len(a.Reports(answered)), 0)
+	})
+}
+
+func BenchmarkTake(b *testing.B) {
+	clock := timekeeper.NewClock()
+	var a Allowance
+	for b.Loop() {
+		now := clock.Now()
+		if !a.Take(now) {
+			a.Add(now, now, 1000, PotLifetime)
+		}
+		a.Reports(now)
+	}
+}
