--- a/control/settings.go
+++ b/control/settings.go
@@ -32,21 +32,8 @@
 // ReadSettings reads and checks settings; its error lists every fault.
 func ReadSettings(s *loader.Settings) (Settings, error) {
 	var out Settings
-	r := s.Section("member")
-	out.Name = r.Required("name")
-	out.Region = r.Required("region")
-	out.AvailabilityZone = r.Required("availabilityZone")
-	r.Finish()
-	r = s.Section("listen")
-	out.PeerAddress = r.Address("peer")
-	out.Advertised = out.PeerAddress
-	if r.Optional("advertised", "") != "" {
-		out.Advertised = r.Address("advertised")
-	}
-	out.AdministrationAddress = r.Address("administration")
-	out.ReportAddress = r.Address("report")
-	r.Finish()
-	r = s.Section("storage")
+	out.readPlace(s)
+	r := s.Section("storage")
 	out.Folder = r.Required("folder")
 	r.Finish()
 	r = s.Section("peers")
@@ -69,7 +56,25 @@
 }
 
 // Public returns the settings without the operators' digests, for dumps.
-func (s Settings) Public() Settings {
-	s.Operators = nil
-	return s
+func (t Settings) Public() Settings {
+	t.Operators = nil
+	return t
+}
+
+// readPlace reads who and where the process is.
+func (t *Settings) readPlace(s *loader.Settings) {
+	r := s.Section("member")
+	t.Name = r.Required("name")
+	t.Region = r.Required("region")
+	t.AvailabilityZone = r.Required("availabilityZone")
+	r.Finish()
+	r = s.Section("listen")
+	t.PeerAddress = r.Address("peer")
+	t.Advertised = t.PeerAddress
+	if r.Optional("advertised", "") != "" {
+		t.Advertised = r.Address("advertised")
+	}
+	t.AdministrationAddress = r.Address("administration")
+	t.ReportAddress = r.Address("report")
+	r.Finish()
 }
--- a/entry/classifier/classifier.go
+++ b/entry/classifier/classifier.go
@@ -104,19 +104,26 @@
 	control := http.NewResponseController(e.Writer)
 	_ = control.SetReadDeadline(time.Now().Add(l.BodyTimeout)) // only test writers lack it
 	body, err := io.ReadAll(http.MaxBytesReader(e.Writer, e.Request.Body, int64(l.BodyBytes)))
+	if err != nil {
+		// The server would otherwise wait for the rest of the body before it answers.
+		e.Writer.Header().Set("Connection", "close")
+		return refuseBody(err)
+	}
 	_ = control.SetReadDeadline(time.Time{})
+	e.Body = body
+	if c.config.Clock.Now() >= e.Deadline {
+		return handler.Refuse(http.StatusGatewayTimeout, handler.ReasonDeadline)
+	}
+	return handler.Outcome{}
+}
+
+func refuseBody(err error) handler.Outcome {
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return handler.Refuse(http.StatusRequestEntityTooLarge, handler.ReasonTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return handler.Refuse(http.StatusRequestTimeout, handler.ReasonSlowSender)
-	case err != nil:
-		return handler.Refuse(http.StatusBadRequest, handler.ReasonBadRequest)
 	}
-	e.Body = body
-	if c.config.Clock.Now() >= e.Deadline {
-		return handler.Refuse(http.StatusGatewayTimeout, handler.ReasonDeadline)
-	}
-	return handler.Outcome{}
+	return handler.Refuse(http.StatusBadRequest, handler.ReasonBadRequest)
 }
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -148,9 +149,17 @@
 		strings.HasPrefix(r.Header.Get(handler.OutcomeHeader), string(handler.NotRun))
 }
 
+// buffers keeps the buffers of answers between requests.
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBytes)
+	return &b
+}}
+
 // copyBody passes a body on as it comes, so that long answers begin at once.
 func copyBody(w http.ResponseWriter, body io.Reader) error {
-	buffer := make([]byte, copyBytes)
+	kept := buffers.Get().(*[]byte)
+	defer buffers.Put(kept)
+	buffer := *kept
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -33,17 +33,8 @@
 // ReadSettings reads and checks settings; its error lists every fault.
 func ReadSettings(s *loader.Settings) (Settings, error) {
 	var out Settings
-	r := s.Section("member")
-	out.Name = r.Required("name")
-	out.Region = r.Required("region")
-	out.AvailabilityZone = r.Required("availabilityZone")
-	r.Finish()
-	r = s.Section("listen")
-	out.CallerAddress = r.Address("callers")
-	out.PeerAddress = r.Address("peer")
-	out.ReportAddress = r.Address("report")
-	r.Finish()
-	r = s.Section("control")
+	out.readPlace(s)
+	r := s.Section("control")
 	out.Controls = r.Addresses("addresses")
 	r.Finish()
 	r = s.Section("platform")
@@ -60,3 +51,17 @@
 	out.TLS = connector.ReadConfig(s, map[string]string{"peer": out.PeerAddress, "report": out.ReportAddress})
 	return out, s.Err()
 }
+
+// readPlace reads who and where the process is.
+func (t *Settings) readPlace(s *loader.Settings) {
+	r := s.Section("member")
+	t.Name = r.Required("name")
+	t.Region = r.Required("region")
+	t.AvailabilityZone = r.Required("availabilityZone")
+	r.Finish()
+	r = s.Section("listen")
+	t.CallerAddress = r.Address("callers")
+	t.PeerAddress = r.Address("peer")
+	t.ReportAddress = r.Address("report")
+	r.Finish()
+}
