--- a/bench/commander/commander.go
+++ b/bench/commander/commander.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/filberthoist/filberthoist/bench/experimenter"
 	"github.com/filberthoist/filberthoist/bench/faker"
 	"github.com/filberthoist/filberthoist/bench/generator"
 	"github.com/filberthoist/filberthoist/core/parser"
@@ -31,7 +33,7 @@
 		SilenceErrors: true,
 	}
 	root.SetOut(out)
-	root.AddCommand(upstreamsCommand(), loadCommand(out))
+	root.AddCommand(upstreamsCommand(), loadCommand(out), experimentCommand(out))
 	return root
 }
 
@@ -118,3 +120,19 @@
 	f.Uint64Var(&c.Seed, "seed", 1, "seed of the choices")
 	return cmd
 }
+
+func experimentCommand(out io.Writer) *cobra.Command {
+	c := experimenter.Config{Out: out}
+	cmd := &cobra.Command{
+		Use:     "experiment " + strings.Join(append(experimenter.Names(), experimenter.All), "|"),
+		Short:   "Measure decisions against their targets and a plain baseline",
+		Example: "  go run ./bench experiment limits",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, a []string) error {
+			return experimenter.Run(c, a[0])
+		},
+	}
+	cmd.Flags().Uint64Var(&c.Seed, "seed", 1, "seed of demands and faults")
+	cmd.Flags().StringVar(&c.Folder, "folder", "out", "where tables and plots go")
+	return cmd
+}
