--- a/bench/endtoend/endtoend_test.go
+++ b/bench/endtoend/endtoend_test.go
@@ -154,6 +154,11 @@
 	status, _, problems := d.run("apply", d.writeText())
 	is.Equal(status, 3)
 	is.True(strings.Contains(problems, "conflict: revision 2"))
+	is.True(strings.Contains(problems, "raise the revision to 3"))
+	d.text.revision = 1
+	status, _, problems = d.run("apply", d.writeText())
+	is.Equal(status, 3)
+	is.True(strings.Contains(problems, "raise the revision to 3")) // above the one in force
 }
 
 // watch sends requests for a while and tells how many were served, and the longest time
--- a/cli/commander/texts.go
+++ b/cli/commander/texts.go
@@ -108,7 +108,7 @@
 		w := r.GetWinner()
 		return StatusError{StatusConflict, fmt.Sprintf(
 			"conflict: revision %d by %s stands (digest %.12s); fetch it, bring your change over and raise the revision to %d",
-			w.GetRevision(), w.GetOperator(), w.GetDigest(), w.GetRevision()+1)}
+			w.GetRevision(), w.GetOperator(), w.GetDigest(), r.GetHead()+1)}
 	case wire.SubmitResult_SUBMIT_RESULT_REFUSED:
 		return StatusError{StatusRefused, "refused:\n" + strings.Join(r.GetReasons(), "\n")}
 	}
--- a/control/administrator/administrator.go
+++ b/control/administrator/administrator.go
@@ -152,7 +152,8 @@
 	a.config.Logger.Log(event, logger.F("operator", r.GetOperator()), logger.F("revision", command.GetRevision()),
 		logger.F("result", out.Submit.String()))
 	return &wire.SubmitResponse{
-		Result: out.Submit, Revision: out.Revision.GetRevision(), Index: out.Revision.GetIndex(), Winner: out.Revision,
+		Result: out.Submit, Revision: out.Revision.GetRevision(), Index: out.Revision.GetIndex(),
+		Winner: out.Revision, Head: out.Head,
 	}
 }
 
--- a/control/applier/apply.go
+++ b/control/applier/apply.go
@@ -13,6 +13,8 @@
 type Result struct {
 	Submit   wire.SubmitResult
 	Revision *wire.RevisionRecord
+	// Head is the revision in force after the command.
+	Head uint64
 	// Done tells whether a command other than a submit took effect.
 	Done bool
 }
@@ -30,6 +32,7 @@
 	switch k := c.GetKind().(type) {
 	case *wire.Command_Submit:
 		out = s.applySubmit(k.Submit)
+		out.Head = s.revision(HeadKey).GetRevision()
 	case *wire.Command_PutEntry:
 		out.Done = s.put(EntryPrefix+k.PutEntry.GetMember().GetName(), k.PutEntry.GetMember())
 	case *wire.Command_RemoveEntry:
--- a/entry/resolver/resolver.go
+++ b/entry/resolver/resolver.go
@@ -5,7 +5,8 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
-	"sort"
+	"slices"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -26,7 +27,8 @@
 
 // Resolver answers look-ups.
 type Resolver struct {
-	config Config
+	config   Config
+	compiled atomic.Pointer[Table]
 }
 
 // Answer is what a look-up returns.
@@ -59,7 +61,7 @@
 		region = r.config.Region
 	}
 	out := Answer{
-		Entries:         Resolve(v, region, callerOf(q)+service),
+		Entries:         r.table(v).Resolve(region, callerOf(q)+service),
 		LifetimeSeconds: v.Configuration.Limits.LookupLifetime.Seconds(),
 	}
 	if len(out.Entries) == 0 {
@@ -71,28 +73,100 @@
 }
 
 // Resolve orders live entries for a caller: those of its region first, then the regions
-// by delay; within a region by rendezvous hashing, so that callers spread evenly.
-func Resolve(v *receiver.View, region, caller string) []string {
-	var live []*wire.EntryMember
-	for _, m := range v.Entries {
-		if m.GetState() == wire.EntryState_ENTRY_STATE_LIVE {
-			live = append(live, m)
+// by delay; within a region by rendezvous hashing, so that callers spread evenly and an
+// entry's end moves only its own callers.
+func (t *Table) Resolve(region, caller string) []string {
+	groups, known := t.groups[region]
+	if !known {
+		groups = t.order(region)
+	}
+	out := make([]string, 0, maxEntries)
+	for _, g := range groups {
+		out = appendBest(out, g, caller)
+		if len(out) == maxEntries {
+			break
 		}
 	}
-	sort.Slice(live, func(i, j int) bool {
-		a, b := live[i], live[j]
-		if d := distance(v.Configuration, region, a) - distance(v.Configuration, region, b); d != 0 {
-			return d < 0
+	return out
+}
+
+// appendBest adds the members of a group with the highest weights, as far as there is room.
+func appendBest(out []string, group []*wire.EntryMember, caller string) []string {
+	var best [maxEntries]choice
+	n, room := 0, maxEntries-len(out)
+	for _, m := range group {
+		c := choice{m, weight(caller, m)}
+		i := n
+		for i > 0 && best[i-1].weight < c.weight {
+			i--
+		}
+		if i >= room {
+			continue
 		}
-		return weight(caller, a) > weight(caller, b)
-	})
-	var out []string
-	for _, m := range live[:min(len(live), maxEntries)] {
-		out = append(out, m.GetAddress())
+		n = min(n+1, room)
+		copy(best[i+1:n], best[i:n-1])
+		best[i] = c
+	}
+	for _, c := range best[:n] {
+		out = append(out, c.member.GetAddress())
 	}
 	return out
 }
 
+// choice is an entry with its weight for one caller.
+type choice struct {
+	member *wire.EntryMember
+	weight uint64
+}
+
+// Table is a view compiled for look-ups. It never changes.
+type Table struct {
+	view *receiver.View
+	// groups holds the live entries by distance, for callers of each region.
+	groups map[string][][]*wire.EntryMember
+}
+
+// NewTable compiles a view that has a configuration.
+func NewTable(v *receiver.View) *Table {
+	t := &Table{view: v, groups: map[string][][]*wire.EntryMember{}}
+	for region := range v.Configuration.Regions {
+		t.groups[region] = t.order(region)
+	}
+	return t
+}
+
+// order groups the live entries by their distance from a region, the nearest first.
+func (t *Table) order(region string) [][]*wire.EntryMember {
+	byDistance := map[int64][]*wire.EntryMember{}
+	var distances []int64
+	for _, m := range t.view.Entries {
+		if m.GetState() != wire.EntryState_ENTRY_STATE_LIVE {
+			continue
+		}
+		d := distance(t.view.Configuration, region, m)
+		if byDistance[d] == nil {
+			distances = append(distances, d)
+		}
+		byDistance[d] = append(byDistance[d], m)
+	}
+	slices.Sort(distances)
+	var out [][]*wire.EntryMember
+	for _, d := range distances {
+		out = append(out, byDistance[d])
+	}
+	return out
+}
+
+// table returns the latest view compiled, by the first look-up that meets it.
+func (r *Resolver) table(v *receiver.View) *Table {
+	t := r.compiled.Load()
+	if t == nil || t.view != v {
+		t = NewTable(v)
+		r.compiled.Store(t)
+	}
+	return t
+}
+
 // farAway is the distance of a region without a link, in nanoseconds.
 const farAway = int64(1e12)
 
@@ -108,7 +182,12 @@
 }
 
 func weight(caller string, m *wire.EntryMember) uint64 {
-	return xxhash.Sum64String(caller + "\x00" + m.GetName())
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(caller)      // never fails
+	_, _ = d.WriteString("\x00")      // never fails
+	_, _ = d.WriteString(m.GetName()) // never fails
+	return d.Sum64()
 }
 
 func callerOf(q *http.Request) string {
--- a/entry/resolver/resolver_test.go
+++ b/entry/resolver/resolver_test.go
@@ -12,7 +12,7 @@
 )
 
 func view(n int) *receiver.View {
-	v := &receiver.View{Configuration: &parser.Configuration{Links: map[parser.LinkName]*parser.Link{}}, Entries: map[string]*wire.EntryMember{}}
+	v := &receiver.View{Configuration: &parser.Configuration{Links: map[parser.LinkName]*parser.Link{}, Regions: map[string]*parser.Region{"region0": {}}}, Entries: map[string]*wire.EntryMember{}}
 	v.Configuration.Links[parser.NewLinkName("region0", "region1")] = &parser.Link{Delay: 20}
 	v.Configuration.Links[parser.NewLinkName("region0", "region2")] = &parser.Link{Delay: 10}
 	for i := range n {
@@ -25,19 +25,19 @@
 func TestResolve(t *testing.T) {
 	t.Run("nearest regions first", func(t *testing.T) {
 		is := is.New(t)
-		is.Equal(Resolve(view(3), "region0", "a"), []string{"entry0", "entry2", "entry1"})
+		is.Equal(NewTable(view(3)).Resolve("region0", "a"), []string{"entry0", "entry2", "entry1"})
 	})
 	t.Run("leaving entries are left out", func(t *testing.T) {
 		is := is.New(t)
 		v := view(3)
 		v.Entries["entry0"].State = wire.EntryState_ENTRY_STATE_LEAVING
-		is.Equal(Resolve(v, "region0", "a"), []string{"entry2", "entry1"})
+		is.Equal(NewTable(v).Resolve("region0", "a"), []string{"entry2", "entry1"})
 	})
 	t.Run("callers spread evenly", func(t *testing.T) {
 		is := is.New(t)
-		counts, v := map[string]int{}, view(12)
+		counts, table := map[string]int{}, NewTable(view(12))
 		for i := range 4000 {
-			counts[Resolve(v, "region0", fmt.Sprint("caller", i))[0]]++
+			counts[table.Resolve("region0", fmt.Sprint("caller", i))[0]]++
 		}
 		is.Equal(len(counts), 4) // the entries of the region
 		for _, n := range counts {
@@ -49,10 +49,10 @@
 func BenchmarkResolve(b *testing.B) {
 	for _, n := range []int{12, 100, 1000, 5700} {
 		b.Run(fmt.Sprintf("%d entries", n), func(b *testing.B) {
-			v := view(n)
+			table := NewTable(view(n))
 			b.ReportAllocs()
 			for b.Loop() {
-				Resolve(v, "region0", "caller")
+				table.Resolve("region0", "caller")
 			}
 		})
 	}
