Run a request with an Idempotency-Key at most once, and end a storm of rejections

Outcomes: "begun" is committed in the log before such a request is sent on; its answer, or that it did not run, after.

--- a/bench/endtoend/deployment_test.go
+++ b/bench/endtoend/deployment_test.go
@@ -282,6 +282,8 @@
 type caller struct {
 	client  *http.Client
 	address string
+	// extra headers go with each request.
+	extra http.Header
 }
 
 func newCaller(t testing.TB, address string) *caller {
@@ -299,6 +301,9 @@
 		q.Header.Set("Filberthoist-Key", key)
 	}
 	q.Header.Set("Load-Id", path)
+	for name, values := range c.extra {
+		q.Header[name] = values
+	}
 	r, err := c.client.Do(q)
 	if err != nil {
 		return reply{}, err
--- a/control/applier/apply.go
+++ b/control/applier/apply.go
@@ -15,6 +15,9 @@
 	Revision *wire.RevisionRecord
 	// Head is the revision in force after the command.
 	Head uint64
+	// Begin answers a request that wants to run at most once; Answer is the kept one.
+	Begin  wire.BeginResult
+	Answer *wire.OnceAnswer
 	// Done tells whether a command other than a submit took effect.
 	Done bool
 }
@@ -33,6 +36,10 @@
 	case *wire.Command_Submit:
 		out = s.applySubmit(k.Submit)
 		out.Head = s.revision(HeadKey).GetRevision()
+	case *wire.Command_BeginOnce:
+		out = s.beginOnce(k.BeginOnce)
+	case *wire.Command_FinishOnce:
+		out.Done = s.finishOnce(k.FinishOnce)
 	case *wire.Command_PutEntry:
 		out.Done = s.put(EntryPrefix+k.PutEntry.GetMember().GetName(), k.PutEntry.GetMember())
 	case *wire.Command_RemoveEntry:
--- a/control/applier/keys.go
+++ b/control/applier/keys.go
@@ -11,13 +11,14 @@
 	EntryPrefix    = "entry/"
 	RolePrefix     = "role/"
 	revisionPrefix = "revision/"
+	oncePrefix     = "once/"
 	// HeadKey holds the RevisionRecord of the text in force.
 	HeadKey = "head"
 )
 
 // Distributed tells whether entries need the record of a key.
 func Distributed(key string) bool {
-	return !strings.HasPrefix(key, revisionPrefix)
+	return !strings.HasPrefix(key, revisionPrefix) && !strings.HasPrefix(key, oncePrefix)
 }
 
 func revisionKey(revision uint64) string {
--- a/control/applier/state.go
+++ b/control/applier/state.go
@@ -21,6 +21,8 @@
 	KeptRevisions = 1000
 	// maxTombstones bounds the deleted records kept for differences.
 	maxTombstones = 4096
+	// KeptRequests is how many requests are kept against resends.
+	KeptRequests = 20_000
 )
 
 // State is the replicated state. It is safe for concurrent use.
@@ -33,6 +35,10 @@
 	// changes lists the keys in the order of their last change; older items are stale.
 	changes    []change
 	tombstones int
+	// onceOrder lists the requests kept against resends, the oldest first; items whose
+	// record has a later index are stale.
+	onceOrder []change
+	onceCount int
 }
 
 type change struct {
@@ -74,7 +80,7 @@
 	s.assert.That(index >= s.index, "appliedMonotonic", "restore at %d, applied %d", index, s.index)
 	s.index, s.floor = index, in.GetFloor()
 	s.records = map[string]*wire.Record{}
-	s.changes, s.tombstones = nil, 0
+	s.changes, s.tombstones, s.onceOrder, s.onceCount = nil, 0, nil, 0
 	for _, r := range in.GetRecords() {
 		s.records[r.GetKey()] = r
 		s.changes = append(s.changes, change{r.GetIndex(), r.GetKey()})
@@ -82,6 +88,7 @@
 			s.tombstones++
 		}
 	}
+	s.restoreOnce()
 	sort.SliceStable(s.changes, func(i, j int) bool { return s.changes[i].index < s.changes[j].index })
 	return nil
 }
--- a/control/control.go
+++ b/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/filberthoist/filberthoist/control/distributor"
 	"github.com/filberthoist/filberthoist/control/messenger"
 	"github.com/filberthoist/filberthoist/control/recorder"
+	"github.com/filberthoist/filberthoist/control/registrar"
 	"github.com/filberthoist/filberthoist/control/sequencer"
 	"github.com/filberthoist/filberthoist/core/asserter"
 	"github.com/filberthoist/filberthoist/core/connector"
@@ -55,6 +56,7 @@
 			newDistributor,
 			newCoordinator,
 			newAdministrator,
+			newRegistrar,
 		),
 		fx.Invoke(run),
 	)
@@ -120,6 +122,10 @@
 	return distributor.NewDistributor(distributor.Config{Clock: c, Sequencer: s, State: t})
 }
 
+func newRegistrar(s *sequencer.Sequencer) *registrar.Registrar {
+	return registrar.NewRegistrar(registrar.Config{Sequencer: s})
+}
+
 func newCoordinator(c timekeeper.Clock, l logger.Logger, s *sequencer.Sequencer, t *applier.State, d *distributor.Distributor) *coordinator.Coordinator {
 	return coordinator.NewCoordinator(coordinator.Config{Clock: c, Logger: l, Sequencer: s, State: t, Distributor: d})
 }
@@ -144,6 +150,7 @@
 	Sequencer     *sequencer.Sequencer
 	Messenger     *messenger.Messenger
 	Distributor   *distributor.Distributor
+	Registrar     *registrar.Registrar
 	Coordinator   *coordinator.Coordinator
 	Administrator *administrator.Administrator
 	State         *applier.State
@@ -185,6 +192,7 @@
 	peer := http.NewServeMux()
 	peer.Handle(wireconnect.NewReplicationServiceHandler(p.Messenger))
 	peer.Handle(wireconnect.NewDistributionServiceHandler(p.Distributor))
+	peer.Handle(wireconnect.NewOutcomeServiceHandler(p.Registrar))
 	peer.Handle(wireconnect.NewAdministrationServiceHandler(p.Administrator))
 	operators := http.NewServeMux()
 	operators.Handle(wireconnect.NewAdministrationServiceHandler(administrator.Direct(p.Administrator)))
--- a/control/replicator/leading.go
+++ b/control/replicator/leading.go
@@ -122,7 +122,7 @@
 	p.round = max(p.round, m.GetRound())
 	if m.GetReject() {
 		p.next = max(p.match+1, min(m.GetHint()+1, p.next))
-		c.sendAppend(now, m.GetFrom(), p)
+		c.sendAgain(now, m.GetFrom(), p)
 	} else {
 		p.match = max(p.match, m.GetIndex())
 		p.next = max(p.next, p.match+1)
@@ -132,6 +132,15 @@
 	c.advanceConfirmed()
 }
 
+// sendAgain answers a rejection at once, unless a snapshot is under way: until that
+// arrives every append is rejected, and answering each would never end.
+func (c *Core) sendAgain(now time.Duration, id uint64, p *progress) {
+	if p.next <= c.log.offset && now-p.snapshotAt < c.config.ElectionTimeout {
+		return
+	}
+	c.sendAppend(now, id, p)
+}
+
 // sendRest goes on at once with a peer that lags by more than one append.
 func (c *Core) sendRest(now time.Duration, id uint64, p *progress) {
 	if p.next <= c.log.last() {
--- a/control/replicator/rules_test.go
+++ b/control/replicator/rules_test.go
@@ -89,6 +89,24 @@
 	is.Equal(c.Commit(), uint64(3))
 }
 
+// TestRejectionsDuringASnapshot: a peer that waits for its snapshot rejects every append;
+// the leader must not answer each with another.
+func TestRejectionsDuringASnapshot(t *testing.T) {
+	is := is.New(t)
+	c := member(3, recorder.Restored{State: &wire.HardState{Term: 1}})
+	c.becomeLeader(0)
+	c.Step(0, &wire.Message{Type: wire.MessageType_MESSAGE_TYPE_APPEND_REPLY, From: 2, To: 1, Term: 1, Index: 2})
+	c.Ready()
+	c.Compact(nil)
+	reject := &wire.Message{Type: wire.MessageType_MESSAGE_TYPE_APPEND_REPLY, From: 3, To: 1, Term: 1, Reject: true}
+	c.Step(0, reject)
+	is.Equal(len(c.Ready().Messages), 1) // the snapshot
+	c.Step(0, reject)
+	is.Equal(len(c.Ready().Messages), 0)
+	c.Step(testElection, reject)
+	is.Equal(len(c.Ready().Messages), 1) // it may be lost by now
+}
+
 func TestPreVoteIsRefusedWhileALeaderIsHeard(t *testing.T) {
 	is := is.New(t)
 	c := member(3, recorder.Restored{State: &wire.HardState{Term: 1}})
--- a/core/wire/wireconnect/wire.connect.go
+++ b/core/wire/wireconnect/wire.connect.go
@@ -32,6 +32,8 @@
 	LimitServiceName = "filberthoist.wire.v1.LimitService"
 	// PermitServiceName is the fully-qualified name of the PermitService service.
 	PermitServiceName = "filberthoist.wire.v1.PermitService"
+	// OutcomeServiceName is the fully-qualified name of the OutcomeService service.
+	OutcomeServiceName = "filberthoist.wire.v1.OutcomeService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -72,6 +74,10 @@
 	PermitServiceAcquireProcedure = "/filberthoist.wire.v1.PermitService/Acquire"
 	// PermitServiceReportProcedure is the fully-qualified name of the PermitService's Report RPC.
 	PermitServiceReportProcedure = "/filberthoist.wire.v1.PermitService/Report"
+	// OutcomeServiceBeginProcedure is the fully-qualified name of the OutcomeService's Begin RPC.
+	OutcomeServiceBeginProcedure = "/filberthoist.wire.v1.OutcomeService/Begin"
+	// OutcomeServiceFinishProcedure is the fully-qualified name of the OutcomeService's Finish RPC.
+	OutcomeServiceFinishProcedure = "/filberthoist.wire.v1.OutcomeService/Finish"
 )
 
 // ReplicationServiceClient is a client for the filberthoist.wire.v1.ReplicationService service.
@@ -599,3 +605,99 @@
 func (UnimplementedPermitServiceHandler) Report(context.Context, *connect.Request[wire.ReportRequest]) (*connect.Response[wire.ReportResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("filberthoist.wire.v1.PermitService.Report is not implemented"))
 }
+
+// OutcomeServiceClient is a client for the filberthoist.wire.v1.OutcomeService service.
+type OutcomeServiceClient interface {
+	Begin(context.Context, *connect.Request[wire.BeginOnceCommand]) (*connect.Response[wire.BeginResponse], error)
+	Finish(context.Context, *connect.Request[wire.FinishOnceCommand]) (*connect.Response[wire.FinishResponse], error)
+}
+
+// NewOutcomeServiceClient constructs a client for the filberthoist.wire.v1.OutcomeService service.
+// By default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped
+// responses, and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewOutcomeServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) OutcomeServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	outcomeServiceMethods := wire.File_wire_proto.Services().ByName("OutcomeService").Methods()
+	return &outcomeServiceClient{
+		begin: connect.NewClient[wire.BeginOnceCommand, wire.BeginResponse](
+			httpClient,
+			baseURL+OutcomeServiceBeginProcedure,
+			connect.WithSchema(outcomeServiceMethods.ByName("Begin")),
+			connect.WithClientOptions(opts...),
+		),
+		finish: connect.NewClient[wire.FinishOnceCommand, wire.FinishResponse](
+			httpClient,
+			baseURL+OutcomeServiceFinishProcedure,
+			connect.WithSchema(outcomeServiceMethods.ByName("Finish")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// outcomeServiceClient implements OutcomeServiceClient.
+type outcomeServiceClient struct {
+	begin  *connect.Client[wire.BeginOnceCommand, wire.BeginResponse]
+	finish *connect.Client[wire.FinishOnceCommand, wire.FinishResponse]
+}
+
+// Begin calls filberthoist.wire.v1.OutcomeService.Begin.
+func (c *outcomeServiceClient) Begin(ctx context.Context, req *connect.Request[wire.BeginOnceCommand]) (*connect.Response[wire.BeginResponse], error) {
+	return c.begin.CallUnary(ctx, req)
+}
+
+// Finish calls filberthoist.wire.v1.OutcomeService.Finish.
+func (c *outcomeServiceClient) Finish(ctx context.Context, req *connect.Request[wire.FinishOnceCommand]) (*connect.Response[wire.FinishResponse], error) {
+	return c.finish.CallUnary(ctx, req)
+}
+
+// OutcomeServiceHandler is an implementation of the filberthoist.wire.v1.OutcomeService service.
+type OutcomeServiceHandler interface {
+	Begin(context.Context, *connect.Request[wire.BeginOnceCommand]) (*connect.Response[wire.BeginResponse], error)
+	Finish(context.Context, *connect.Request[wire.FinishOnceCommand]) (*connect.Response[wire.FinishResponse], error)
+}
+
+// NewOutcomeServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewOutcomeServiceHandler(svc OutcomeServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	outcomeServiceMethods := wire.File_wire_proto.Services().ByName("OutcomeService").Methods()
+	outcomeServiceBeginHandler := connect.NewUnaryHandler(
+		OutcomeServiceBeginProcedure,
+		svc.Begin,
+		connect.WithSchema(outcomeServiceMethods.ByName("Begin")),
+		connect.WithHandlerOptions(opts...),
+	)
+	outcomeServiceFinishHandler := connect.NewUnaryHandler(
+		OutcomeServiceFinishProcedure,
+		svc.Finish,
+		connect.WithSchema(outcomeServiceMethods.ByName("Finish")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/filberthoist.wire.v1.OutcomeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case OutcomeServiceBeginProcedure:
+			outcomeServiceBeginHandler.ServeHTTP(w, r)
+		case OutcomeServiceFinishProcedure:
+			outcomeServiceFinishHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedOutcomeServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedOutcomeServiceHandler struct{}
+
+func (UnimplementedOutcomeServiceHandler) Begin(context.Context, *connect.Request[wire.BeginOnceCommand]) (*connect.Response[wire.BeginResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("filberthoist.wire.v1.OutcomeService.Begin is not implemented"))
+}
+
+func (UnimplementedOutcomeServiceHandler) Finish(context.Context, *connect.Request[wire.FinishOnceCommand]) (*connect.Response[wire.FinishResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("filberthoist.wire.v1.OutcomeService.Finish is not implemented"))
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/filberthoist/filberthoist/core/wire/wireconnect"
 	"github.com/filberthoist/filberthoist/entry/authenticator"
 	"github.com/filberthoist/filberthoist/entry/classifier"
+	"github.com/filberthoist/filberthoist/entry/deduplicator"
 	"github.com/filberthoist/filberthoist/entry/dispatcher"
 	"github.com/filberthoist/filberthoist/entry/forwarder"
 	"github.com/filberthoist/filberthoist/entry/handler"
@@ -66,6 +67,7 @@
 			newClient,
 			newForwarder,
 			newDispatcher,
+			newDeduplicator,
 			newProber,
 			newResolver,
 			newHandler,
@@ -76,7 +78,7 @@
 
 // newHandler is the pipeline: each request takes these steps in this order.
 func newHandler(c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver,
-	m *limiter.Limiter, d *dispatcher.Dispatcher,
+	m *limiter.Limiter, u *deduplicator.Deduplicator, d *dispatcher.Dispatcher,
 ) *handler.Handler {
 	n := classifier.NewClassifier(classifier.Config{Clock: c})
 	a := authenticator.NewAuthenticator(authenticator.Config{Fresh: v.Fresh})
@@ -87,6 +89,7 @@
 			a.Step(),
 			n.BodyStep(),
 			m.Step(),
+			u.Step(),
 			d.Step(),
 		},
 	})
@@ -169,6 +172,10 @@
 	})
 }
 
+func newDeduplicator(n *connector.Connector, v *receiver.Receiver, g *supervisor.Group) *deduplicator.Deduplicator {
+	return deduplicator.NewDeduplicator(deduplicator.Config{Connector: n, Group: g, Leader: v.Leader})
+}
+
 func newProber(s Settings, c timekeeper.Clock, g *dispatcher.Granter) *prober.Prober {
 	return prober.NewProber(prober.Config{Clock: c, Platform: s.Platform, Targets: g.Targets, Report: g.SetHealth})
 }
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -42,6 +42,8 @@
 	Key *parser.Key
 	// Body is the whole body of the request, read before the request is sent on.
 	Body []byte
+	// Finish is called with the outcome once the request is over; steps may set it.
+	Finish func(Outcome)
 	// AnswerBegun is set once something of an answer went to the caller.
 	AnswerBegun bool
 }
--- a/entry/handler/handler.go
+++ b/entry/handler/handler.go
@@ -50,6 +50,9 @@
 		ID: newID(), Begun: h.config.Clock.Now(),
 	}
 	o, step := h.handle(r.Context(), e)
+	if e.Finish != nil {
+		e.Finish(o)
+	}
 	h.count(e, o, step)
 	switch {
 	case o.Run == Done:
--- a/entry/handler/outcome.go
+++ b/entry/handler/outcome.go
@@ -32,6 +32,7 @@
 	ReasonSlowSender   Reason = "slowSender"
 	ReasonBegun        Reason = "begun"
 	ReasonCallerGone   Reason = "callerGone"
+	ReasonKeyReused    Reason = "idempotencyKeyReused"
 	ReasonUnmatched    Reason = "unmatchedAnswer"
 	ReasonNotAvailable Reason = "notAvailable"
 )
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -51,6 +51,8 @@
 	changed atomic.Pointer[chan struct{}]
 	target  int
 	leader  string
+	// known is the leader's address for other parts; it may be empty.
+	known   atomic.Pointer[string]
 	lapsed  bool
 	silent  bool
 	failing bool
@@ -93,6 +95,14 @@
 	return *r.changed.Load()
 }
 
+// Leader returns the address of the control leader that answered last, or "".
+func (r *Receiver) Leader() string {
+	if p := r.known.Load(); p != nil {
+		return *p
+	}
+	return ""
+}
+
 // FreshUntil returns the end of the freshness lease on the Clock.
 func (r *Receiver) FreshUntil() time.Duration {
 	return time.Duration(r.asked.Load()) + timekeeper.FreshnessLease
@@ -179,6 +189,7 @@
 		return r.leader != ""
 	}
 	r.leader = address
+	r.known.Store(&address)
 	r.take(answer.Msg, start)
 	return true
 }
