Let epochs and call numbers of a team only rise, and check long histories in time

Limits: a look at an older view, late, could take a team back to an earlier epoch and number its calls from 1 again, which the owner takes for old ones and answers with no tokens. TestEpochsNeverGoBack.

Both programs now share how they make their logger, reporter and group, and read their place (core/starter), which stood twice.

--- a/control/control.go
+++ b/control/control.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"time"
 
 	"go.uber.org/fx"
@@ -24,6 +23,7 @@
 	"github.com/filberthoist/filberthoist/core/listener"
 	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/reporter"
+	"github.com/filberthoist/filberthoist/core/starter"
 	"github.com/filberthoist/filberthoist/core/supervisor"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire/wireconnect"
@@ -45,7 +45,7 @@
 		fx.Provide(
 			newLogger,
 			newReporter,
-			newGroup,
+			starter.NewGroup,
 			timekeeper.NewClock,
 			asserter.NewAsserter,
 			newConnector,
@@ -63,21 +63,11 @@
 }
 
 func newLogger(s Settings) logger.Logger {
-	return logger.NewLogger(logger.Config{Writer: os.Stderr, Process: s.Name, Level: s.LogLevel})
+	return starter.NewLogger(s.Name, s.LogLevel)
 }
 
 func newReporter(s Settings, l fx.Lifecycle) *reporter.Reporter {
-	r := reporter.NewReporter(reporter.Config{Process: "control", Name: s.Name})
-	l.Append(fx.StopHook(r.Close))
-	return r
-}
-
-// newGroup runs every loop of the process; it ends first of all that fx stops.
-func newGroup(l logger.Logger, s fx.Shutdowner) *supervisor.Group {
-	return supervisor.NewGroup(supervisor.Config{
-		Logger: l,
-		Failed: func(error) { _ = s.Shutdown(fx.ExitCode(1)) },
-	})
+	return starter.NewReporter("control", s.Name, l)
 }
 
 func newConnector(s Settings) (*connector.Connector, error) {
--- a/control/replicator/cluster_test.go
+++ b/control/replicator/cluster_test.go
@@ -267,6 +267,26 @@
 	c.settle(n, saved)
 }
 
+// effective returns the history without the unanswered submits that never were committed:
+// linearizability lets a pending operation without effect be left out. If one of them had
+// an effect that another saw, the rest can't be linearized.
+func (c *cluster) effective() []porcupine.Operation {
+	committed := map[string]bool{}
+	for _, e := range c.committed {
+		var command wire.Command
+		if err := proto.Unmarshal(e.GetData(), &command); err == nil {
+			committed[command.GetSubmit().GetDigest()] = true
+		}
+	}
+	var out []porcupine.Operation
+	for _, o := range c.history {
+		if o.Output.(output).known || committed[o.Input.(input).digest] {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
 // submitAnywhere proposes at every member that believes it leads.
 func (c *cluster) submitAnywhere(saved bool) {
 	for _, id := range c.order {
--- a/control/settings.go
+++ b/control/settings.go
@@ -6,13 +6,12 @@
 	"github.com/filberthoist/filberthoist/control/administrator"
 	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/loader"
+	"github.com/filberthoist/filberthoist/core/starter"
 )
 
 // Settings are those of one control process.
 type Settings struct {
-	Name             string
-	Region           string
-	AvailabilityZone string
+	starter.Place
 	// PeerAddress serves control members and entries.
 	PeerAddress string
 	// Advertised is the address under which peers and entries reach PeerAddress.
@@ -39,9 +38,7 @@
 	r = s.Section("peers")
 	out.Peers = r.Addresses("addresses")
 	r.Finish()
-	r = s.Section("log")
-	out.LogLevel = r.Choice("level", "info", "debug", "info", "warn", "error")
-	r.Finish()
+	out.LogLevel = starter.ReadLogLevel(s)
 	listed := s.Section("administration")
 	names := listed.List("operators")
 	listed.Finish()
@@ -61,14 +58,10 @@
 	return t
 }
 
-// readPlace reads who and where the process is.
+// readPlace reads who the process is and where it listens.
 func (t *Settings) readPlace(s *loader.Settings) {
-	r := s.Section("member")
-	t.Name = r.Required("name")
-	t.Region = r.Required("region")
-	t.AvailabilityZone = r.Required("availabilityZone")
-	r.Finish()
-	r = s.Section("listen")
+	t.Place = starter.ReadPlace(s)
+	r := s.Section("listen")
 	t.PeerAddress = r.Address("peer")
 	t.Advertised = t.PeerAddress
 	if r.Optional("advertised", "") != "" {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -18,6 +17,7 @@
 	"github.com/filberthoist/filberthoist/core/listener"
 	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/reporter"
+	"github.com/filberthoist/filberthoist/core/starter"
 	"github.com/filberthoist/filberthoist/core/supervisor"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
@@ -55,7 +55,7 @@
 		fx.Provide(
 			newLogger,
 			newReporter,
-			newGroup,
+			starter.NewGroup,
 			timekeeper.NewClock,
 			asserter.NewAsserter,
 			newConnector,
@@ -96,20 +96,11 @@
 }
 
 func newLogger(s Settings) logger.Logger {
-	return logger.NewLogger(logger.Config{Writer: os.Stderr, Process: s.Name, Level: s.LogLevel})
+	return starter.NewLogger(s.Name, s.LogLevel)
 }
 
 func newReporter(s Settings, l fx.Lifecycle) *reporter.Reporter {
-	r := reporter.NewReporter(reporter.Config{Process: "entry", Name: s.Name})
-	l.Append(fx.StopHook(r.Close))
-	return r
-}
-
-func newGroup(l logger.Logger, s fx.Shutdowner) *supervisor.Group {
-	return supervisor.NewGroup(supervisor.Config{
-		Logger: l,
-		Failed: func(error) { _ = s.Shutdown(fx.ExitCode(1)) },
-	})
+	return starter.NewReporter("entry", s.Name, l)
 }
 
 func newConnector(s Settings) (*connector.Connector, error) {
--- a/entry/limiter/limiter_test.go
+++ b/entry/limiter/limiter_test.go
@@ -432,6 +432,25 @@
 	is.True(!m.take())
 }
 
+// TestEpochsNeverGoBack: a look at an older view, late, must not undo a newer epoch or
+// number calls again from the start.
+func TestEpochsNeverGoBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	m := newTeam(&Limiter{config: Config{
+		Clock: timekeeper.Clock{Now: func() time.Duration { return now }}, Self: &wire.EntryMember{},
+		View: func() *receiver.View { return &receiver.View{} }, MaySpend: func() bool { return true },
+	}}, "a")
+	m.noteEpoch(2)
+	m.waiters = append(m.waiters, &waiter{})
+	first := m.next(false)
+	is.True(m.finish(first, &wire.GrantResponse{Granted: 0}, nil) == false)
+	m.noteEpoch(1)
+	is.Equal(m.epoch, uint64(2))
+	m.noteEpoch(3)
+	is.True(m.next(false).request.GetSequence() > first.request.GetSequence())
+}
+
 func BenchmarkTake(b *testing.B) {
 	clock := timekeeper.NewClock()
 	var a Allowance
--- a/entry/limiter/team.go
+++ b/entry/limiter/team.go
@@ -153,11 +153,13 @@
 	t.useEpoch(epoch)
 }
 
+// useEpoch never goes back, and never numbers two calls alike: an owner takes a call with
+// a lower number for an old one.
 func (t *team) useEpoch(epoch uint64) {
-	if epoch == t.epoch {
+	if epoch <= t.epoch {
 		return
 	}
-	t.epoch, t.sequence, t.pending = epoch, 0, nil
+	t.epoch, t.pending = epoch, nil
 	t.settled = epoch <= firstEpoch
 	t.allowance.Reset()
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/loader"
+	"github.com/filberthoist/filberthoist/core/starter"
 )
 
 // defaultDrain bounds the wait for requests under way at shutdown.
@@ -12,9 +13,7 @@
 
 // Settings are those of one entry process.
 type Settings struct {
-	Name             string
-	Region           string
-	AvailabilityZone string
+	starter.Place
 	// CallerAddress serves look-ups and requests.
 	CallerAddress string
 	// PeerAddress serves other entries.
@@ -45,21 +44,15 @@
 	r = s.Section("shutdown")
 	out.Drain = r.Duration("drain", defaultDrain, 0, 10*time.Minute)
 	r.Finish()
-	r = s.Section("log")
-	out.LogLevel = r.Choice("level", "info", "debug", "info", "warn", "error")
-	r.Finish()
+	out.LogLevel = starter.ReadLogLevel(s)
 	out.TLS = connector.ReadConfig(s, map[string]string{"peer": out.PeerAddress, "report": out.ReportAddress})
 	return out, s.Err()
 }
 
-// readPlace reads who and where the process is.
+// readPlace reads who the process is and where it listens.
 func (t *Settings) readPlace(s *loader.Settings) {
-	r := s.Section("member")
-	t.Name = r.Required("name")
-	t.Region = r.Required("region")
-	t.AvailabilityZone = r.Required("availabilityZone")
-	r.Finish()
-	r = s.Section("listen")
+	t.Place = starter.ReadPlace(s)
+	r := s.Section("listen")
 	t.CallerAddress = r.Address("callers")
 	t.PeerAddress = r.Address("peer")
 	t.ReportAddress = r.Address("report")
