--- a/bench/endtoend/endtoend_test.go
+++ b/bench/endtoend/endtoend_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/filberthoist/filberthoist/bench/faker"
 	"github.com/filberthoist/filberthoist/bench/generator"
 )
 
@@ -215,3 +216,20 @@
 		}
 	}
 }
+
+// TestLeavingTarget: a target that says it is leaving gets no new work 3 s later, and its
+// requests go elsewhere.
+func TestLeavingTarget(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	g, err := generator.NewGenerator(generator.Config{
+		Lookups: d.callers, Service: "lamps", Method: http.MethodGet, Path: "/lamps/7",
+		Key: goodKey, Rate: 200, Duration: 6 * time.Second, Seed: 1,
+	})
+	is.NoErr(err)
+	d.fakes["lamps0"].SetFaults(faker.Faults{Leaving: true})
+	r := g.Run(t.Context())
+	is.Equal(d.fakes["lamps0"].Counts().AfterLeaving, 0)
+	is.Equal(r.Done, r.Sent)
+	t.Logf("refused by the leaving target before it was known: %d of %d", d.fakes["lamps0"].Counts().Refused, r.Sent)
+}
