--- a/bench/endtoend/deployment_test.go
+++ b/bench/endtoend/deployment_test.go
@@ -109,6 +109,13 @@
 		_, out, _ := d.run("status")
 		return strings.Count(out, "live") == entries
 	})
+	for _, a := range d.callers {
+		c := newCaller(t, a)
+		d.wait("every entry serves", func() bool {
+			r, err := c.send(http.MethodGet, "/lamps/ready", goodKey, "")
+			return err == nil && r.outcome == "done"
+		})
+	}
 	return d
 }
 
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -85,7 +85,7 @@
 	s := &sending{}
 	answer, err := f.transport(e.Route).RoundTrip(newRequest(context.WithValue(ctx, sendingKey{}, s), e, t, left))
 	if err != nil {
-		return f.failed(ctx, e, s, err), dispatcher.Result{Failed: !errors.Is(ctx.Err(), context.Canceled)}
+		return f.failed(ctx, e, s, err), dispatcher.Result{Failed: blames(ctx, e, left)}
 	}
 	defer answer.Body.Close()
 	return f.pass(ctx, e, answer, begun)
@@ -219,6 +219,15 @@
 	}
 }
 
+// blames tells whether a missing answer speaks against the target: not if the caller went
+// away, nor if the request came so late that no target could have answered in time.
+func blames(ctx context.Context, e *handler.Exchange, left time.Duration) bool {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return left >= e.Route.Timeout/2
+	}
+	return !errors.Is(ctx.Err(), context.Canceled)
+}
+
 func isDial(err error) bool {
 	var o *net.OpError
 	return errors.As(err, &o) && o.Op == "dial"
