Restore two assertions, test who is blamed for late requests, name the first epoch once

The fix of blames had no test: TestLateRequestsBlameNobody. The constant of a role's first epoch stood in limiter and dispatcher; it is wire.FirstEpoch now. A needless conversion in the once records is gone. Behaviour is unchanged.

--- a/bench/endtoend/endtoend_test.go
+++ b/bench/endtoend/endtoend_test.go
@@ -133,8 +133,7 @@
 		d.must("apply", d.writeText())
 		d.checkServed(c, goodKey)
 	}
-	leader = d.leader()
-	is.True(leader != cut) // nobody reaches it, so it can't lead
+	is.Equal(d.leader(), leader) // the cut member did not force an election
 	d.relays[cut].setCut(false)
 	d.controls[leader].kill()
 	out := d.must("fetch")
@@ -231,6 +230,6 @@
 	d.fakes["lamps0"].SetFaults(faker.Faults{Leaving: true})
 	r := g.Run(t.Context())
 	is.Equal(d.fakes["lamps0"].Counts().AfterLeaving, 0)
-	is.Equal(r.Broken+r.Wrong+r.Unanswered+len(r.Unknown), 0)
-	t.Logf("done %d of %d; refused by the leaving target before it was known: %d", r.Done, r.Sent, d.fakes["lamps0"].Counts().Refused)
+	is.Equal(r.Done, r.Sent)
+	t.Logf("refused by the leaving target before it was known: %d of %d", d.fakes["lamps0"].Counts().Refused, r.Sent)
 }
--- a/control/applier/once.go
+++ b/control/applier/once.go
@@ -4,8 +4,6 @@
 	"sort"
 	"strings"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/filberthoist/filberthoist/core/wire"
 )
 
@@ -54,7 +52,7 @@
 	if s.records[oncePrefix+key] == nil {
 		s.onceCount++
 	}
-	s.put(oncePrefix+key, proto.Message(r))
+	s.put(oncePrefix+key, r)
 	s.onceOrder = append(s.onceOrder, change{s.index, oncePrefix + key})
 	for s.onceCount > KeptRequests {
 		s.forgetOldest()
--- a/core/wire/roles.go
+++ b/core/wire/roles.go
@@ -8,6 +8,9 @@
 	PoolPrefix = "pool/"
 )
 
+// FirstEpoch is the epoch of a role's first holder, before which nothing was granted.
+const FirstEpoch = 1
+
 // TeamRole names the role of the owner of a team's bucket.
 func TeamRole(team string) string {
 	return TeamPrefix + team
--- a/entry/dispatcher/granter.go
+++ b/entry/dispatcher/granter.go
@@ -241,9 +241,9 @@
 	if p == nil || p.epoch != epoch {
 		p = &pool{
 			service: parts[1], region: parts[2], epoch: epoch, ledger: NewLedger(g.config.Assert),
-			waiting: map[PermitID]chan *Permit{}, unreported: map[string]bool{}, ready: epoch == firstEpoch,
+			waiting: map[PermitID]chan *Permit{}, unreported: map[string]bool{}, ready: epoch == wire.FirstEpoch,
 		}
-		if epoch != firstEpoch {
+		if epoch != wire.FirstEpoch {
 			p.learn(now, v)
 		}
 		g.pools[role] = p
@@ -252,9 +252,6 @@
 	return p
 }
 
-// firstEpoch is the epoch of a role's first holder, before which no permit was granted.
-const firstEpoch = 1
-
 func (g *Granter) noteReady(p *pool) {
 	if p.ready || len(p.unreported) > 0 {
 		return
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -178,6 +178,22 @@
 	})
 }
 
+// TestLateRequestsBlameNobody: a deadline speaks against a target only if it had at least
+// half of the route's time.
+func TestLateRequestsBlameNobody(t *testing.T) {
+	for timeout, failed := range map[time.Duration]bool{400 * time.Millisecond: true, 10 * time.Second: false} {
+		t.Run(timeout.String(), func(t *testing.T) {
+			is := is.New(t)
+			r := newRaw(t, upstreams["stays silent"])
+			f := newForwarder(t, true)
+			e, _ := exchange(parser.ClassIdempotent, http.MethodGet, "")
+			e.Route.Timeout = timeout
+			_, result := f.Forward(context.Background(), e, &parser.Target{Address: r.address})
+			is.Equal(result.Failed, failed)
+		})
+	}
+}
+
 // TestNoReplay: net/http's transport sends a request again on a connection that the
 // upstream closed after reading it, if the request has an Idempotency-Key and a body that
 // it can repeat. That must not happen to at-most-once requests.
--- a/entry/limiter/limiter.go
+++ b/entry/limiter/limiter.go
@@ -73,7 +73,7 @@
 	for {
 		changed := l.config.Changed()
 		for name, h := range l.config.View().Roles {
-			if team, ok := strings.CutPrefix(name, wire.TeamPrefix); ok && h.GetEpoch() > firstEpoch {
+			if team, ok := strings.CutPrefix(name, wire.TeamPrefix); ok && h.GetEpoch() > wire.FirstEpoch {
 				l.team(team).signal()
 			}
 		}
--- a/entry/limiter/owner.go
+++ b/entry/limiter/owner.go
@@ -168,7 +168,7 @@
 }
 
 func (o *Owner) newBucket(epoch uint64, now time.Duration, rate, burst float64) *Bucket {
-	if epoch == firstEpoch {
+	if epoch == wire.FirstEpoch {
 		return NewBucket(o.config.Assert, now, rate, burst)
 	}
 	return NewSuccessor(o.config.Assert, now, rate, burst)
@@ -198,9 +198,6 @@
 	w.bucket.Settle(now)
 }
 
-// firstEpoch is the epoch of a role's first holder.
-const firstEpoch = 1
-
 func callerName(r *wire.GrantRequest) string {
 	return wire.Incarnation(r.GetEntry(), r.GetIncarnation())
 }
--- a/entry/limiter/team.go
+++ b/entry/limiter/team.go
@@ -160,7 +160,7 @@
 		return
 	}
 	t.epoch, t.pending = epoch, nil
-	t.settled = epoch <= firstEpoch
+	t.settled = epoch <= wire.FirstEpoch
 	t.allowance.Reset()
 }
 
