Give each readiness probe of the end-to-end tests an id of its own

Since a new deployment waits until each entry serves, by GET /lamps/ready on each; three entries make three requests under one Load-Id, and the test counts runs by that id over all upstreams. Ruled out: a charge run twice (no id of /charges/ was above one). Change: the harness numbers its probes; the check stays as it is, over every id.

--- a/bench/endtoend/deployment_test.go
+++ b/bench/endtoend/deployment_test.go
@@ -109,10 +109,12 @@
 		_, out, _ := d.run("status")
 		return strings.Count(out, "live") == entries
 	})
+	probe := 0
 	for _, a := range d.callers {
 		c := newCaller(t, a)
 		d.wait("every entry serves", func() bool {
-			r, err := c.send(http.MethodGet, "/lamps/ready", goodKey, "")
+			probe++ // each is a request of its own, and each id may run once
+			r, err := c.send(http.MethodGet, fmt.Sprint("/lamps/ready", probe), goodKey, "")
 			return err == nil && r.outcome == "done"
 		})
 	}
