Do not follow other control members back to one that does not answer

An entry whose poll hung at the frozen leader asked the next member, which still named the frozen one as leader, followed it and hung for another 600 ms; two such rounds outlast the role lease of 1.5 s, and tokens and roles stop. Ruled out: the bucket (rate and burst were ten times the demand, no owner changed); the freshness lease (it did not lapse); the election (the successor led 0.6 s after the freeze). Change: a member that did not answer is avoided for one role lease, also when it is named.

--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -25,6 +25,8 @@
 	// pollTimeout bounds a poll, so that a silent connection costs less than a lease.
 	pollTimeout = timekeeper.PollHold + 350*time.Millisecond
 	retryPause  = 50 * time.Millisecond
+	// avoidSpan is how long a member that did not answer is asked only if no other is left.
+	avoidSpan = timekeeper.RoleLease
 )
 
 // Config sets up a Receiver.
@@ -51,6 +53,9 @@
 	changed atomic.Pointer[chan struct{}]
 	target  int
 	leader  string
+	// avoided is the member that did not answer last; others may still name it as leader.
+	avoided      string
+	avoidedUntil time.Duration
 	// known is the leader's address for other parts; it may be empty.
 	known   atomic.Pointer[string]
 	lapsed  bool
@@ -259,12 +264,19 @@
 	if r.leader != "" {
 		return r.leader
 	}
+	if r.avoids(r.config.Controls[r.target%len(r.config.Controls)]) {
+		r.target++
+	}
 	return r.config.Controls[r.target%len(r.config.Controls)]
 }
 
+func (r *Receiver) avoids(address string) bool {
+	return address == r.avoided && r.config.Clock.Now() < r.avoidedUntil
+}
+
 // follow asks the named leader next, or the next member if none is known.
 func (r *Receiver) follow(leader string) {
-	if leader == "" || leader == r.leader {
+	if leader == "" || leader == r.leader || r.avoids(leader) {
 		r.leader = ""
 		r.target++
 		return
@@ -278,6 +290,7 @@
 	}
 	r.silent = true
 	r.leader = ""
+	r.avoided, r.avoidedUntil = address, r.config.Clock.Now()+avoidSpan
 	r.target++
 }
 
