--- a/cli/commander/commander.go
+++ b/cli/commander/commander.go
@@ -106,6 +106,7 @@
 		c.fetchCommand(),
 		c.statusCommand(),
 		c.keysCommand(),
+		c.movesCommand(),
 		c.membersCommand(),
 		c.dumpCommand(),
 		c.eventsCommand(),
--- a/control/administrator/administrator.go
+++ b/control/administrator/administrator.go
@@ -47,6 +47,8 @@
 	State       *applier.State
 	Distributor *distributor.Distributor
 	Messenger   *messenger.Messenger
+	// Moves describes the moves of the text in force.
+	Moves func() []*wire.MoveStatus
 }
 
 // Administrator answers operators on any control member; it passes on what only the
@@ -201,5 +203,6 @@
 		out.Roles = append(out.Roles, r)
 	}
 	sort.Slice(out.Roles, func(i, j int) bool { return out.Roles[i].GetName() < out.Roles[j].GetName() })
+	out.Moves = a.config.Moves()
 	return out
 }
--- a/control/applier/apply.go
+++ b/control/applier/apply.go
@@ -44,6 +44,8 @@
 		out.Done = s.put(EntryPrefix+k.PutEntry.GetMember().GetName(), k.PutEntry.GetMember())
 	case *wire.Command_RemoveEntry:
 		out.Done = s.removeEntry(k.RemoveEntry)
+	case *wire.Command_AdvanceMove:
+		out.Done = s.advanceMove(k.AdvanceMove)
 	case *wire.Command_AssignRole:
 		out.Done = s.assignRole(k.AssignRole.GetRole())
 	}
@@ -125,6 +127,24 @@
 	return s.put(key, n)
 }
 
+// advanceMove takes the next change of a move, or removes the move.
+func (s *State) advanceMove(c *wire.AdvanceMoveCommand) bool {
+	n := c.GetMove()
+	key := MovePrefix + n.GetName()
+	var old wire.MoveRecord
+	if r := s.records[key]; r != nil && !r.GetDeleted() {
+		s.decode(r, &old)
+	}
+	if n.GetChange() != old.GetChange()+1 {
+		return false
+	}
+	if c.GetRemoved() {
+		s.delete(key)
+		return true
+	}
+	return s.put(key, n)
+}
+
 // put writes a record unless it is there already, and tells whether it wrote.
 func (s *State) put(key string, m proto.Message) bool {
 	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
--- a/control/applier/keys.go
+++ b/control/applier/keys.go
@@ -10,6 +10,7 @@
 	TextPrefix     = "text/"
 	EntryPrefix    = "entry/"
 	RolePrefix     = "role/"
+	MovePrefix     = "move/"
 	revisionPrefix = "revision/"
 	oncePrefix     = "once/"
 	// HeadKey holds the RevisionRecord of the text in force.
--- a/control/applier/state.go
+++ b/control/applier/state.go
@@ -12,6 +12,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/filberthoist/filberthoist/core/asserter"
+	"github.com/filberthoist/filberthoist/core/loader"
+	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/wire"
 )
 
@@ -39,6 +41,10 @@
 	// record has a later index are stale.
 	onceOrder []change
 	onceCount int
+	// compiled is the text of compiledRevision.
+	compiledMutex    sync.Mutex
+	compiledRevision uint64
+	compiled         *parser.Configuration
 }
 
 type change struct {
@@ -141,6 +147,27 @@
 	return out
 }
 
+// Configuration returns the text in force, compiled; it is nil if there is none yet. The
+// error says why a text does not compile, which another version of the program took.
+func (s *State) Configuration() (*parser.Configuration, error) {
+	s.compiledMutex.Lock()
+	defer s.compiledMutex.Unlock()
+	head := s.Head().GetRevision()
+	if head == s.compiledRevision {
+		return s.compiled, nil
+	}
+	sections := make([]loader.Section, 0)
+	for _, t := range s.Sections() {
+		sections = append(sections, wire.FromTextSection(t))
+	}
+	c, problems := parser.Compile(sections)
+	if c == nil {
+		return nil, problems.Err()
+	}
+	s.compiledRevision, s.compiled = c.Revision, c
+	return c, nil
+}
+
 // Entries returns the entries by name.
 func (s *State) Entries() map[string]*wire.EntryMember {
 	out := map[string]*wire.EntryMember{}
@@ -163,6 +190,17 @@
 	return out
 }
 
+// Moves returns how far the moves are, by name.
+func (s *State) Moves() map[string]*wire.MoveRecord {
+	out := map[string]*wire.MoveRecord{}
+	s.each(MovePrefix, func(r *wire.Record) {
+		m := &wire.MoveRecord{}
+		s.decode(r, m)
+		out[m.GetName()] = m
+	})
+	return out
+}
+
 func (s *State) each(prefix string, visit func(*wire.Record)) {
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
--- a/control/control.go
+++ b/control/control.go
@@ -15,6 +15,7 @@
 	"github.com/filberthoist/filberthoist/control/coordinator"
 	"github.com/filberthoist/filberthoist/control/distributor"
 	"github.com/filberthoist/filberthoist/control/messenger"
+	"github.com/filberthoist/filberthoist/control/mover"
 	"github.com/filberthoist/filberthoist/control/recorder"
 	"github.com/filberthoist/filberthoist/control/registrar"
 	"github.com/filberthoist/filberthoist/control/sequencer"
@@ -55,6 +56,7 @@
 			newSequencer,
 			newDistributor,
 			newCoordinator,
+			newMover,
 			newAdministrator,
 			newRegistrar,
 		),
@@ -121,14 +123,18 @@
 }
 
 func newAdministrator(s Settings, c timekeeper.Clock, l logger.Logger, n *connector.Connector, q *sequencer.Sequencer,
-	t *applier.State, d *distributor.Distributor, m *messenger.Messenger,
+	t *applier.State, d *distributor.Distributor, m *messenger.Messenger, v *mover.Mover,
 ) *administrator.Administrator {
 	return administrator.NewAdministrator(administrator.Config{
 		Name: s.Name, PeerAddress: s.Advertised, Peers: s.Peers, Clock: c, Logger: l, Connector: n,
-		Sequencer: q, State: t, Distributor: d, Messenger: m,
+		Sequencer: q, State: t, Distributor: d, Messenger: m, Moves: v.Status,
 	})
 }
 
+func newMover(l logger.Logger, a *asserter.Asserter, s *sequencer.Sequencer, t *applier.State, d *distributor.Distributor) *mover.Mover {
+	return mover.NewMover(mover.Config{Logger: l, Assert: a, Sequencer: s, State: t, Distributor: d, Now: time.Now})
+}
+
 // parts are what run puts into motion.
 type parts struct {
 	fx.In
@@ -142,6 +148,7 @@
 	Distributor   *distributor.Distributor
 	Registrar     *registrar.Registrar
 	Coordinator   *coordinator.Coordinator
+	Mover         *mover.Mover
 	Administrator *administrator.Administrator
 	State         *applier.State
 	Lifecycle     fx.Lifecycle
@@ -162,6 +169,7 @@
 			}
 			p.Group.Go("sequencer", p.Sequencer.Run)
 			p.Group.Go("coordinator", p.Coordinator.Run)
+			p.Group.Go("mover", p.Mover.Run)
 			p.Logger.Log(logger.ProcessStarted, logger.F("peer", p.Settings.PeerAddress), logger.F("incarnation", p.Sequencer.View().ID))
 			return nil
 		},
--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -9,9 +9,7 @@
 	"github.com/filberthoist/filberthoist/control/applier"
 	"github.com/filberthoist/filberthoist/control/distributor"
 	"github.com/filberthoist/filberthoist/control/sequencer"
-	"github.com/filberthoist/filberthoist/core/loader"
 	"github.com/filberthoist/filberthoist/core/logger"
-	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
 )
@@ -81,20 +79,15 @@
 
 // wantedRoles compiles the text in force again only if it changed.
 func (c *Coordinator) wantedRoles() []WantedRole {
-	head := c.config.State.Head().GetRevision()
-	if head == c.revision {
+	compiled, err := c.config.State.Configuration()
+	if err != nil {
+		c.config.Logger.Log(logger.ConfigurationBad, logger.F("error", err))
 		return c.wanted
 	}
-	sections := make([]loader.Section, 0)
-	for _, s := range c.config.State.Sections() {
-		sections = append(sections, wire.FromTextSection(s))
-	}
-	compiled, problems := parser.Compile(sections)
-	if compiled == nil {
-		c.config.Logger.Log(logger.ConfigurationBad, logger.F("error", problems.Err()))
+	if compiled == nil || compiled.Revision == c.revision {
 		return c.wanted
 	}
-	c.revision, c.wanted = head, Wanted(compiled)
+	c.revision, c.wanted = compiled.Revision, Wanted(compiled)
 	return c.wanted
 }
 
--- a/control/coordinator/plan.go
+++ b/control/coordinator/plan.go
@@ -45,7 +45,7 @@
 	}
 	pools := map[string]string{}
 	for _, t := range c.Targets {
-		pools[wire.PoolRole(t.Service, t.Region)] = t.Region
+		pools[wire.Pool{Service: t.Service, Region: t.Region, Version: t.Version}.Role()] = t.Region
 	}
 	for n, region := range pools {
 		out = append(out, WantedRole{Name: n, Region: region})
--- a/control/distributor/distributor.go
+++ b/control/distributor/distributor.go
@@ -47,6 +47,8 @@
 	Fresh time.Duration
 	// Vacated holds the last epoch in which it stopped to act, by role.
 	Vacated map[string]uint64
+	// Evidence is what it saw of the moves under way, since it started.
+	Evidence []*wire.MoveEvidence
 }
 
 // CallerName tells incarnations of one entry apart.
@@ -167,6 +169,7 @@
 		vacated[t.GetName()] = max(vacated[t.GetName()], t.GetEpoch())
 	}
 	c.Vacated = vacated
+	c.Evidence = r.GetEvidence()
 }
 
 // noteFresh is called before the answer leaves, so that the caller's lease ends earlier.
--- /dev/null
+++ b/control/mover/mover.go
@@ -0,0 +1,212 @@
+// Package mover carries out the moves of the text: it advances their shares by a schedule
+// that reaches the deadline, judges the new side against the old one, and takes a move
+// back once the new side is surely worse.
+package mover
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/filberthoist/filberthoist/control/applier"
+	"github.com/filberthoist/filberthoist/control/distributor"
+	"github.com/filberthoist/filberthoist/control/sequencer"
+	"github.com/filberthoist/filberthoist/core/asserter"
+	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// Times of the mover.
+const (
+	// windowLength is the time of one comparison.
+	windowLength   = 500 * time.Millisecond
+	proposeTimeout = 2 * time.Second
+)
+
+// Config sets up a Mover.
+type Config struct {
+	Logger      logger.Logger
+	Assert      *asserter.Asserter
+	Sequencer   *sequencer.Sequencer
+	State       *applier.State
+	Distributor *distributor.Distributor
+	// Now is the time of day, which deadlines refer to.
+	Now func() time.Time
+}
+
+// Mover acts while its control member leads.
+type Mover struct {
+	config Config
+	mutex  sync.Mutex
+	judges map[string]*Judge
+	// held is the last reason logged, by move.
+	held map[string]string
+	// term is the one in which the judges' evidence was collected.
+	term uint64
+}
+
+// NewMover returns a Mover without evidence.
+func NewMover(c Config) *Mover {
+	return &Mover{config: c, judges: map[string]*Judge{}, held: map[string]string{}}
+}
+
+// Run advances moves until the context ends.
+func (m *Mover) Run(ctx context.Context) error {
+	return m.run(ctx)
+}
+
+// Status describes every move of the text in force.
+func (m *Mover) Status() []*wire.MoveStatus {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	c, err := m.config.State.Configuration()
+	if err != nil || c == nil {
+		return nil
+	}
+	records := m.config.State.Moves()
+	var out []*wire.MoveStatus
+	for _, n := range moveNames(c) {
+		out = append(out, m.describe(c.Moves[n], records[n]))
+	}
+	return out
+}
+
+func (m *Mover) describe(v *parser.Move, r *wire.MoveRecord) *wire.MoveStatus {
+	from, to := v.Ends()
+	s := &wire.MoveStatus{
+		Move: r, Service: v.Service, From: from, To: to, Cap: v.Cap, DeadlineUnixMilliseconds: v.Deadline.UnixMilli(),
+	}
+	j := m.judges[v.Name]
+	if j == nil {
+		return s
+	}
+	s.Limit = j.limit
+	for _, n := range j.names() {
+		w := j.routes[n].assessor.Verdict()
+		s.Routes = append(s.Routes, &wire.RouteVerdict{
+			Route: n, Old: wire.ToVersionTally(w.Old), New: wire.ToVersionTally(w.New),
+			OldSlow: uint32(w.OldSlow), NewSlow: uint32(w.NewSlow), Evidence: j.against(w),
+		})
+	}
+	return s
+}
+
+func (m *Mover) run(ctx context.Context) error {
+	t := time.NewTicker(windowLength)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+		v := m.config.Sequencer.View()
+		if !v.Serving() {
+			continue
+		}
+		for _, c := range m.plan(v.Term) {
+			m.propose(ctx, c)
+		}
+	}
+}
+
+// plan takes in a window of evidence and returns what follows from it.
+func (m *Mover) plan(term uint64) []*wire.AdvanceMoveCommand {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	c, err := m.config.State.Configuration()
+	if err != nil || c == nil {
+		return nil
+	}
+	if term != m.term {
+		m.term, m.judges = term, map[string]*Judge{}
+	}
+	callers, records := m.config.Distributor.Callers(), m.config.State.Moves()
+	var out []*wire.AdvanceMoveCommand
+	for _, n := range moveNames(c) {
+		if next := m.planMove(c, c.Moves[n], records[n], callers); next != nil {
+			out = append(out, &wire.AdvanceMoveCommand{Move: next})
+		}
+	}
+	for n, r := range records {
+		if c.Moves[n] == nil {
+			delete(m.judges, n)
+			out = append(out, &wire.AdvanceMoveCommand{
+				Move: &wire.MoveRecord{Name: n, Change: r.GetChange() + 1}, Removed: true,
+			})
+		}
+	}
+	return out
+}
+
+func (m *Mover) planMove(c *parser.Configuration, v *parser.Move, r *wire.MoveRecord, callers map[distributor.CallerName]distributor.Caller) *wire.MoveRecord {
+	now := m.config.Now()
+	routes := c.RoutesOf(v.Service)
+	if r.GetDefinition() != v.Definition {
+		delete(m.judges, v.Name)
+		return Begin(v, Schedule(v, routes, now), r, now)
+	}
+	j := m.judges[v.Name]
+	if j == nil || j.definition != v.Definition {
+		j = NewJudge(v, routes)
+		m.judges[v.Name] = j
+	}
+	j.Window(callers)
+	list := Schedule(v, routes, time.UnixMilli(r.GetBegunUnixMilliseconds()))
+	next, held := Advance(v, list, r, j, now)
+	m.noteHeld(v, held, now)
+	if next != nil {
+		m.checkStep(v, r, next)
+	}
+	return next
+}
+
+// checkStep asserts the cap of a step forward.
+func (m *Mover) checkStep(v *parser.Move, r, next *wire.MoveRecord) {
+	m.config.Assert.That(next.GetShare()-r.GetShare() <= v.Cap+tiny, "moveCapKept", "move %s: %g after %g", v.Name, next.GetShare(), r.GetShare())
+	m.config.Assert.That(next.GetOnceShare()-r.GetOnceShare() <= v.Cap+tiny, "moveCapKept", "move %s: %g after %g", v.Name, next.GetOnceShare(), r.GetOnceShare())
+}
+
+func (m *Mover) noteHeld(v *parser.Move, why string, now time.Time) {
+	if why != "" && m.held[v.Name] != why {
+		m.config.Logger.Log(logger.MoveHeld, logger.F("move", v.Name), logger.F("reason", why), logger.F("late", now.After(v.Deadline)))
+	}
+	m.held[v.Name] = why
+}
+
+func (m *Mover) propose(ctx context.Context, c *wire.AdvanceMoveCommand) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	r, err := m.config.Sequencer.Propose(ctx, &wire.Command{Kind: &wire.Command_AdvanceMove{AdvanceMove: c}})
+	if err != nil || !r.Done || c.GetRemoved() {
+		return // planned again from the state as it is then
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if j := m.judges[c.GetMove().GetName()]; j != nil {
+		j.Stepped()
+	}
+	n := c.GetMove()
+	event := logger.MoveStepped
+	switch {
+	case n.GetStage() == wire.MoveStage_MOVE_STAGE_TAKEN_BACK:
+		event = logger.MoveTakenBack
+	case n.GetStage() == wire.MoveStage_MOVE_STAGE_DONE:
+		event = logger.MoveDone
+	case n.GetBegunUnixMilliseconds() == n.GetSteppedUnixMilliseconds():
+		event = logger.MoveBegun
+	}
+	m.config.Logger.Log(event, logger.F("move", n.GetName()), logger.F("share", n.GetShare()),
+		logger.F("onceShare", n.GetOnceShare()), logger.F("reason", n.GetReason()))
+}
+
+func moveNames(c *parser.Configuration) []string {
+	out := make([]string, 0, len(c.Moves))
+	for n := range c.Moves {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/control/mover/mover_test.go
@@ -0,0 +1,232 @@
+package mover
+
+import (
+	"flag"
+	"math"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/filberthoist/filberthoist/control/distributor"
+	"github.com/filberthoist/filberthoist/core/assessor"
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// TestMain fixes the seed, so that every run is the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+var (
+	service   = &parser.Service{Name: "lamps", Version: "v1"}
+	status    = &parser.Route{Name: "status", Service: service, Class: parser.ClassIdempotent}
+	arm       = &parser.Route{Name: "arm", Service: service, Class: parser.ClassAtMostOnce}
+	start     = time.Date(2027, 3, 1, 12, 0, 0, 0, time.UTC)
+	allRoutes = [][]*parser.Route{{status}, {arm}, {status, arm}}
+)
+
+func newMove(limit float64, due, bake time.Duration) *parser.Move {
+	return &parser.Move{
+		Name: "m", Service: "lamps", From: "v1", To: "v2", Cap: limit, Bake: bake, Deadline: start.Add(due), Definition: "a",
+	}
+}
+
+// TestSchedule: no step is above the cap, the steps follow one another, and the last is
+// forced before the deadline.
+func TestSchedule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		due := time.Duration(rapid.IntRange(0, 1e6).Draw(t, "due")) * time.Second
+		m := newMove(rapid.Float64Range(0.01, 1).Draw(t, "cap"), due, time.Duration(rapid.IntRange(0, 1e6).Draw(t, "bake"))*time.Second)
+		list := Schedule(m, allRoutes[rapid.IntRange(0, 2).Draw(t, "routes")], start)
+		before := Stage{}
+		for i, s := range list {
+			if s.Share-before.Share > m.Cap+tiny || s.OnceShare-before.OnceShare > m.Cap+tiny || s.Share < before.Share || s.OnceShare < before.OnceShare {
+				t.Fatalf("step %d: %v after %v with cap %v", i, s, before, m.Cap)
+			}
+			if s.Planned < before.Planned || s.Forced < before.Forced || s.Forced < s.Planned || s.Forced > due {
+				t.Fatalf("step %d: %v after %v, due %v", i, s, before, due)
+			}
+			if stepOf(list, s.Share, s.OnceShare) != i {
+				t.Fatalf("step %d is found as %d", i, stepOf(list, s.Share, s.OnceShare))
+			}
+			before = s
+		}
+		if before.Share != 1 || before.OnceShare != 1 {
+			t.Fatalf("it ends at %v", before)
+		}
+	})
+}
+
+// run carries a move out in virtual time until it is over or late. Answers tells both
+// sides of a window on a route; the leader, and with it the judge, may change.
+func run(m *parser.Move, routes []*parser.Route, late time.Duration, change int, answers func(w int, r *parser.Route, share float64) pair) (*wire.MoveRecord, time.Duration) {
+	list := Schedule(m, routes, start)
+	r := Begin(m, list, nil, start)
+	j := NewJudge(m, routes)
+	total := map[string]pair{}
+	for w := 0; ; w++ {
+		now := start.Add(time.Duration(w) * windowLength)
+		if change > 0 && w%change == 0 {
+			j = NewJudge(m, routes)
+		}
+		e := &wire.MoveEvidence{Course: m.Course()}
+		for _, route := range routes {
+			p := answers(w, route, shareOf(r, route))
+			sum := total[route.Name]
+			sum.old.Merge(p.old)
+			sum.new.Merge(p.new)
+			total[route.Name] = sum
+			e.Routes = append(e.Routes, &wire.RouteEvidence{Route: route.Name, Old: wire.ToVersionTally(sum.old), New: wire.ToVersionTally(sum.new)})
+		}
+		j.Window(map[distributor.CallerName]distributor.Caller{{Name: "entry1"}: {Evidence: []*wire.MoveEvidence{e}}})
+		next, _ := Advance(m, list, r, j, now)
+		if next != nil {
+			r = next
+			j.Stepped()
+		}
+		if over(r) || now.Sub(start) > late {
+			return r, now.Sub(start)
+		}
+	}
+}
+
+func shareOf(r *wire.MoveRecord, route *parser.Route) float64 {
+	return Stage{Share: r.GetShare(), OnceShare: r.GetOnceShare()}.shareOf(route)
+}
+
+// split returns count answers of window w on both sides, of which the new side's fail in part.
+func split(w, count int, share, failing float64) pair {
+	var p pair
+	each := float64(count) * share
+	news := int(each*float64(w+1)) - int(each*float64(w))
+	for i := range count {
+		if i < news {
+			p.new.Add(10*time.Millisecond, float64(i) < failing*float64(news))
+		} else {
+			p.old.Add(10*time.Millisecond, false)
+		}
+	}
+	return p
+}
+
+// TestGoodMoves: they are done by the deadline, whatever the traffic, cap, bake time and
+// however often the leader changes.
+func TestGoodMoves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		due := time.Duration(rapid.IntRange(120, 600).Draw(t, "due")) * time.Second
+		m := newMove(rapid.Float64Range(0.05, 1).Draw(t, "cap"), due, time.Duration(rapid.IntRange(0, 600).Draw(t, "bake"))*time.Second)
+		count, change := rapid.IntRange(0, 300).Draw(t, "count"), rapid.IntRange(0, 100).Draw(t, "change")
+		routes := allRoutes[rapid.IntRange(0, 2).Draw(t, "routes")]
+		r, at := run(m, routes, due, change, func(w int, _ *parser.Route, share float64) pair { return split(w, count, share, 0) })
+		if r.GetStage() != wire.MoveStage_MOVE_STAGE_DONE || at > due {
+			t.Fatalf("%v %q after %v of %v", r.GetStage(), r.GetReason(), at, due)
+		}
+	})
+}
+
+// TestBadMoves: faults at once, late, on one route, are taken back and stay so.
+func TestBadMoves(t *testing.T) {
+	cases := []struct {
+		name    string
+		routes  []*parser.Route
+		failing func(w int, r *parser.Route) float64
+		share   float64
+	}{
+		{"at once", allRoutes[0], func(int, *parser.Route) float64 { return 0.5 }, firstShare},
+		{"at most once only", allRoutes[1], func(int, *parser.Route) float64 { return 0.5 }, firstShare},
+		{"late", allRoutes[0], func(w int, _ *parser.Route) float64 {
+			if w > 300 {
+				return 0.3
+			}
+			return 0
+		}, 1},
+		{"on the route that joins last", allRoutes[2], func(_ int, r *parser.Route) float64 {
+			if r == arm {
+				return 0.5
+			}
+			return 0
+		}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMove(0.2, 300*time.Second, 100*time.Second)
+			top := 0.0
+			r, at := run(m, c.routes, 300*time.Second, 0, func(w int, r *parser.Route, share float64) pair {
+				top = max(top, share)
+				return split(w, 200, share, c.failing(w, r))
+			})
+			is.Equal(r.GetStage(), wire.MoveStage_MOVE_STAGE_TAKEN_BACK)
+			is.True(top <= c.share)
+			is.Equal(r.GetShare(), 0.0)
+			is.True(strings.Contains(r.GetReason(), "the new side failed"))
+			next, _ := Advance(m, Schedule(m, c.routes, start), r, NewJudge(m, c.routes), start.Add(at+time.Hour))
+			is.Equal(next, nil) // stays taken back
+		})
+	}
+}
+
+// TestHeld: a new side that takes too little of its share is not given more, not even by
+// the deadline.
+func TestHeld(t *testing.T) {
+	is := is.New(t)
+	m := newMove(0.5, 60*time.Second, 0)
+	r, _ := run(m, allRoutes[0], 120*time.Second, 0, func(w int, _ *parser.Route, share float64) pair {
+		return split(w, 1000, min(share, 0.1), 0)
+	})
+	is.Equal(r.GetStage(), wire.MoveStage_MOVE_STAGE_RAMPING)
+	is.True(r.GetShare() <= 0.51)
+}
+
+func TestChangedSchedule(t *testing.T) {
+	old := &wire.MoveRecord{Name: "m", Definition: "a", Course: newMove(0.2, 0, 0).Course(), Share: 0.41, OnceShare: 0.41, Change: 7}
+	cases := []struct {
+		name  string
+		stage wire.MoveStage
+		share float64
+	}{
+		{"goes on", wire.MoveStage_MOVE_STAGE_RAMPING, 0.41},
+		{"begins anew after it was taken back", wire.MoveStage_MOVE_STAGE_TAKEN_BACK, firstShare},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			old.Stage = c.stage
+			m := newMove(0.2, time.Hour, 0)
+			m.Definition = "b"
+			r := Begin(m, Schedule(m, allRoutes[0], start), old, start)
+			is.True(math.Abs(r.GetShare()-c.share) < tiny)
+			is.Equal(r.GetChange(), uint64(8))
+		})
+	}
+}
+
+// TestWindowCountsOnce: repeated reports, restarts of an entry and earlier evidence.
+func TestWindowCountsOnce(t *testing.T) {
+	is := is.New(t)
+	m := newMove(0.2, time.Hour, 0)
+	j := NewJudge(m, allRoutes[0])
+	tell := func(incarnation uint64, count int) {
+		var o assessor.Tally
+		for range count {
+			o.Add(time.Millisecond, false)
+		}
+		e := &wire.MoveEvidence{Course: m.Course(), Routes: []*wire.RouteEvidence{{Route: "status", Old: wire.ToVersionTally(o)}, {Route: "gone"}}}
+		j.Window(map[distributor.CallerName]distributor.Caller{{Name: "entry1", Incarnation: incarnation}: {Evidence: []*wire.MoveEvidence{e}}})
+	}
+	for _, count := range []int{100, 120, 120, 150} {
+		tell(1, count)
+	}
+	tell(2, 10) // what it saw before its first report is left out
+	tell(2, 15)
+	is.Equal(j.routes["status"].assessor.Verdict().Old.Count, 55)
+}
--- /dev/null
+++ b/core/assessor/tally.go
@@ -0,0 +1,71 @@
+package assessor
+
+import (
+	"math"
+	"time"
+)
+
+// Shape of the latency histogram: bounds grow by half from one millisecond to about a minute.
+const (
+	Buckets     = 28
+	firstBound  = time.Millisecond
+	boundGrowth = 1.5
+)
+
+// Tally counts the answers of one version on one route over some time.
+type Tally struct {
+	Count  int
+	Failed int
+	// Latencies counts answers by Bucket.
+	Latencies [Buckets]int
+}
+
+// Bucket returns the number of the bucket that a latency falls into.
+func Bucket(d time.Duration) int {
+	if d <= firstBound {
+		return 0
+	}
+	b := int(math.Ceil(math.Log(float64(d)/float64(firstBound)) / math.Log(boundGrowth)))
+	return min(b, Buckets-1)
+}
+
+// Add counts one answer.
+func (t *Tally) Add(latency time.Duration, failed bool) {
+	t.Count++
+	if failed {
+		t.Failed++
+	}
+	t.Latencies[Bucket(latency)]++
+}
+
+// Merge adds what another Tally counted.
+func (t *Tally) Merge(o Tally) {
+	t.Count += o.Count
+	t.Failed += o.Failed
+	for i, n := range o.Latencies {
+		t.Latencies[i] += n
+	}
+}
+
+// Minus returns what was counted since an earlier Tally of the same counter. A counter
+// that began again is taken whole.
+func (t Tally) Minus(o Tally) Tally {
+	if o.Count > t.Count || o.Failed > t.Failed {
+		return t
+	}
+	t.Count -= o.Count
+	t.Failed -= o.Failed
+	for i, n := range o.Latencies {
+		t.Latencies[i] = max(0, t.Latencies[i]-n)
+	}
+	return t
+}
+
+// Slower counts answers above a bucket.
+func (t Tally) Slower(bucket int) int {
+	n := 0
+	for _, c := range t.Latencies[min(bucket+1, Buckets):] {
+		n += c
+	}
+	return n
+}
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -11,7 +11,7 @@
 }
 
 // Events of every process, by number: 1xx process, 2xx replication, 3xx
-// configuration, 4xx entries and roles, 5xx requests, 6xx dispatch, 7xx limits, 9xx invariants.
+// configuration, 4xx entries and roles, 5xx requests, 6xx dispatch and moves, 7xx limits, 9xx invariants.
 var (
 	ProcessStarted     = Event{101, "processStarted", log.InfoLevel, "The process listens on all its addresses."}
 	ProcessStopping    = Event{102, "processStopping", log.InfoLevel, "The process was asked to stop and drains."}
@@ -43,6 +43,12 @@
 	TargetReadmitted   = Event{602, "targetReadmitted", log.InfoLevel, "A probe succeeded; the target takes work again."}
 	TargetLeaving      = Event{603, "targetLeaving", log.InfoLevel, "A target is leaving and gets no new work."}
 	DispatcherReady    = Event{604, "dispatcherReady", log.InfoLevel, "A new dispatcher knows the permits in use and grants."}
+	MoveBegun          = Event{611, "moveBegun", log.InfoLevel, "A move began, or goes on under a changed schedule."}
+	MoveStepped        = Event{612, "moveStepped", log.InfoLevel, "A move went on to its next share."}
+	MoveTakenBack      = Event{613, "moveTakenBack", log.WarnLevel, "The new side of a move is surely worse; all traffic is back on the old one."}
+	MoveDone           = Event{614, "moveDone", log.InfoLevel, "All traffic goes the new way."}
+	MoveHeld           = Event{615, "moveHeld", log.WarnLevel, "A move can't go on by its schedule; the reason says why."}
+	MoveStoppedHere    = Event{616, "moveStoppedHere", log.WarnLevel, "This entry saw the new side fail and sends it no more requests."}
 	OwnerStarted       = Event{701, "ownerStarted", log.InfoLevel, "This entry owns a team's bucket under a new epoch."}
 	InvariantBroken    = Event{901, "invariantBroken", log.FatalLevel, "An invariant does not hold; the process stops."}
 )
@@ -57,5 +63,6 @@
 	EntryJoined, EntryRemoved, RoleAssigned,
 	RequestCut, RequestUnknown,
 	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady,
+	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
 	OwnerStarted, InvariantBroken,
 }
--- a/core/parser/checks.go
+++ b/core/parser/checks.go
@@ -19,12 +19,24 @@
 		}
 	}
 	for _, m := range c.out.Moves {
-		if s := c.out.Services[m.Service]; s != nil && !hasVersion(s, m.To) {
-			c.fail("move "+m.Name, "to", "no target runs version "+m.To)
-		}
+		c.checkMove(m, c.out.Services[m.Service])
+	}
+}
+
+func (c *compiler) checkMove(m *Move, s *Service) {
+	switch {
+	case s == nil:
+	case m.Regional() && !hasRegion(s, m.ToRegion):
+		c.fail("move "+m.Name, "toRegion", "no target of the service runs in "+m.ToRegion)
+	case !m.Regional() && !hasVersion(s, m.To):
+		c.fail("move "+m.Name, "to", "no target runs version "+m.To)
 	}
 }
 
+func hasRegion(s *Service, region string) bool {
+	return slices.ContainsFunc(s.Targets, func(t *Target) bool { return t.Region == region && t.Version == s.Version })
+}
+
 func hasVersion(s *Service, version string) bool {
 	return slices.ContainsFunc(s.Targets, func(t *Target) bool { return t.Version == version })
 }
--- a/core/parser/configuration.go
+++ b/core/parser/configuration.go
@@ -119,15 +119,43 @@
 	Digest digester.Digest
 }
 
-// Move shifts a service's traffic from one version to another.
+// Move shifts a service's traffic from one version to another, or from one region to another.
 type Move struct {
 	Name    string
 	Service string
-	From    string
-	To      string
+	// From and To are versions.
+	From string
+	To   string
+	// FromRegion and ToRegion are set instead of From and To if the shift is between regions.
+	FromRegion string
+	ToRegion   string
 	// Cap is the largest share that one step may shift, from 0 to 1.
-	Cap      float64
+	Cap float64
+	// Deadline is when all traffic must have moved.
 	Deadline time.Time
+	// Bake is how long the last step waits for late faults.
+	Bake time.Duration
+	// Definition is the digest of the section; a changed section is a new move.
+	Definition string
+}
+
+// Ends names the two sides of the move.
+func (m *Move) Ends() (from, to string) {
+	if m.FromRegion != "" {
+		return m.FromRegion, m.ToRegion
+	}
+	return m.From, m.To
+}
+
+// Course names the service and both sides.
+func (m *Move) Course() string {
+	from, to := m.Ends()
+	return m.Service + " " + from + " " + to
+}
+
+// Regional tells whether the shift is between regions.
+func (m *Move) Regional() bool {
+	return m.FromRegion != ""
 }
 
 // NewLinkName names the link between two regions, whichever comes first.
@@ -138,6 +166,17 @@
 	return LinkName{First: a, Second: b}
 }
 
+// RoutesOf returns the routes of a service.
+func (c *Configuration) RoutesOf(service string) []*Route {
+	var out []*Route
+	for _, r := range c.Routes {
+		if r.Service.Name == service {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Open tells whether the route needs no key.
 func (r *Route) Open() bool {
 	return r.Class == ClassOpen
--- a/core/parser/parser.go
+++ b/core/parser/parser.go
@@ -16,6 +16,8 @@
 	maxRate          = 1e9
 	maxTimeout       = 5 * time.Minute
 	defaultTimeout   = 10 * time.Second
+	defaultBake      = 10 * time.Minute
+	maxBake          = 30 * 24 * time.Hour
 	defaultBody      = 1 << 20
 	maxBody          = 1 << 30
 	defaultSend      = 5 * time.Second
--- a/core/parser/sections.go
+++ b/core/parser/sections.go
@@ -1,6 +1,9 @@
 package parser
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"math"
 	"slices"
 	"strconv"
@@ -164,8 +167,12 @@
 }
 
 func (c *compiler) readMove(name string, r *loader.Reader) {
-	m := &Move{Name: name, Service: r.Required("service"), From: r.Required("from"), To: r.Required("to")}
+	m := &Move{
+		Name: name, Service: r.Required("service"), From: r.Optional("from", ""), To: r.Optional("to", ""),
+		FromRegion: r.Optional("fromRegion", ""), ToRegion: r.Optional("toRegion", ""),
+	}
 	m.Cap = c.percent(r, "cap")
+	m.Bake = r.Duration("bake", defaultBake, 0, maxBake)
 	if d := r.Required("deadline"); d != "" {
 		t, err := time.Parse(time.RFC3339, d)
 		if err != nil {
@@ -177,21 +184,59 @@
 	if m.Service != "" && s == nil {
 		r.Fail("service", "service %s is not in the text", m.Service)
 	}
-	if m.From == m.To {
-		r.Fail("to", "from and to are the same version")
-	}
-	if s != nil && m.From != s.Version {
-		r.Fail("from", "service %s runs version %s", s.Name, s.Version)
-	}
+	c.checkEnds(m, s, r)
 	for _, o := range c.out.Moves {
 		if o.Service == m.Service {
 			r.Fail("service", "move %s moves service %s already", o.Name, m.Service)
 		}
 	}
+	m.Definition = m.digest()
 	c.out.Moves[name] = m
 	r.Finish()
 }
 
+func (c *compiler) checkEnds(m *Move, s *Service, r *loader.Reader) {
+	if m.Regional() || m.ToRegion != "" {
+		c.checkRegions(m, r)
+		return
+	}
+	r.Required("from")
+	r.Required("to")
+	if m.From != "" && m.From == m.To {
+		r.Fail("to", "from and to are the same version")
+	}
+	if s != nil && m.From != "" && m.From != s.Version {
+		r.Fail("from", "service %s runs version %s", s.Name, s.Version)
+	}
+}
+
+func (c *compiler) checkRegions(m *Move, r *loader.Reader) {
+	r.Required("fromRegion")
+	r.Required("toRegion")
+	if m.From != "" || m.To != "" {
+		r.Fail("fromRegion", "a move is between versions or between regions, not both")
+	}
+	if m.FromRegion == m.ToRegion {
+		r.Fail("toRegion", "fromRegion and toRegion are the same")
+	}
+	c.checkRegion(r, "fromRegion", m.FromRegion)
+	c.checkRegion(r, "toRegion", m.ToRegion)
+}
+
+func (c *compiler) checkRegion(r *loader.Reader, key, region string) {
+	if region != "" && c.out.Regions[region] == nil {
+		r.Fail(key, "region %s is not in the text", region)
+	}
+}
+
+// digest tells one definition of a move from another.
+func (m *Move) digest() string {
+	from, to := m.Ends()
+	text := fmt.Sprintf("%s|%s|%s|%v|%g|%s|%s", m.Service, from, to, m.Regional(), m.Cap, m.Bake, m.Deadline.UTC().Format(time.RFC3339))
+	d := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(d[:8])
+}
+
 // percent reads a share written as "10%" and returns it between 0 and 1.
 func (c *compiler) percent(r *loader.Reader, key string) float64 {
 	v := r.Required(key)
--- a/core/wire/roles.go
+++ b/core/wire/roles.go
@@ -1,6 +1,9 @@
 package wire
 
-import "strconv"
+import (
+	"strconv"
+	"strings"
+)
 
 // Prefixes of the names of roles.
 const (
@@ -16,9 +19,25 @@
 	return TeamPrefix + team
 }
 
-// PoolRole names the role of the dispatcher of a service's targets in a region.
-func PoolRole(service, region string) string {
-	return PoolPrefix + service + "/" + region
+// Pool is the group of a service's targets of one version in one region.
+type Pool struct {
+	Service string
+	Region  string
+	Version string
+}
+
+// Role names the role of the pool's dispatcher.
+func (p Pool) Role() string {
+	return PoolPrefix + p.Service + "/" + p.Region + "/" + p.Version
+}
+
+// ParsePool returns the pool that a role is for.
+func ParsePool(role string) (p Pool, ok bool) {
+	parts := strings.Split(role, "/")
+	if len(parts) != 4 || parts[0]+"/" != PoolPrefix {
+		return Pool{}, false
+	}
+	return Pool{Service: parts[1], Region: parts[2], Version: parts[3]}, true
 }
 
 // Incarnation names one run of an entry.
--- a/entry/classifier/classifier.go
+++ b/entry/classifier/classifier.go
@@ -54,6 +54,7 @@
 		return handler.Refuse(http.StatusNotFound, handler.ReasonNoRoute)
 	}
 	e.Route = route
+	e.Course = handler.Course{Version: e.Route.Service.Version}
 	timeout, ok := c.timeout(e.Request, route)
 	if !ok {
 		return handler.Refuse(http.StatusBadRequest, handler.ReasonBadRequest)
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -75,14 +75,15 @@
 func (d *Dispatcher) dispatch(ctx context.Context, e *handler.Exchange) handler.Outcome {
 	b := d.budget(e.Route.Service.Name)
 	b.earn(e.View.Configuration.Limits.RetryShare)
+	course := e.Course
 	var excluded []string
 	last := handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoRoom)
 	for attempt := range maxAttempts {
-		held := d.acquire(ctx, e, excluded)
+		held := d.acquire(ctx, e, &course, excluded)
 		if held == nil {
 			return d.noPermit(ctx, e, last, attempt)
 		}
-		o, again := d.send(ctx, e, held)
+		o, again := d.send(ctx, e, course, held)
 		if !again {
 			return o
 		}
@@ -91,12 +92,15 @@
 		}
 		d.retries.Inc(1)
 		last, excluded = o, append(excluded, held.Target)
+		if e.Fallback != nil {
+			course = *e.Fallback
+		}
 	}
 	return last
 }
 
 // send forwards on a permit and tells whether another target may be tried.
-func (d *Dispatcher) send(ctx context.Context, e *handler.Exchange, held *Held) (o handler.Outcome, again bool) {
+func (d *Dispatcher) send(ctx context.Context, e *handler.Exchange, course handler.Course, held *Held) (o handler.Outcome, again bool) {
 	t := e.View.Configuration.Targets[held.Target]
 	if t == nil {
 		d.config.Client.Release(held, Result{})
@@ -105,6 +109,9 @@
 	result := Result{Failed: true} // if Forward ends in a panic
 	defer func() { d.config.Client.Release(held, result) }()
 	o, result = d.config.Forward(ctx, e, t)
+	if e.Observe != nil && (result.Failed || result.Latency > 0) {
+		e.Observe(course, result.Latency, result.Failed)
+	}
 	mayRepeat := o.Run == handler.NotRun || (o.Run == handler.Unknown && e.Route.Repeatable())
 	alive := ctx.Err() == nil && d.config.Clock.Now() < e.Deadline
 	return o, mayRepeat && !e.AnswerBegun && alive && result.Failed
@@ -127,39 +134,56 @@
 // statusCallerGone is never seen; the caller closed its connection.
 const statusCallerGone = 499
 
-// acquire asks for a permit at home as long as a detour would take, then in the other
-// regions, nearest first, and then waits at home until the deadline.
-func (d *Dispatcher) acquire(ctx context.Context, e *handler.Exchange, excluded []string) *Held {
+// acquire asks for a permit on the course, and on the fallback if there is no room.
+func (d *Dispatcher) acquire(ctx context.Context, e *handler.Exchange, course *handler.Course, excluded []string) *Held {
 	watch := d.waits.Start()
 	defer watch.Stop()
+	if e.Fallback != nil && *course != *e.Fallback {
+		if h := d.look(ctx, e, *course, excluded); h != nil {
+			return h
+		}
+		*course = *e.Fallback
+	}
+	regions := regionsFor(e.View.Configuration, e.Route.Service, *course, d.home(*course))
+	if len(regions) > 1 {
+		if h := d.look(ctx, e, *course, excluded); h != nil {
+			return h
+		}
+	}
+	return d.insist(ctx, e, *course, regions, excluded)
+}
+
+// look asks for a permit in the nearest region as long as a detour would take, then in
+// the others.
+func (d *Dispatcher) look(ctx context.Context, e *handler.Exchange, course handler.Course, excluded []string) *Held {
 	c := e.View.Configuration
-	regions := regionsFor(c, e.Route.Service, d.config.Region)
+	regions := regionsFor(c, e.Route.Service, course, d.home(course))
 	for i, region := range regions {
 		wait := time.Duration(0)
-		if i == 0 && len(regions) > 1 {
-			wait = max(detourFloor, detour(c, d.config.Region, regions[1]))
+		if i == 0 {
+			wait = detourFloor
 		}
-		if i == 0 && len(regions) == 1 {
-			break
+		if i == 0 && len(regions) > 1 {
+			wait = max(detourFloor, detour(c, d.home(course), regions[1]))
 		}
-		if h := d.ask(ctx, e, region, wait, excluded); h != nil {
+		if h := d.ask(ctx, e, course, region, wait, excluded); h != nil {
 			return h
 		}
 	}
-	return d.insist(ctx, e, regions, excluded)
+	return nil
 }
 
 // insist waits in the nearest region until the deadline.
-func (d *Dispatcher) insist(ctx context.Context, e *handler.Exchange, regions, excluded []string) *Held {
+func (d *Dispatcher) insist(ctx context.Context, e *handler.Exchange, course handler.Course, regions, excluded []string) *Held {
 	for len(regions) > 0 && ctx.Err() == nil {
 		left := e.Deadline - d.config.Clock.Now()
 		if left <= 0 {
 			return nil
 		}
-		if h := d.ask(ctx, e, regions[0], left, excluded); h != nil {
+		if h := d.ask(ctx, e, course, regions[0], left, excluded); h != nil {
 			return h
 		}
-		if d.known(e, regions[0]) {
+		if d.known(e, course, regions[0]) {
 			return nil // the dispatcher says that it can't be met
 		}
 		d.pause(ctx)
@@ -167,19 +191,31 @@
 	return nil
 }
 
-func (d *Dispatcher) ask(ctx context.Context, e *handler.Exchange, region string, wait time.Duration, excluded []string) *Held {
+func (d *Dispatcher) ask(ctx context.Context, e *handler.Exchange, course handler.Course, region string, wait time.Duration, excluded []string) *Held {
 	left := e.Deadline - d.config.Clock.Now()
-	role := wire.PoolRole(e.Route.Service.Name, region)
+	role := poolOf(e, course, region).Role()
 	return d.config.Client.Acquire(ctx, role, e.TeamName(), min(wait, left), left, excluded)
 }
 
 // known tells whether a region's pool has a dispatcher.
-func (d *Dispatcher) known(e *handler.Exchange, region string) bool {
+func (d *Dispatcher) known(e *handler.Exchange, course handler.Course, region string) bool {
 	v := d.config.Client.config.View()
-	h := v.Roles[wire.PoolRole(e.Route.Service.Name, region)]
+	h := v.Roles[poolOf(e, course, region).Role()]
 	return h != nil && !h.GetVacant() && v.Entries[h.GetHolder()] != nil
 }
 
+// home returns the region that a course is served in first.
+func (d *Dispatcher) home(c handler.Course) string {
+	if c.Region != "" {
+		return c.Region
+	}
+	return d.config.Region
+}
+
+func poolOf(e *handler.Exchange, c handler.Course, region string) wire.Pool {
+	return wire.Pool{Service: e.Route.Service.Name, Region: region, Version: c.Version}
+}
+
 func (d *Dispatcher) pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
--- a/entry/dispatcher/granter.go
+++ b/entry/dispatcher/granter.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sort"
-	"strings"
 	"sync"
 	"time"
 
@@ -232,15 +231,15 @@
 func (g *Granter) pool(role string, epoch uint64) *pool {
 	held, ok := g.config.Holds(role)
 	v := g.config.View()
-	parts := strings.Split(role, "/")
-	if !ok || held != epoch || v.Configuration == nil || len(parts) != 3 {
+	name, known := wire.ParsePool(role)
+	if !ok || held != epoch || v.Configuration == nil || !known {
 		return nil
 	}
 	now := g.config.Clock.Now()
 	p := g.pools[role]
 	if p == nil || p.epoch != epoch {
 		p = &pool{
-			service: parts[1], region: parts[2], epoch: epoch, ledger: NewLedger(g.config.Assert),
+			name: name, epoch: epoch, ledger: NewLedger(g.config.Assert),
 			waiting: map[PermitID]chan *Permit{}, unreported: map[string]bool{}, ready: epoch == wire.FirstEpoch,
 		}
 		if epoch != wire.FirstEpoch {
@@ -248,7 +247,7 @@
 		}
 		g.pools[role] = p
 	}
-	p.useTargets(now, v.Configuration)
+	p.useTargets(now, v)
 	return p
 }
 
@@ -257,7 +256,7 @@
 		return
 	}
 	p.ready = true
-	g.config.Logger.Log(logger.DispatcherReady, logger.F("service", p.service), logger.F("region", p.region), logger.F("epoch", p.epoch))
+	g.config.Logger.Log(logger.DispatcherReady, logger.F("pool", p.name.Role()), logger.F("epoch", p.epoch))
 }
 
 func (g *Granter) weight(team string) float64 {
--- a/entry/dispatcher/pool.go
+++ b/entry/dispatcher/pool.go
@@ -1,11 +1,14 @@
 package dispatcher
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/entry/handler"
 	"github.com/filberthoist/filberthoist/entry/receiver"
 )
 
@@ -13,10 +16,9 @@
 // grants around the silent ones.
 const learnBrief = 300 * time.Millisecond
 
-// pool is the ledger of one service's targets in one region, for one epoch.
+// pool is the ledger of one pool's targets, for one epoch.
 type pool struct {
-	service string
-	region  string
+	name    wire.Pool
 	epoch   uint64
 	ledger  *Ledger
 	waiting map[PermitID]chan *Permit
@@ -26,6 +28,8 @@
 	learnUntil time.Duration
 	ready      bool
 	revision   *parser.Configuration
+	// used is the part of the targets that takes work.
+	used float64
 }
 
 // learn sets up what a dispatcher of a later epoch has to find out first.
@@ -36,7 +40,7 @@
 	}
 	longest := time.Duration(0)
 	for _, r := range v.Configuration.Routes {
-		if r.Service.Name == p.service {
+		if r.Service.Name == p.name.Service {
 			longest = max(longest, r.Timeout)
 		}
 	}
@@ -63,21 +67,23 @@
 	return true
 }
 
-// useTargets takes the pool's targets from a configuration, unless it has them already.
-func (p *pool) useTargets(now time.Duration, c *parser.Configuration) {
-	if c == p.revision {
+// useTargets takes the pool's targets from a view, unless it has them already. A small
+// share of a move goes to few targets, so that these see the load of a whole move.
+func (p *pool) useTargets(now time.Duration, v *receiver.View) {
+	c, used := v.Configuration, v.Used(p.name.Service, p.name.Version)
+	if c == p.revision && used == p.used {
 		return
 	}
-	p.revision = c
+	p.revision, p.used = c, used
 	var list []*parser.Target
-	if s := c.Services[p.service]; s != nil {
+	if s := c.Services[p.name.Service]; s != nil {
 		for _, t := range s.Targets {
-			if t.Region == p.region && t.Version == s.Version {
+			if t.Region == p.name.Region && t.Version == p.name.Version {
 				list = append(list, t)
 			}
 		}
 	}
-	p.ledger.SetTargets(now, list)
+	p.ledger.SetTargets(now, list[:int(math.Ceil(used*float64(len(list))))])
 }
 
 // pump grants what can be granted and hands it to those that wait.
@@ -96,11 +102,11 @@
 	}
 }
 
-// regionsFor returns the regions that serve a service, the nearest first.
-func regionsFor(c *parser.Configuration, s *parser.Service, home string) []string {
+// regionsFor returns the regions that serve a course, the nearest first.
+func regionsFor(c *parser.Configuration, s *parser.Service, course handler.Course, home string) []string {
 	var out []string
 	for _, t := range s.Targets {
-		if t.Version == s.Version && !slices.Contains(out, t.Region) {
+		if t.Version == course.Version && t.Region != course.Without && !slices.Contains(out, t.Region) {
 			out = append(out, t.Region)
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,6 +32,7 @@
 	"github.com/filberthoist/filberthoist/entry/prober"
 	"github.com/filberthoist/filberthoist/entry/receiver"
 	"github.com/filberthoist/filberthoist/entry/resolver"
+	"github.com/filberthoist/filberthoist/entry/shifter"
 )
 
 // LookupPath is where callers ask which entries to use.
@@ -60,6 +61,7 @@
 			asserter.NewAsserter,
 			newConnector,
 			newSelf,
+			newShifter,
 			newReceiver,
 			newOwner,
 			newLimiter,
@@ -78,7 +80,7 @@
 
 // newHandler is the pipeline: each request takes these steps in this order.
 func newHandler(c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver,
-	m *limiter.Limiter, u *deduplicator.Deduplicator, d *dispatcher.Dispatcher,
+	m *limiter.Limiter, u *deduplicator.Deduplicator, t *shifter.Shifter, d *dispatcher.Dispatcher,
 ) *handler.Handler {
 	n := classifier.NewClassifier(classifier.Config{Clock: c})
 	a := authenticator.NewAuthenticator(authenticator.Config{Fresh: v.Fresh})
@@ -90,6 +92,7 @@
 			n.BodyStep(),
 			m.Step(),
 			u.Step(),
+			t.Step(),
 			d.Step(),
 		},
 	})
@@ -119,13 +122,18 @@
 }
 
 func newReceiver(s Settings, c timekeeper.Clock, l logger.Logger, a *asserter.Asserter, r *reporter.Reporter,
-	n *connector.Connector, self *wire.EntryMember,
+	n *connector.Connector, self *wire.EntryMember, t *shifter.Shifter,
 ) *receiver.Receiver {
 	return receiver.NewReceiver(receiver.Config{
 		Clock: c, Logger: l, Assert: a, Scope: r.Scope, Connector: n, Controls: s.Controls, Self: self,
+		Evidence: t.Evidence,
 	})
 }
 
+func newShifter(s Settings, l logger.Logger, r *reporter.Reporter) *shifter.Shifter {
+	return shifter.NewShifter(shifter.Config{Logger: l, Scope: r.Scope, Region: s.Region})
+}
+
 func newOwner(c timekeeper.Clock, l logger.Logger, a *asserter.Asserter, v *receiver.Receiver) *limiter.Owner {
 	return limiter.NewOwner(limiter.OwnerConfig{Clock: c, Logger: l, Assert: a, View: v.View, Holds: v.Holds})
 }
@@ -189,6 +197,7 @@
 	Granter    *dispatcher.Granter
 	Client     *dispatcher.Client
 	Dispatcher *dispatcher.Dispatcher
+	Shifter    *shifter.Shifter
 	Prober     *prober.Prober
 	Resolver   *resolver.Resolver
 	Handler    *handler.Handler
@@ -221,6 +230,7 @@
 			p.Group.Go("limiter", p.Limiter.Run)
 			p.Group.Go("permits", p.Client.Run)
 			p.Group.Go("prober", p.Prober.Run)
+			p.Group.Go("shifter", p.Shifter.Run)
 			p.Logger.Log(logger.ProcessStarted, logger.F("callers", callers.Address()))
 			return nil
 		},
@@ -289,5 +299,6 @@
 	p.Reporter.Add("view", func() any { return dumpView(p.Receiver) })
 	p.Reporter.Add("buckets", p.Owner.Dump)
 	p.Reporter.Add("pools", p.Granter.Dump)
+	p.Reporter.Add("moves", p.Shifter.Dump)
 	p.Reporter.SetHealth(p.Receiver.Healthy)
 }
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -36,6 +36,12 @@
 	Begun    time.Duration
 	Deadline time.Duration
 	Route    *parser.Route
+	// Course says which targets the request is for.
+	Course Course
+	// Fallback is taken if the course has no room or an attempt failed; nil means none.
+	Fallback *Course
+	// Observe is told of every attempt on a target; steps may set it.
+	Observe func(c Course, latency time.Duration, failed bool)
 	// Team is nil on open routes.
 	Team *parser.Team
 	// Key is the digest-checked key's record; nil on open routes.
@@ -48,6 +54,15 @@
 	AnswerBegun bool
 }
 
+// Course says which targets may serve a request.
+type Course struct {
+	Version string
+	// Region is asked first; empty means the entry's own.
+	Region string
+	// Without is a region that is not asked.
+	Without string
+}
+
 // TeamName returns the team's name, or the name that open requests share.
 func (e *Exchange) TeamName() string {
 	if e.Team == nil {
--- a/entry/pipeline_test.go
+++ b/entry/pipeline_test.go
@@ -31,6 +31,7 @@
 	"github.com/filberthoist/filberthoist/entry/handler"
 	"github.com/filberthoist/filberthoist/entry/limiter"
 	"github.com/filberthoist/filberthoist/entry/receiver"
+	"github.com/filberthoist/filberthoist/entry/shifter"
 )
 
 const testKey = "pipeline-key"
@@ -87,7 +88,7 @@
 	}
 	self := &wire.EntryMember{Name: "entry1", Incarnation: 1, Region: "north"}
 	view := &receiver.View{Configuration: c, Entries: map[string]*wire.EntryMember{"entry1": self}, Roles: map[string]*wire.Role{}}
-	for _, n := range []string{wire.TeamRole("good"), wire.TeamRole("small"), wire.PoolRole("lamps", "north")} {
+	for _, n := range []string{wire.TeamRole("good"), wire.TeamRole("small"), wire.Pool{Service: "lamps", Region: "north", Version: "v1"}.Role()} {
 		view.Roles[n] = &wire.Role{Name: n, Holder: "entry1", Incarnation: 1, Epoch: 1}
 	}
 	clock, assert := timekeeper.NewClock(), asserter.NewPanicking()
@@ -112,7 +113,7 @@
 	a := authenticator.NewAuthenticator(authenticator.Config{Fresh: fresh})
 	return handler.NewHandler(handler.Config{
 		Clock: clock, Logger: logger.Logger{}, Scope: tally.NoopScope, View: look,
-		Steps: []handler.Step{k.Step(), a.Step(), k.BodyStep(), l.Step(), d.Step()},
+		Steps: []handler.Step{k.Step(), a.Step(), k.BodyStep(), l.Step(), shifter.NewShifter(shifter.Config{Scope: tally.NoopScope, Region: "north"}).Step(), d.Step()},
 	})
 }
 
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -39,6 +39,8 @@
 	// Controls are the peer addresses of control members.
 	Controls []string
 	Self     *wire.EntryMember
+	// Evidence tells what this entry saw of the moves under way; nil means nothing.
+	Evidence func() []*wire.MoveEvidence
 }
 
 // Receiver polls control and holds the latest View.
@@ -211,6 +213,9 @@
 			q.Stopped = append(q.Stopped, &wire.StoppedRole{Name: h.GetName(), Epoch: h.GetEpoch()})
 		}
 	}
+	if r.config.Evidence != nil {
+		q.Evidence = r.config.Evidence()
+	}
 	return q
 }
 
--- a/entry/receiver/view.go
+++ b/entry/receiver/view.go
@@ -16,6 +16,7 @@
 	textPrefix  = "text/"
 	entryPrefix = "entry/"
 	rolePrefix  = "role/"
+	movePrefix  = "move/"
 )
 
 // View is the replicated state at one index, compiled for use. It never changes.
@@ -25,6 +26,40 @@
 	// Entries by name, this one included once control knows it.
 	Entries map[string]*wire.EntryMember
 	Roles   map[string]*wire.Role
+	// Shifts are the moves under way or done, by service.
+	Shifts map[string]Shift
+	moves  map[string]*wire.MoveRecord
+}
+
+// Shift is a move with how far it is.
+type Shift struct {
+	Move   *parser.Move
+	Record *wire.MoveRecord
+}
+
+// Share returns the share of a route's requests that go the new way, from 0 to 1.
+func (s Shift) Share(r *parser.Route) float64 {
+	if r.Repeatable() {
+		return s.Record.GetShare()
+	}
+	return s.Record.GetOnceShare()
+}
+
+// Done tells whether nothing goes the old way any more.
+func (s Shift) Done() bool {
+	return s.Record.GetStage() == wire.MoveStage_MOVE_STAGE_DONE
+}
+
+// Used returns the part of a version's targets that take work, from 0 to 1.
+func (v *View) Used(service, version string) float64 {
+	s, ok := v.Shifts[service]
+	switch {
+	case ok && s.Move.To == version:
+		return max(s.Record.GetShare(), s.Record.GetOnceShare())
+	case v.Configuration.Services[service] == nil || v.Configuration.Services[service].Version != version:
+		return 0
+	}
+	return 1
 }
 
 // records is the replicated state as received.
@@ -54,16 +89,33 @@
 		Configuration: old.Configuration,
 		Entries:       map[string]*wire.EntryMember{},
 		Roles:         map[string]*wire.Role{},
+		Shifts:        map[string]Shift{},
+		moves:         map[string]*wire.MoveRecord{},
 	}
 	for k, n := range r {
 		if err := v.add(k, n); err != nil {
 			return nil, err
 		}
 	}
-	if !textChanged {
-		return v, nil
+	if textChanged {
+		if err := v.compileText(r); err != nil {
+			return v, err
+		}
+	}
+	v.matchMoves()
+	return v, nil
+}
+
+// matchMoves joins the moves of the text with their records.
+func (v *View) matchMoves() {
+	if v.Configuration == nil {
+		return
+	}
+	for n, m := range v.Configuration.Moves {
+		if r := v.moves[n]; r.GetCourse() == m.Course() {
+			v.Shifts[m.Service] = Shift{Move: m, Record: r}
+		}
 	}
-	return v, v.compileText(r)
 }
 
 func (v *View) add(key string, r *wire.Record) error {
@@ -80,6 +132,12 @@
 			return err
 		}
 		v.Roles[m.GetName()] = m
+	case strings.HasPrefix(key, movePrefix):
+		m := &wire.MoveRecord{}
+		if err := proto.Unmarshal(r.GetValue(), m); err != nil {
+			return err
+		}
+		v.moves[m.GetName()] = m
 	}
 	return nil
 }
--- /dev/null
+++ b/entry/shifter/shifter_test.go
@@ -0,0 +1,173 @@
+package shifter
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+
+	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/entry/handler"
+	"github.com/filberthoist/filberthoist/entry/receiver"
+)
+
+// TestMain fixes the seed, so that every run is the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// TestShareHolds: however callers and shares change, no lane ever sends more than its
+// share, and it reaches the share within the slack.
+func TestShareHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, callers := &lane{}, rapid.IntRange(1, 50).Draw(t, "callers")
+		due, went := 0.0, 0
+		for range rapid.IntRange(1, 5).Draw(t, "steps") {
+			share := rapid.Float64Range(0, 0.99).Draw(t, "share")
+			if rapid.IntRange(0, 3).Draw(t, "back") == 0 {
+				share = 0 // taken back
+			}
+			count := rapid.IntRange(0, 2000).Draw(t, "count")
+			before, wentBefore := due, went
+			for i := range count {
+				due += share
+				if l.choose(float64(i%callers)/float64(callers), share) {
+					went++
+				}
+				if float64(went) > due+0.01 {
+					t.Fatalf("%d went, %.2f were due", went, due)
+				}
+			}
+			most := due - before + float64(2*slack(share))/unit + 1
+			if share == 0 {
+				most = 0
+			}
+			if float64(went-wentBefore) > most {
+				t.Fatalf("%d went of %.2f due at share %.2f", went-wentBefore, due-before, share)
+			}
+			if float64(went-wentBefore) < due-before-float64(2*slack(share)/unit)-1 {
+				t.Fatalf("%d went of %.2f due", went-wentBefore, due-before)
+			}
+		}
+	})
+}
+
+func TestSticky(t *testing.T) {
+	is := is.New(t)
+	l := &lane{}
+	r := rand.New(rand.NewPCG(20261204, 1))
+	kept := 0
+	for range 10_000 {
+		p := r.Float64()
+		if l.choose(p, 0.3) == (p < 0.3) {
+			kept++
+		}
+	}
+	t.Logf("%d of 10,000 went where their place says", kept)
+	is.True(kept >= 9_000)
+}
+
+func newView(index uint64, m *parser.Move, r *wire.MoveRecord) *receiver.View {
+	s := &parser.Service{Name: "lamps", Version: "v1"}
+	c := &parser.Configuration{Routes: []*parser.Route{
+		{Name: "status", Service: s, Class: parser.ClassIdempotent},
+		{Name: "arm", Service: s, Class: parser.ClassAtMostOnce},
+	}}
+	return &receiver.View{Index: index, Configuration: c, Shifts: map[string]receiver.Shift{"lamps": {Move: m, Record: r}}}
+}
+
+func send(s *Shifter, v *receiver.View, route, path string) *handler.Exchange {
+	e := &handler.Exchange{View: v, Request: httptest.NewRequest(http.MethodGet, path, nil)}
+	for _, r := range v.Configuration.Routes {
+		if r.Name == route {
+			e.Route = r
+		}
+	}
+	e.Course = handler.Course{Version: e.Route.Service.Version}
+	s.shift(context.Background(), e)
+	return e
+}
+
+func TestCourses(t *testing.T) {
+	versions := &parser.Move{Name: "m", Service: "lamps", From: "v1", To: "v2"}
+	regions := &parser.Move{Name: "m", Service: "lamps", FromRegion: "north", ToRegion: "south"}
+	old := handler.Course{Version: "v1"}
+	cases := []struct {
+		name   string
+		move   *parser.Move
+		record *wire.MoveRecord
+		region string
+		route  string
+		want   handler.Course
+		back   bool
+	}{
+		{"nothing yet", versions, &wire.MoveRecord{}, "north", "status", old, false},
+		{"ramped", versions, &wire.MoveRecord{Share: 1}, "north", "status", handler.Course{Version: "v2"}, true},
+		{"at most once joins last", versions, &wire.MoveRecord{Share: 1}, "north", "arm", old, false},
+		{"done", versions, &wire.MoveRecord{Share: 1, OnceShare: 1, Stage: wire.MoveStage_MOVE_STAGE_DONE}, "north", "arm", handler.Course{Version: "v2"}, false},
+		{"regions", regions, &wire.MoveRecord{Share: 1}, "north", "status", handler.Course{Version: "v1", Region: "south", Without: "north"}, true},
+		{"another region", regions, &wire.MoveRecord{Share: 1}, "south", "status", old, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewShifter(Config{Scope: tally.NoopScope, Region: c.region})
+			e := send(s, newView(1, c.move, c.record), c.route, "/lamps/7")
+			is.Equal(e.Course, c.want)
+			is.Equal(e.Fallback != nil, c.back)
+		})
+	}
+}
+
+// TestGuard: an entry stops on its own, says so in its evidence, and starts again under
+// another definition only.
+func TestGuard(t *testing.T) {
+	is := is.New(t)
+	s := NewShifter(Config{Scope: tally.NoopScope, Region: "north", Logger: logger.Logger{}})
+	m := &parser.Move{Name: "m", Service: "lamps", From: "v1", To: "v2"}
+	run := func(v *receiver.View, failing bool) (went int) {
+		for i := range 200 {
+			e := send(s, v, "status", fmt.Sprint("/lamps/", i))
+			isNew := e.Course.Version == "v2"
+			if isNew {
+				went++
+			}
+			e.Observe(e.Course, time.Millisecond, failing && isNew)
+		}
+		s.watch()
+		return went
+	}
+	first := newView(1, m, &wire.MoveRecord{Definition: "a", Share: 0.2})
+	is.True(run(first, false) >= 30)
+	is.True(run(first, true) >= 30)
+	is.Equal(run(first, true), 0)
+	is.Equal(s.Evidence()[0].GetCourse(), m.Course())
+	is.Equal(run(newView(2, m, &wire.MoveRecord{Definition: "a", Share: 0.3}), false), 0)
+	is.True(run(newView(3, m, &wire.MoveRecord{Definition: "b", Share: 0.2}), false) >= 30)
+}
+
+// BenchmarkShift is the cost of the choice for a service under move, on many threads.
+func BenchmarkShift(b *testing.B) {
+	s := NewShifter(Config{Scope: tally.NoopScope, Region: "north"})
+	v := newView(1, &parser.Move{Name: "m", Service: "lamps", From: "v1", To: "v2"}, &wire.MoveRecord{Share: 0.2})
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			send(s, v, "status", "/lamps/7")
+		}
+	})
+}
