--- a/bench/experimenter/experimenter.go
+++ b/bench/experimenter/experimenter.go
@@ -26,6 +26,7 @@
 var experiments = map[string]func(Config) ([]tabulator.Result, error){
 	"limits":   runLimits,
 	"dispatch": runDispatch,
+	"moves":    runMoves,
 }
 
 // Names lists the experiments.
--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -222,12 +222,13 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.C:
-			s.watch()
+			s.Watch()
 		}
 	}
 }
 
-func (s *Shifter) watch() {
+// Watch judges what came since the last time; Run does so again and again.
+func (s *Shifter) Watch() {
 	s.mutex.Lock() // guards pass from plan to plan
 	defer s.mutex.Unlock()
 	for _, m := range s.plan.Load().moves {
--- a/entry/shifter/shifter_test.go
+++ b/entry/shifter/shifter_test.go
@@ -149,7 +149,7 @@
 			}
 			e.Observe(e.Course, time.Millisecond, failing && isNew)
 		}
-		s.watch()
+		s.Watch()
 		return went
 	}
 	first := newView(1, m, &wire.MoveRecord{Definition: "a", Share: 0.2})
