Keep up to a fifth of the traffic on the old side while the new one bakes

Cause: late faults are seen by comparing, and with a tenth on the old side most windows hold few answers to compare with. The cap still bounds the last step.

--- a/control/mover/schedule.go
+++ b/control/mover/schedule.go
@@ -11,7 +11,7 @@
 	// firstShare is the share of the first step, in which most bad versions show.
 	firstShare = 0.01
 	// lastStep is the largest share that stays on the old side while the new one bakes.
-	lastStep = 0.1
+	lastStep = 0.2
 	// minHold is the least time between two steps.
 	minHold = time.Second
 	// latestPart is the part of the time to the deadline after which a move is late.
