Let the comparison of a move begin anew with every window, within one error bound

Cause: the evidence is a product over all windows; while the new side is good it sinks, and a late fault had to climb back first (slow answers five times over: 6.5 s on average at a rate where the fault itself takes 2 s).

--- a/bench/experimenter/moves.go
+++ b/bench/experimenter/moves.go
@@ -240,7 +240,7 @@
 func (r *moveRun) product() moveScore {
 	list := mover.Schedule(r.move, r.text.Routes, r.begun)
 	record := mover.Begin(r.move, list, nil, r.begun)
-	judge := mover.NewJudge(r.move, r.text.Routes)
+	judge := mover.NewJudge(r.move, r.text.Routes, r.begun)
 	view, index := r.view(record, 1), uint64(1)
 	var entries []*shifter.Shifter
 	for range moveEntries {
--- a/control/mover/judge.go
+++ b/control/mover/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/filberthoist/filberthoist/control/distributor"
 	"github.com/filberthoist/filberthoist/core/assessor"
@@ -53,13 +54,14 @@
 }
 
 // NewJudge returns a Judge of a move that has no evidence yet.
-func NewJudge(m *parser.Move, routes []*parser.Route) *Judge {
+func NewJudge(m *parser.Move, routes []*parser.Route, begun time.Time) *Judge {
+	windows := int(max(0, m.Deadline.Sub(begun)) / windowLength)
 	j := &Judge{
 		course: m.Course(), definition: m.Definition, regional: m.Regional(),
 		routes: map[string]*routeJudge{}, seen: map[seenName]pair{},
 	}
 	for _, r := range routes {
-		j.routes[r.Name] = &routeJudge{route: r, assessor: assessor.NewAssessor()}
+		j.routes[r.Name] = &routeJudge{route: r, assessor: assessor.NewAssessor(assessor.Config{Windows: windows})}
 	}
 	j.limit = kinds * float64(max(1, len(routes))) / falseBudget
 	return j
--- a/control/mover/mover.go
+++ b/control/mover/mover.go
@@ -150,7 +150,7 @@
 	}
 	j := m.judges[v.Name]
 	if j == nil || j.definition != v.Definition {
-		j = NewJudge(v, routes)
+		j = NewJudge(v, routes, time.UnixMilli(r.GetBegunUnixMilliseconds()))
 		m.judges[v.Name] = j
 	}
 	j.Window(callers)
--- a/control/mover/mover_test.go
+++ b/control/mover/mover_test.go
@@ -71,12 +71,12 @@
 func run(m *parser.Move, routes []*parser.Route, late time.Duration, change int, answers func(w int, r *parser.Route, share float64) pair) (*wire.MoveRecord, time.Duration) {
 	list := Schedule(m, routes, start)
 	r := Begin(m, list, nil, start)
-	j := NewJudge(m, routes)
+	j := NewJudge(m, routes, start)
 	total := map[string]pair{}
 	for w := 0; ; w++ {
 		now := start.Add(time.Duration(w) * windowLength)
 		if change > 0 && w%change == 0 {
-			j = NewJudge(m, routes)
+			j = NewJudge(m, routes, start)
 		}
 		e := &wire.MoveEvidence{Course: m.Course()}
 		for _, route := range routes {
@@ -169,7 +169,7 @@
 			is.True(top <= c.share)
 			is.Equal(r.GetShare(), 0.0)
 			is.True(strings.Contains(r.GetReason(), "the new side failed"))
-			next, _ := Advance(m, Schedule(m, c.routes, start), r, NewJudge(m, c.routes), start.Add(at+time.Hour))
+			next, _ := Advance(m, Schedule(m, c.routes, start), r, NewJudge(m, c.routes, start), start.Add(at+time.Hour))
 			is.Equal(next, nil) // stays taken back
 		})
 	}
@@ -214,7 +214,7 @@
 func TestWindowCountsOnce(t *testing.T) {
 	is := is.New(t)
 	m := newMove(0.2, time.Hour, 0)
-	j := NewJudge(m, allRoutes[0])
+	j := NewJudge(m, allRoutes[0], start)
 	tell := func(incarnation uint64, count int) {
 		var o assessor.Tally
 		for range count {
--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -7,7 +7,9 @@
 // new version then follows Fisher's noncentral hypergeometric distribution, and the product
 // of the windows' likelihood ratios is a nonnegative supermartingale as long as the new
 // version is not worse by more than the tolerated odds (J. Ville, 1939: it exceeds 1/a
-// with a probability of at most a, however often one looks).
+// with a probability of at most a, however often one looks). Since a version may turn bad
+// late, a product begins with every window; the sum of them, with weights that sum to one,
+// is such a supermartingale too.
 package assessor
 
 import (
@@ -26,6 +28,9 @@
 	historyDecay = 0.95
 	// minHistory is the number of the old version's answers that a threshold needs.
 	minHistory = 50
+	// firstWeight is the weight of the product that begins with the first window; those of
+	// later windows share the rest.
+	firstWeight = 0.5
 )
 
 // alternatives are the odds ratios that the test is looking for, beyond the tolerance.
@@ -50,6 +55,13 @@
 	return max(v.Failures, v.Slowness)
 }
 
+// Config sets up an Assessor.
+type Config struct {
+	// Windows is how many windows a comparison is expected to last. Faults that show only
+	// after more windows are found more slowly.
+	Windows int
+}
+
 // Assessor compares two versions on one route. It is not safe for concurrent use.
 type Assessor struct {
 	verdict   Verdict
@@ -61,8 +73,8 @@
 }
 
 // NewAssessor returns an Assessor without evidence.
-func NewAssessor() *Assessor {
-	return &Assessor{failures: newEvidence(failureTolerance), slowness: newEvidence(slowTolerance)}
+func NewAssessor(c Config) *Assessor {
+	return &Assessor{failures: newEvidence(failureTolerance, c.Windows), slowness: newEvidence(slowTolerance, c.Windows)}
 }
 
 // Window takes in what both versions answered in the same time.
@@ -105,14 +117,24 @@
 	}
 }
 
-// evidence is a mixture of likelihood ratios over the alternatives, as logarithms.
+// evidence is a mixture of likelihood ratios over the alternatives and the windows that
+// they begin with, as logarithms.
 type evidence struct {
 	tolerance float64
 	logs      []float64
+	// begin is the logarithm of the weight of the next window to begin with, of which
+	// there are so many left.
+	begin float64
+	left  int
 }
 
-func newEvidence(tolerance float64) evidence {
-	return evidence{tolerance: tolerance, logs: make([]float64, len(alternatives))}
+func newEvidence(tolerance float64, windows int) evidence {
+	e := evidence{tolerance: tolerance, logs: make([]float64, len(alternatives)), left: max(0, windows-1)}
+	for i := range e.logs {
+		e.logs[i] = math.Log(firstWeight)
+	}
+	e.begin = math.Log((1 - firstWeight) / float64(max(1, e.left)))
+	return e
 }
 
 // window takes in how many answers of each version there were, and how many were bad.
@@ -123,8 +145,12 @@
 	}
 	base := logLikelihood(before, after, bad, afterBad, e.tolerance)
 	for i, odds := range alternatives {
+		if e.left > 0 {
+			e.logs[i] = logSum(e.logs[i], e.begin)
+		}
 		e.logs[i] += logLikelihood(before, after, bad, afterBad, odds*e.tolerance) - base
 	}
+	e.left--
 }
 
 func (e *evidence) value() float64 {
--- a/core/assessor/assessor_test.go
+++ b/core/assessor/assessor_test.go
@@ -27,7 +27,7 @@
 // judge runs windows of half a second at a rate and a share, and returns the window in
 // which the evidence passed the limit, or -1.
 func judge(r *rand.Rand, old, after version, rate, share, limit float64, windows int, down func(int) bool) int {
-	a := NewAssessor()
+	a := NewAssessor(Config{Windows: windows})
 	for w := range windows {
 		var o, n Tally
 		for range int(rate / 2) {
@@ -142,7 +142,7 @@
 		o.Add(20*time.Millisecond, i%50 == 0)
 		n.Add(21*time.Millisecond, i%50 == 0)
 	}
-	a := NewAssessor()
+	a := NewAssessor(Config{Windows: 1000})
 	for b.Loop() {
 		a.Window(o, n)
 	}
--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -25,6 +25,8 @@
 	guardInterval = 100 * time.Millisecond
 	// guardLimit is the evidence at which an entry stops on its own.
 	guardLimit = 10_000
+	// guardWindows is how many windows a guard expects to watch.
+	guardWindows = 10_000
 )
 
 // Config sets up a Shifter.
@@ -211,7 +213,7 @@
 // newGuard judges a lane by what comes from now on.
 func newGuard(l *lane) *guard {
 	l.stopped.Store(false)
-	return &guard{assessor: assessor.NewAssessor(), old: l.old.tally(), new: l.new.tally()}
+	return &guard{assessor: assessor.NewAssessor(assessor.Config{Windows: guardWindows}), old: l.old.tally(), new: l.new.tally()}
 }
 
 func (s *Shifter) run(ctx context.Context) error {
