Let a doubt hold a step of a move until the last chance to reach the deadline

Cause: with few answers in the first step, the schedule forced the next one although the evidence stood at ten to one against the new side. Change: a lack of answers is overruled by the schedule, a doubt only when the rest of the ramp would not fit before the deadline any more, even in haste.

--- a/bench/experimenter/moves.go
+++ b/bench/experimenter/moves.go
@@ -28,7 +28,6 @@
 	moveBake    = 30 * time.Second
 	moveCap     = 0.2
 	moveWork    = 20 * time.Millisecond
-	moveWindow  = 500 * time.Millisecond
 	// moveTrip is the time from a decision of the leader until entries act on it.
 	moveTrip = 100 * time.Millisecond
 	// usualFailures is the part of answers that fails on either side.
@@ -251,11 +250,11 @@
 	asked := map[int]*http.Request{}
 	due := make([]float64, len(moveRoutes))
 	went := make([]int, len(moveRoutes))
-	window := moveWindow
+	window := mover.WindowLength
 	for now := time.Duration(0); now < moveSpan && r.score.done == 0; {
 		wait, route := r.draw()
 		now += wait
-		for ; window <= now; window += moveWindow {
+		for ; window <= now; window += mover.WindowLength {
 			for _, e := range entries {
 				e.Watch()
 			}
--- a/control/mover/judge.go
+++ b/control/mover/judge.go
@@ -55,7 +55,7 @@
 
 // NewJudge returns a Judge of a move that has no evidence yet.
 func NewJudge(m *parser.Move, routes []*parser.Route, begun time.Time) *Judge {
-	windows := int(max(0, m.Deadline.Sub(begun)) / windowLength)
+	windows := int(max(0, m.Deadline.Sub(begun)) / WindowLength)
 	j := &Judge{
 		course: m.Course(), definition: m.Definition, regional: m.Regional(),
 		routes: map[string]*routeJudge{}, seen: map[seenName]pair{},
--- a/control/mover/mover.go
+++ b/control/mover/mover.go
@@ -20,8 +20,8 @@
 
 // Times of the mover.
 const (
-	// windowLength is the time of one comparison.
-	windowLength   = 500 * time.Millisecond
+	// WindowLength is the time of one comparison.
+	WindowLength   = 500 * time.Millisecond
 	proposeTimeout = 2 * time.Second
 )
 
@@ -94,7 +94,7 @@
 }
 
 func (m *Mover) run(ctx context.Context) error {
-	t := time.NewTicker(windowLength)
+	t := time.NewTicker(WindowLength)
 	defer t.Stop()
 	for {
 		select {
--- a/control/mover/mover_test.go
+++ b/control/mover/mover_test.go
@@ -74,7 +74,7 @@
 	j := NewJudge(m, routes, start)
 	total := map[string]pair{}
 	for w := 0; ; w++ {
-		now := start.Add(time.Duration(w) * windowLength)
+		now := start.Add(time.Duration(w) * WindowLength)
 		if change > 0 && w%change == 0 {
 			j = NewJudge(m, routes, start)
 		}
--- a/control/mover/plan.go
+++ b/control/mover/plan.go
@@ -61,7 +61,8 @@
 		return nil, ""
 	}
 	forced := !now.Before(begun.Add(list[step+1].Forced))
-	if why := j.objection(list[step], forced); why != "" {
+	last := !now.Before(lastChance(m, list, step, begun))
+	if why := j.objection(list[step], forced, last); why != "" {
 		return nil, why
 	}
 	n := proto.CloneOf(r)
@@ -76,21 +77,28 @@
 	return n, ""
 }
 
-// objection says why a step must not be left yet, or "". The deadline overrules a lack of
-// evidence, but not that the new side does not take its share.
-func (j *Judge) objection(s Stage, forced bool) string {
+// lastChance is when a step must be left for the rest to reach the deadline in haste.
+func lastChance(m *parser.Move, list []Stage, step int, begun time.Time) time.Time {
+	left := time.Duration(0)
+	if step < len(list)-2 {
+		left = bakeTime(m, begun) + time.Duration(len(list)-2-step)*minHold
+	}
+	return begun.Add(list[len(list)-1].Forced - left)
+}
+
+// objection says why a step must not be left yet, or "". The schedule overrules a lack of
+// answers, only the last chance overrules a doubt, and nothing overrules that the new side
+// does not take its share.
+func (j *Judge) objection(s Stage, forced, last bool) string {
 	if route := j.untaken(s); route != "" {
 		return "the new side takes too little of its share on route " + route
 	}
-	if forced {
-		return ""
+	if route, v := j.worst(); !last && j.against(v) >= doubtful {
+		return fmt.Sprintf("in doubt about route %s: evidence %.0f of %.0f", route, j.against(v), j.limit)
 	}
-	if route := j.lacking(s); route != "" {
+	if route := j.lacking(s); !forced && route != "" {
 		return "too few answers yet on route " + route
 	}
-	if route, v := j.worst(); j.against(v) >= doubtful {
-		return fmt.Sprintf("in doubt about route %s: evidence %.0f of %.0f", route, j.against(v), j.limit)
-	}
 	return ""
 }
 
