Give each route an equal part of a move's first step, so that rare ones are judged too

Cause: a route with 4 % of 150 requests/s got 0.06 requests/s of the new side at 1 %, and its fault showed only at the next step.

--- a/control/mover/plan.go
+++ b/control/mover/plan.go
@@ -90,8 +90,8 @@
 // answers, only the last chance overrules a doubt, and nothing overrules that the new side
 // does not take its share.
 func (j *Judge) objection(s Stage, forced, last bool) string {
-	if route := j.untaken(s); route != "" {
-		return "the new side takes too little of its share on route " + route
+	if j.untaken(s) {
+		return "the new side takes too little of its share"
 	}
 	if route, v := j.worst(); !last && j.against(v) >= doubtful {
 		return fmt.Sprintf("in doubt about route %s: evidence %.0f of %.0f", route, j.against(v), j.limit)
--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -25,6 +25,8 @@
 	guardInterval = 100 * time.Millisecond
 	// guardLimit is the evidence at which an entry stops on its own.
 	guardLimit = 10_000
+	// firstShares bounds the shares of a move's first step.
+	firstShares = 0.01
 	// guardWindows is how many windows a guard expects to watch.
 	guardWindows = 10_000
 )
@@ -58,6 +60,10 @@
 	definition string
 	lanes      map[string]*lane
 	guards     map[string]*guard
+	// repeatable and once are the credits of the service's two kinds of requests.
+	repeatable *credit
+	once       *credit
+	classes    map[string]bool
 }
 
 // guard compares the two sides of a lane as this entry alone sees them.
@@ -137,7 +143,7 @@
 		return handler.Outcome{}
 	}
 	l := m.lanes[e.Route.Name]
-	if l.choose(position(e), m.shift.Share(e.Route)) {
+	if l.choose(position(e), m.shift.Share(e.Route), m.creditOf(e.Route)) {
 		s.moved.Inc(1)
 		e.Course, e.Fallback = other, &old
 	}
@@ -192,14 +198,18 @@
 func newMoving(old *moving, shift receiver.Shift, c *parser.Configuration) *moving {
 	m := &moving{
 		shift: shift, definition: shift.Record.GetDefinition(),
-		lanes: map[string]*lane{}, guards: map[string]*guard{},
+		lanes: map[string]*lane{}, guards: map[string]*guard{}, classes: map[string]bool{},
+		repeatable: &credit{}, once: &credit{},
 	}
 	same := old != nil && old.shift.Move.Course() == shift.Move.Course()
+	if same {
+		m.repeatable, m.once = old.repeatable, old.once
+	}
 	for _, r := range c.Routes {
 		if r.Service.Name != shift.Move.Service {
 			continue
 		}
-		m.lanes[r.Name] = &lane{}
+		m.lanes[r.Name], m.classes[r.Name] = &lane{}, r.Repeatable()
 		if same && old.lanes[r.Name] != nil {
 			m.lanes[r.Name], m.guards[r.Name] = old.lanes[r.Name], old.guards[r.Name]
 		}
@@ -210,6 +220,35 @@
 	return m
 }
 
+func (m *moving) creditOf(r *parser.Route) *credit {
+	if r.Repeatable() {
+		return m.repeatable
+	}
+	return m.once
+}
+
+// boost gives each route an equal part of the first step's requests, up to the cap, so that
+// rare routes are judged too before the share grows. Later steps share alike.
+func (m *moving) boost() {
+	total, routes := map[bool]int64{}, map[bool]int64{}
+	for n, l := range m.lanes {
+		if seen := l.seen.Load(); seen > 0 {
+			total[m.classes[n]] += seen
+			routes[m.classes[n]]++
+		}
+	}
+	share := max(m.shift.Record.GetShare(), m.shift.Record.GetOnceShare())
+	for n, l := range m.lanes {
+		class, seen := m.classes[n], l.seen.Load()
+		if share > firstShares || share == 0 || seen == 0 {
+			l.setFactor(1)
+			continue
+		}
+		part := float64(total[class]) / float64(routes[class]*seen)
+		l.setFactor(min(part, m.shift.Move.Cap/share))
+	}
+}
+
 // newGuard judges a lane by what comes from now on.
 func newGuard(l *lane) *guard {
 	l.stopped.Store(false)
@@ -234,6 +273,7 @@
 	s.mutex.Lock() // guards pass from plan to plan
 	defer s.mutex.Unlock()
 	for _, m := range s.plan.Load().moves {
+		m.boost()
 		for route, g := range m.guards {
 			if l := m.lanes[route]; g.fires(l) && !l.stopped.Swap(true) {
 				s.config.Logger.Log(logger.MoveStoppedHere, logger.F("move", m.shift.Move.Name), logger.F("route", route))
