Refuse texts that jump past a move, and describe moves for operators

Found by doing it on the demo: dropping a finished move while the service still names the old version shifted all traffic back at once, and a watch begun right after apply said that there was no such move. Now a text that drops a finished move without naming its version, or names the version of a move half way, is refused with what to write; a renamed move goes on (TestObjections); a move without a record is listed as not begun.

--- a/bench/experimenter/moves.go
+++ b/bench/experimenter/moves.go
@@ -1,6 +1,7 @@
 package experimenter
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -235,64 +236,83 @@
 	}
 }
 
+// leadership is the leader's side of a move, and what is on its way to the entries.
+type leadership struct {
+	list   []mover.Stage
+	record *wire.MoveRecord
+	judge  *mover.Judge
+	index  uint64
+	// window is when the next window ends.
+	window time.Duration
+	// next takes effect at nextAt.
+	next   *receiver.View
+	nextAt time.Duration
+}
+
 // product runs the entries' shifters, and the leader's judge and schedule.
 func (r *moveRun) product() moveScore {
-	list := mover.Schedule(r.move, r.text.Routes, r.begun)
-	record := mover.Begin(r.move, list, nil, r.begun)
-	judge := mover.NewJudge(r.move, r.text.Routes, r.begun)
-	view, index := r.view(record, 1), uint64(1)
+	l := &leadership{list: mover.Schedule(r.move, r.text.Routes, r.begun), window: mover.WindowLength, index: 1}
+	l.record = mover.Begin(r.move, l.list, nil, r.begun)
+	l.judge = mover.NewJudge(r.move, r.text.Routes, r.begun)
+	view, stepped := r.view(l.record, l.index), time.Duration(0)
 	var entries []*shifter.Shifter
 	for range moveEntries {
 		entries = append(entries, shifter.NewShifter(shifter.Config{Scope: tally.NoopScope}))
 	}
-	var next *receiver.View // takes effect at nextAt
-	var nextAt, stepped time.Duration
-	asked := map[int]*http.Request{}
-	due := 0.0
-	window := mover.WindowLength
+	asked, due := map[int]*http.Request{}, 0.0
 	for now := time.Duration(0); now < moveSpan && r.score.done == 0; {
 		wait, route := r.draw()
 		now += wait
-		for ; window <= now; window += mover.WindowLength {
-			for _, e := range entries {
-				e.Watch()
-			}
-			judge.Window(evidenceOf(entries))
-			n, _ := mover.Advance(r.move, list, record, judge, r.begun.Add(window))
-			if n == nil {
-				continue
-			}
-			record = n
-			judge.Stepped()
-			index++
-			next, nextAt = r.view(record, index), window+moveTrip
+		for ; l.window <= now; l.window += mover.WindowLength {
+			r.lead(l, entries)
 		}
-		if next != nil && now >= nextAt {
-			view, next, stepped = next, nil, nextAt
-			r.enter(record, now)
-			if r.score.takenBack {
-				return r.score
-			}
+		if l.next != nil && now >= l.nextAt {
+			view, l.next, stepped = l.next, nil, l.nextAt
+			r.enter(l.record, now)
 		}
-		e := &handler.Exchange{View: view, Route: r.text.Routes[route], Request: request(asked, route, r.random.IntN(500))}
-		e.Course = handler.Course{Version: "v1"}
-		entries[r.random.IntN(moveEntries)].Step().Handle(nil, e) //nolint:staticcheck // the step needs no context
-		isNew := e.Course.Version == "v2"
-		share := view.Shifts["lamps"].Share(e.Route)
-		due += share
-		r.score.overruns += int(when(float64(r.score.toNew)+when(isNew, 1) > due+1e-3, 1))
-		r.count(isNew, now)
-		latency, failed := r.answer(moveMoment{now, stepped, e.Route.Name, loadOf(share), isNew})
-		if e.Observe != nil {
-			e.Observe(e.Course, latency, failed)
-		}
-		if r.line != nil && r.score.sent%moveRate == 0 {
-			r.line.Points = append(r.line.Points, tabulator.Point{X: now.Seconds(), Y: view.Shifts["lamps"].Record.GetShare()})
+		if r.score.takenBack {
+			return r.score
 		}
+		e := &handler.Exchange{View: view, Route: r.text.Routes[route], Request: request(asked, route, r.random.IntN(500))}
+		due += view.Shifts["lamps"].Share(e.Route)
+		r.serve(e, entries[r.random.IntN(moveEntries)], now, stepped)
+		r.score.overruns += int(when(float64(r.score.toNew) > due+1e-3, 1))
 	}
 	return r.score
 }
 
+// lead ends a window as the leader does.
+func (r *moveRun) lead(l *leadership, entries []*shifter.Shifter) {
+	for _, e := range entries {
+		e.Watch()
+	}
+	l.judge.Window(evidenceOf(entries))
+	n, _ := mover.Advance(r.move, l.list, l.record, l.judge, r.begun.Add(l.window))
+	if n == nil {
+		return
+	}
+	l.record = n
+	l.judge.Stepped()
+	l.index++
+	l.next, l.nextAt = r.view(n, l.index), l.window+moveTrip
+}
+
+// serve takes one request through an entry's shifter to one side.
+func (r *moveRun) serve(e *handler.Exchange, s *shifter.Shifter, now, stepped time.Duration) {
+	e.Course = handler.Course{Version: "v1"}
+	s.Step().Handle(context.Background(), e)
+	isNew := e.Course.Version == "v2"
+	share := e.View.Shifts["lamps"].Share(e.Route)
+	r.count(isNew, now)
+	latency, failed := r.answer(moveMoment{now, stepped, e.Route.Name, loadOf(share), isNew})
+	if e.Observe != nil {
+		e.Observe(e.Course, latency, failed)
+	}
+	if r.line != nil && r.score.sent%moveRate == 0 {
+		r.line.Points = append(r.line.Points, tabulator.Point{X: now.Seconds(), Y: e.View.Shifts["lamps"].Record.GetShare()})
+	}
+}
+
 func (r *moveRun) enter(record *wire.MoveRecord, now time.Duration) {
 	switch record.GetStage() {
 	case wire.MoveStage_MOVE_STAGE_DONE:
--- a/cli/commander/moves.go
+++ b/cli/commander/moves.go
@@ -54,7 +54,7 @@
 }
 
 func (c *Commander) watchMove(name string) error {
-	printed := uint64(0)
+	printed := ^uint64(0)
 	for ; ; time.Sleep(watchPoll) {
 		s, err := c.status()
 		if err != nil {
@@ -80,7 +80,7 @@
 
 func findMove(list []*wire.MoveStatus, name string) *wire.MoveStatus {
 	for _, m := range list {
-		if m.GetMove().GetName() == name {
+		if m.GetName() == name {
 			return m
 		}
 	}
@@ -105,8 +105,12 @@
 	if r.GetStage() != wire.MoveStage_MOVE_STAGE_DONE && time.Now().After(deadline) {
 		late = ", late"
 	}
+	stage := stageNames[r.GetStage()]
+	if r == nil {
+		stage = "not begun"
+	}
 	fmt.Fprintf(c.config.Out, "%s: %s %s -> %s, %s%s, share %.1f %% (at most once: %.1f %%), deadline %s: %s\n",
-		r.GetName(), m.GetService(), m.GetFrom(), m.GetTo(), stageNames[r.GetStage()], late,
+		m.GetName(), m.GetService(), m.GetFrom(), m.GetTo(), stage, late,
 		100*r.GetShare(), 100*r.GetOnceShare(), deadline.Format(time.RFC3339), r.GetReason())
 	for _, v := range m.GetRoutes() {
 		fmt.Fprintf(c.config.Out, "  %s: old %d answers, %d failed, %d slow; new %d, %d, %d; evidence %.3g of %.0f\n",
--- a/control/administrator/administrator.go
+++ b/control/administrator/administrator.go
@@ -13,6 +13,7 @@
 	"github.com/filberthoist/filberthoist/control/applier"
 	"github.com/filberthoist/filberthoist/control/distributor"
 	"github.com/filberthoist/filberthoist/control/messenger"
+	"github.com/filberthoist/filberthoist/control/mover"
 	"github.com/filberthoist/filberthoist/control/replicator"
 	"github.com/filberthoist/filberthoist/control/sequencer"
 	"github.com/filberthoist/filberthoist/core/connector"
@@ -138,7 +139,7 @@
 }
 
 func (a *Administrator) submit(ctx context.Context, r *wire.SubmitRequest) *wire.SubmitResponse {
-	command, problems := compile(r)
+	command, problems := a.compile(r)
 	if len(problems) > 0 {
 		a.config.Logger.Log(logger.TextRefused, logger.F("operator", r.GetOperator()), logger.F("problems", len(problems)))
 		return &wire.SubmitResponse{Result: wire.SubmitResult_SUBMIT_RESULT_REFUSED, Reasons: problems.Lines()}
@@ -160,7 +161,7 @@
 }
 
 // compile checks a text and makes the command that proposes it.
-func compile(r *wire.SubmitRequest) (*wire.SubmitCommand, loader.Problems) {
+func (a *Administrator) compile(r *wire.SubmitRequest) (*wire.SubmitCommand, loader.Problems) {
 	sections, problems := loader.Split([]byte(r.GetText()))
 	if len(problems) > 0 {
 		return nil, problems
@@ -169,6 +170,9 @@
 	if c == nil {
 		return nil, problems
 	}
+	if problems := a.objections(c); len(problems) > 0 {
+		return nil, problems
+	}
 	out := &wire.SubmitCommand{Revision: c.Revision, Operator: r.GetOperator(), Digest: digester.Text(loader.Join(parser.Sort(sections)))}
 	for _, s := range sections {
 		out.Sections = append(out.Sections, wire.ToTextSection(s))
@@ -176,6 +180,16 @@
 	return out, nil
 }
 
+// objections judges a text by the moves under way, if its turn has come; a resent one gets
+// its first answer.
+func (a *Administrator) objections(c *parser.Configuration) loader.Problems {
+	inForce, err := a.config.State.Configuration()
+	if err != nil || inForce == nil || c.Revision != inForce.Revision+1 {
+		return nil
+	}
+	return mover.Objections(inForce, c, a.config.State.Moves())
+}
+
 func (a *Administrator) status(confirmed bool) *wire.StatusResponse {
 	v := a.config.Sequencer.View()
 	out := &wire.StatusResponse{
--- a/control/mover/mover.go
+++ b/control/mover/mover.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/filberthoist/filberthoist/control/applier"
 	"github.com/filberthoist/filberthoist/control/distributor"
 	"github.com/filberthoist/filberthoist/control/sequencer"
@@ -76,7 +78,7 @@
 func (m *Mover) describe(v *parser.Move, r *wire.MoveRecord) *wire.MoveStatus {
 	from, to := v.Ends()
 	s := &wire.MoveStatus{
-		Move: r, Service: v.Service, From: from, To: to, Cap: v.Cap, DeadlineUnixMilliseconds: v.Deadline.UnixMilli(),
+		Name: v.Name, Move: r, Service: v.Service, From: from, To: to, Cap: v.Cap, DeadlineUnixMilliseconds: v.Deadline.UnixMilli(),
 	}
 	j := m.judges[v.Name]
 	if j == nil {
@@ -126,7 +128,7 @@
 	callers, records := m.config.Distributor.Callers(), m.config.State.Moves()
 	var out []*wire.AdvanceMoveCommand
 	for _, n := range moveNames(c) {
-		if next := m.planMove(c, c.Moves[n], records[n], callers); next != nil {
+		if next := m.planMove(c, c.Moves[n], records, callers); next != nil {
 			out = append(out, &wire.AdvanceMoveCommand{Move: next})
 		}
 	}
@@ -141,10 +143,14 @@
 	return out
 }
 
-func (m *Mover) planMove(c *parser.Configuration, v *parser.Move, r *wire.MoveRecord, callers map[distributor.CallerName]distributor.Caller) *wire.MoveRecord {
+func (m *Mover) planMove(c *parser.Configuration, v *parser.Move, records map[string]*wire.MoveRecord, callers map[distributor.CallerName]distributor.Caller) *wire.MoveRecord {
+	r := records[v.Name]
 	now := m.config.Now()
 	routes := c.RoutesOf(v.Service)
-	if r.GetDefinition() != v.Definition {
+	if r == nil {
+		r = renamed(v, records)
+	}
+	if r.GetDefinition() != v.Definition || r.GetName() != v.Name {
 		delete(m.judges, v.Name)
 		return Begin(v, Schedule(v, routes, now), r, now)
 	}
@@ -163,6 +169,18 @@
 	return next
 }
 
+// renamed returns the record of the same move under another name, as the first of this one.
+func renamed(v *parser.Move, records map[string]*wire.MoveRecord) *wire.MoveRecord {
+	for _, r := range records {
+		if r.GetCourse() == v.Course() {
+			out := proto.CloneOf(r)
+			out.Change = 0
+			return out
+		}
+	}
+	return nil
+}
+
 // checkStep asserts the cap of a step forward.
 func (m *Mover) checkStep(v *parser.Move, r, next *wire.MoveRecord) {
 	m.config.Assert.That(next.GetShare()-r.GetShare() <= v.Cap+tiny, "moveCapKept", "move %s: %g after %g", v.Name, next.GetShare(), r.GetShare())
--- a/control/mover/mover_test.go
+++ b/control/mover/mover_test.go
@@ -230,3 +230,38 @@
 	tell(2, 15)
 	is.Equal(j.routes["status"].assessor.Verdict().Old.Count, 55)
 }
+
+func TestObjections(t *testing.T) {
+	text := func(version string, moves ...*parser.Move) *parser.Configuration {
+		c := &parser.Configuration{Services: map[string]*parser.Service{"lamps": {Name: "lamps", Version: version}}, Moves: map[string]*parser.Move{}}
+		for _, m := range moves {
+			c.Moves[m.Name] = m
+		}
+		return c
+	}
+	m := newMove(0.2, time.Hour, 0)
+	renamed := newMove(0.2, time.Hour, 0)
+	renamed.Name = "again"
+	cases := []struct {
+		name  string
+		stage wire.MoveStage
+		next  *parser.Configuration
+		good  bool
+	}{
+		{"done and adopted", wire.MoveStage_MOVE_STAGE_DONE, text("v2"), true},
+		{"done and kept", wire.MoveStage_MOVE_STAGE_DONE, text("v1", m), true},
+		{"done and renamed", wire.MoveStage_MOVE_STAGE_DONE, text("v1", renamed), true},
+		{"done and dropped", wire.MoveStage_MOVE_STAGE_DONE, text("v1"), false},
+		{"under way and dropped", wire.MoveStage_MOVE_STAGE_RAMPING, text("v1"), true},
+		{"under way and adopted", wire.MoveStage_MOVE_STAGE_BAKING, text("v2"), false},
+		{"taken back and dropped", wire.MoveStage_MOVE_STAGE_TAKEN_BACK, text("v1"), true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := &wire.MoveRecord{Name: "m", Course: m.Course(), Stage: c.stage, Share: 0.4}
+			got := Objections(text("v1", m), c.next, map[string]*wire.MoveRecord{"m": r})
+			is.Equal(len(got) == 0, c.good)
+		})
+	}
+}
--- a/control/mover/plan.go
+++ b/control/mover/plan.go
@@ -10,7 +10,7 @@
 	"github.com/filberthoist/filberthoist/core/wire"
 )
 
-// Begin returns the first record of a move. A changed schedule of a move under way goes
+// Begin returns the first record of a move; old may be nil. A changed schedule of a move under way goes
 // on where the old one stood; one that was taken back begins anew.
 func Begin(m *parser.Move, list []Stage, old *wire.MoveRecord, now time.Time) *wire.MoveRecord {
 	n := &wire.MoveRecord{
--- a/demo.sh
+++ b/demo.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds the programs and runs the whole path on loopback: 3 control members, 6 entries,
-# 9 fake upstreams. Sends requests one can see, then runs until Ctrl-C (or for the number
+# 12 fake upstreams. Sends requests one can see, then runs until Ctrl-C (or for the number
 # of seconds given as the first argument), and leaves nothing behind.
 set -euo pipefail
 cd "$(dirname "$0")"
--- a/entry/receiver/view.go
+++ b/entry/receiver/view.go
@@ -112,12 +112,26 @@
 		return
 	}
 	for n, m := range v.Configuration.Moves {
-		if r := v.moves[n]; r.GetCourse() == m.Course() {
+		if r := v.recordOf(n, m); r != nil {
 			v.Shifts[m.Service] = Shift{Move: m, Record: r}
 		}
 	}
 }
 
+// recordOf returns how far a move is. One that was renamed goes on by its old record until
+// control has made a new one.
+func (v *View) recordOf(name string, m *parser.Move) *wire.MoveRecord {
+	if r := v.moves[name]; r.GetCourse() == m.Course() {
+		return r
+	}
+	for _, r := range v.moves {
+		if r.GetCourse() == m.Course() {
+			return r
+		}
+	}
+	return nil
+}
+
 func (v *View) add(key string, r *wire.Record) error {
 	switch {
 	case strings.HasPrefix(key, entryPrefix):
