Learn nothing of a target from a permit that was given up

Cause, by reading: a permit that came too late for its request is released with an empty result, and so is a request that was not sent or whose caller left. The ledger took that for an answer after 0 ms: it made the target look faster, and readmitted an ejected one without a probe. Latencies below 1 ms went over the wire as 0 too. The new case of TestTarget fails on the code before (8 slots instead of one probe). Change: an empty result is no evidence; releases carry microseconds.

--- a/entry/dispatcher/client.go
+++ b/entry/dispatcher/client.go
@@ -25,6 +25,8 @@
 	// checkInterval is how often pools are looked through for new dispatchers.
 	checkInterval = 100 * time.Millisecond
 	reportBatch   = 256
+	// longestLatency is the longest that a release can tell.
+	longestLatency = time.Hour
 )
 
 // ClientConfig sets up a Client.
@@ -122,7 +124,7 @@
 	p := c.pool(h.Pool)
 	p.unhold(h)
 	p.release(&wire.Release{
-		Permit: h.Number, LatencyMilliseconds: milliseconds(r.Latency), Failed: r.Failed, Leaving: r.Leaving,
+		Permit: h.Number, LatencyMicroseconds: uint32(min(r.Latency, longestLatency) / time.Microsecond), Failed: r.Failed, Leaving: r.Leaving,
 	})
 }
 
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -232,6 +232,10 @@
 			learn(g, start, fail, fail, fail)
 			learn(g, start+firstEjection, fail)
 		}, start + 2*firstEjection, 0},
+		{"a probe that was given up says nothing", func(g *target) {
+			learn(g, start, fail, fail, fail)
+			learn(g, start+firstEjection, Result{})
+		}, start + firstEjection + slowStart, 1},
 		{"leaving", func(g *target) { g.setLeaving(start, true, start) }, start, 0},
 		{"a hint outweighs an older answer", func(g *target) {
 			learn(g, start, Result{Leaving: true})
--- a/entry/dispatcher/granter.go
+++ b/entry/dispatcher/granter.go
@@ -73,7 +73,7 @@
 	holder := wire.Incarnation(r.GetEntry(), r.GetIncarnation())
 	for _, e := range r.GetReleases() {
 		p.ledger.Release(now, PermitID{holder, e.GetPermit()}, Result{
-			Latency: time.Duration(e.GetLatencyMilliseconds()) * time.Millisecond,
+			Latency: time.Duration(e.GetLatencyMicroseconds()) * time.Microsecond,
 			Failed:  e.GetFailed(), Leaving: e.GetLeaving(),
 		})
 	}
--- a/entry/dispatcher/ledger.go
+++ b/entry/dispatcher/ledger.go
@@ -47,7 +47,8 @@
 	cost    time.Duration
 }
 
-// Result tells how a permitted request went.
+// Result tells how a permitted request went. The zero Result means that nothing was sent, or
+// that the caller went away; it says nothing of the target.
 type Result struct {
 	Latency time.Duration
 	Failed  bool
--- a/entry/dispatcher/target.go
+++ b/entry/dispatcher/target.go
@@ -64,6 +64,9 @@
 
 // learn takes in a result; mayEject tells whether the pool can do without the target.
 func (t *target) learn(now time.Duration, r Result, mayEject bool) {
+	if r == (Result{}) {
+		return // nothing was sent
+	}
 	if r.Leaving {
 		t.leaving, t.hinted = true, now
 	}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -132,7 +132,7 @@
 	e.Writer.WriteHeader(answer.StatusCode)
 	e.AnswerBegun = true
 	result := dispatcher.Result{
-		Latency: f.config.Clock.Now() - begun,
+		Latency: max(f.config.Clock.Now()-begun, time.Microsecond),
 		Failed:  answer.StatusCode >= http.StatusInternalServerError,
 		Leaving: answer.Close && e.Route.Repeatable(),
 	}
