Reserve room on links between regions, and check the lease after a wait for tokens

Before: requests spilled to other regions as long as slots were free, whatever the link carried. The limiter's code for teams now serves accounts: a team's rate, or one way of a link; tokens of 1 KiB, 80 % of the capacity steadily, 20 % of a second's at once, so that no second is above the capacity.

Trace: a member that the test had frozen took in an answer, which a frozen process can't, and counted the request 3.3 s later when it thawed. So the model delivers answers to frozen members after the thaw, as it did for frozen owners; the check is as it was. What the trace shows of the code is mended too: a request that waited for a token and was stopped then looks at the lease again (TestFrozenWaiter fails before).

--- a/control/coordinator/plan.go
+++ b/control/coordinator/plan.go
@@ -43,11 +43,16 @@
 	for n := range c.Teams {
 		out = append(out, WantedRole{Name: wire.TeamRole(n)})
 	}
-	pools := map[string]string{}
+	regional := map[string]string{}
+	for n := range c.Links {
+		// The owner sits where the traffic arrives, which is where answers are waited for.
+		regional[wire.Way{From: n.First, To: n.Second}.Role()] = n.Second
+		regional[wire.Way{From: n.Second, To: n.First}.Role()] = n.First
+	}
 	for _, t := range c.Targets {
-		pools[wire.Pool{Service: t.Service, Region: t.Region, Version: t.Version}.Role()] = t.Region
+		regional[wire.Pool{Service: t.Service, Region: t.Region, Version: t.Version}.Role()] = t.Region
 	}
-	for n, region := range pools {
+	for n, region := range regional {
 		out = append(out, WantedRole{Name: n, Region: region})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
--- a/core/wire/roles.go
+++ b/core/wire/roles.go
@@ -9,6 +9,7 @@
 const (
 	TeamPrefix = "team/"
 	PoolPrefix = "pool/"
+	LinkPrefix = "link/"
 )
 
 // FirstEpoch is the epoch of a role's first holder, before which nothing was granted.
@@ -19,6 +20,26 @@
 	return TeamPrefix + team
 }
 
+// Way is one direction of a link between two regions.
+type Way struct {
+	From string
+	To   string
+}
+
+// Role names the role of the owner of the way's room.
+func (w Way) Role() string {
+	return LinkPrefix + w.From + "/" + w.To
+}
+
+// ParseWay returns the way that a role is for.
+func ParseWay(role string) (w Way, ok bool) {
+	parts := strings.Split(role, "/")
+	if len(parts) != 3 || parts[0]+"/" != LinkPrefix {
+		return Way{}, false
+	}
+	return Way{From: parts[1], To: parts[2]}, true
+}
+
 // Pool is the group of a service's targets of one version in one region.
 type Pool struct {
 	Service string
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -26,6 +26,10 @@
 	detourFloor = 10 * time.Millisecond
 	// retryReserve is the number of retries that may run ahead of their share.
 	retryReserve = 10
+	// linkWait bounds the wait for room on a link, while a slot is held.
+	linkWait = 50 * time.Millisecond
+	// headBytes is the room taken for the head of a request or an answer.
+	headBytes = 512
 	// emptyPause is the pause while no dispatcher is known.
 	emptyPause = 20 * time.Millisecond
 )
@@ -38,6 +42,8 @@
 	Client *Client
 	// Forward sends a request to a target, whose permit is held.
 	Forward func(ctx context.Context, e *handler.Exchange, t *parser.Target) (handler.Outcome, Result)
+	// Reserve takes room for bytes on a way between regions; nil means that there is always room.
+	Reserve func(ctx context.Context, w wire.Way, bytes int, wait time.Duration) bool
 }
 
 // Dispatcher is the step that finds a target and has the request sent to it.
@@ -47,6 +53,8 @@
 	budgets map[string]*budget
 	waits   tally.Timer
 	retries tally.Counter
+	// fullLinks counts permits given up for want of room on a link.
+	fullLinks tally.Counter
 }
 
 // NewDispatcher returns a Dispatcher.
@@ -54,6 +62,7 @@
 	return &Dispatcher{
 		config: c, budgets: map[string]*budget{},
 		waits: c.Scope.Timer("permitWait"), retries: c.Scope.Counter("retries"),
+		fullLinks: c.Scope.Counter("fullLinks"),
 	}
 }
 
@@ -166,7 +175,7 @@
 		if i == 0 && len(regions) > 1 {
 			wait = max(detourFloor, detour(c, d.home(course), regions[1]))
 		}
-		if h := d.ask(ctx, e, course, region, wait, excluded); h != nil {
+		if h, _ := d.ask(ctx, e, course, region, wait, excluded); h != nil {
 			return h
 		}
 	}
@@ -180,10 +189,11 @@
 		if left <= 0 {
 			return nil
 		}
-		if h := d.ask(ctx, e, course, regions[0], left, excluded); h != nil {
+		h, linkFull := d.ask(ctx, e, course, regions[0], left, excluded)
+		if h != nil {
 			return h
 		}
-		if d.known(e, course, regions[0]) {
+		if !linkFull && d.known(e, course, regions[0]) {
 			return nil // the dispatcher says that it can't be met
 		}
 		d.pause(ctx)
@@ -191,10 +201,27 @@
 	return nil
 }
 
-func (d *Dispatcher) ask(ctx context.Context, e *handler.Exchange, course handler.Course, region string, wait time.Duration, excluded []string) *Held {
+// ask gets a permit of a region, and room on the link to it.
+func (d *Dispatcher) ask(ctx context.Context, e *handler.Exchange, course handler.Course, region string, wait time.Duration, excluded []string) (h *Held, linkFull bool) {
 	left := e.Deadline - d.config.Clock.Now()
 	role := poolOf(e, course, region).Role()
-	return d.config.Client.Acquire(ctx, role, e.TeamName(), min(wait, left), left, excluded)
+	h = d.config.Client.Acquire(ctx, role, e.TeamName(), min(wait, left), left, excluded)
+	if h == nil || d.reserve(ctx, e, region) {
+		return h, false
+	}
+	d.fullLinks.Inc(1)
+	d.config.Client.Release(h, Result{})
+	return nil, true
+}
+
+// reserve takes room on the link for the request and its answer.
+func (d *Dispatcher) reserve(ctx context.Context, e *handler.Exchange, region string) bool {
+	if d.config.Reserve == nil || region == d.config.Region {
+		return true
+	}
+	there, back := wire.Way{From: d.config.Region, To: region}, wire.Way{From: region, To: d.config.Region}
+	return d.config.Reserve(ctx, back, headBytes+e.Route.Service.AnswerBytes, linkWait) &&
+		d.config.Reserve(ctx, there, headBytes+len(e.Body), linkWait)
 }
 
 // known tells whether a region's pool has a dispatcher.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -165,9 +165,11 @@
 	return f
 }
 
-func newDispatcher(s Settings, c timekeeper.Clock, r *reporter.Reporter, t *dispatcher.Client, f *forwarder.Forwarder) *dispatcher.Dispatcher {
+func newDispatcher(s Settings, c timekeeper.Clock, r *reporter.Reporter, t *dispatcher.Client, f *forwarder.Forwarder,
+	l *limiter.Limiter,
+) *dispatcher.Dispatcher {
 	return dispatcher.NewDispatcher(dispatcher.Config{
-		Clock: c, Scope: r.Scope, Region: s.Region, Client: t, Forward: f.Forward,
+		Clock: c, Scope: r.Scope, Region: s.Region, Client: t, Forward: f.Forward, Reserve: l.Reserve,
 	})
 }
 
--- a/entry/limiter/allowance.go
+++ b/entry/limiter/allowance.go
@@ -19,7 +19,7 @@
 	useSpan = 20 * time.Millisecond
 )
 
-// Allowance is what one entry holds of one team's tokens.
+// Allowance is what one entry holds of one account's tokens.
 type Allowance struct {
 	pots   []pot
 	uses   []pastUse
@@ -35,21 +35,21 @@
 	first, last time.Duration
 }
 
-// Take spends one token if the entry holds one.
-func (a *Allowance) Take(now time.Duration) bool {
+// Take spends n tokens if the entry holds as many.
+func (a *Allowance) Take(now time.Duration, n float64) bool {
 	a.drop(now)
-	if len(a.pots) == 0 || a.total() < 1-tolerance {
+	if len(a.pots) == 0 || a.total() < n-tolerance {
 		return false
 	}
-	a.spend(1)
-	a.note(now, 1)
+	a.spend(n)
+	a.note(now, n)
 	return true
 }
 
-// Want counts one request towards the demand.
-func (a *Allowance) Want(now time.Duration) {
+// Want counts n tokens towards the demand.
+func (a *Allowance) Want(now time.Duration, n float64) {
 	a.decay(now)
-	a.demand += 1 / demandSpan.Seconds()
+	a.demand += n / demandSpan.Seconds()
 }
 
 // Add puts granted tokens in; they run out a lifetime after the request for them was sent.
--- a/entry/limiter/limiter.go
+++ b/entry/limiter/limiter.go
@@ -1,5 +1,6 @@
 // Package limiter admits each team's requests at its rate and burst over all entries
-// together. A team's one bucket lies with its owner; entries spend tokens out of pots.
+// together, and traffic between regions as there is room on their links. The one bucket of
+// each such account lies with its owner; entries spend tokens out of pots.
 package limiter
 
 import (
@@ -13,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/filberthoist/filberthoist/core/connector"
+	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/supervisor"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
@@ -43,19 +45,20 @@
 	config Config
 	client *http.Client
 	mutex  sync.Mutex
-	teams  map[string]*team
-	waits  tally.Timer
-	calls  tally.Counter
+	// accounts are by the role of their owner.
+	accounts map[string]*account
+	waits    tally.Timer
+	calls    tally.Counter
 }
 
 // NewLimiter returns a Limiter.
 func NewLimiter(c Config) *Limiter {
 	return &Limiter{
-		config: c,
-		client: c.Connector.Client(),
-		teams:  map[string]*team{},
-		waits:  c.Scope.Timer("limitWait"),
-		calls:  c.Scope.Counter("grantCalls"),
+		config:   c,
+		client:   c.Connector.Client(),
+		accounts: map[string]*account{},
+		waits:    c.Scope.Timer("limitWait"),
+		calls:    c.Scope.Counter("grantCalls"),
 	}
 }
 
@@ -73,8 +76,8 @@
 	for {
 		changed := l.config.Changed()
 		for name, h := range l.config.View().Roles {
-			if team, ok := strings.CutPrefix(name, wire.TeamPrefix); ok && h.GetEpoch() > wire.FirstEpoch {
-				l.team(team).signal()
+			if isAccount(name) && h.GetEpoch() > wire.FirstEpoch {
+				l.account(name).signal()
 			}
 		}
 		select {
@@ -85,6 +88,17 @@
 	}
 }
 
+// Reserve takes room for a number of bytes on one way of a link, waiting for it up to a
+// bound. Between regions without a link in the text there is nothing to reserve.
+func (l *Limiter) Reserve(ctx context.Context, w wire.Way, bytes int, wait time.Duration) bool {
+	c := l.config.View().Configuration
+	if c == nil || c.Links[parser.NewLinkName(w.From, w.To)] == nil {
+		return true
+	}
+	a, n := l.account(w.Role()), float64(bytes)/tokenBytes
+	return a.take(n) || a.wait(ctx, n, wait)
+}
+
 // Grant serves other entries.
 func (l *Limiter) Grant(ctx context.Context, r *connect.Request[wire.GrantRequest]) (*connect.Response[wire.GrantResponse], error) {
 	return connect.NewResponse(l.config.Owner.Grant(ctx, r.Msg)), nil
@@ -94,32 +108,36 @@
 	if e.Team == nil {
 		return handler.Outcome{}
 	}
-	t := l.team(e.Team.Name)
-	if t.take() {
+	a := l.account(wire.TeamRole(e.Team.Name))
+	if a.take(1) {
 		return handler.Outcome{}
 	}
 	watch := l.waits.Start()
 	defer watch.Stop()
 	wait := min(e.View.Configuration.Limits.LimitWait, e.Deadline-l.config.Clock.Now())
-	if !t.wait(ctx, wait) {
+	if !a.wait(ctx, 1, wait) {
 		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonLimit)
 	}
 	return handler.Outcome{}
 }
 
-func (l *Limiter) team(name string) *team {
+func (l *Limiter) account(role string) *account {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	t := l.teams[name]
-	if t == nil {
-		t = newTeam(l, name)
-		l.teams[name] = t
-		l.config.Group.Go("limiter "+name, t.run)
+	a := l.accounts[role]
+	if a == nil {
+		a = newAccount(l, role)
+		l.accounts[role] = a
+		l.config.Group.Go("limiter "+role, a.run)
 	}
-	return t
+	return a
+}
+
+func isAccount(role string) bool {
+	return strings.HasPrefix(role, wire.TeamPrefix) || strings.HasPrefix(role, wire.LinkPrefix)
 }
 
-// ask calls the owner of a team, which may be this entry.
+// ask calls the owner of an account, which may be this entry.
 func (l *Limiter) ask(ctx context.Context, owner *wire.EntryMember, r *wire.GrantRequest) (*wire.GrantResponse, error) {
 	l.calls.Inc(1)
 	if owner.GetName() == l.config.Self.GetName() {
--- a/entry/limiter/limiter_test.go
+++ b/entry/limiter/limiter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,7 +15,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/filberthoist/filberthoist/core/asserter"
+	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/supervisor"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
 	"github.com/filberthoist/filberthoist/entry/receiver"
@@ -56,7 +59,7 @@
 type member struct {
 	simulation *simulation
 	number     int
-	team       *team
+	account    *account
 	owner      *Owner
 	// epoch and leased are what it believes of its role.
 	epoch  uint64
@@ -112,7 +115,7 @@
 	})
 	self := &wire.EntryMember{Name: m.name(), Incarnation: uint64(i + 1)}
 	maySpend := func() bool { return s.now < m.leased }
-	m.team = newTeam(&Limiter{config: Config{Clock: clock, Scope: tally.NoopScope, Self: self, View: view, MaySpend: maySpend}}, "a")
+	m.account = newAccount(&Limiter{config: Config{Clock: clock, Scope: tally.NoopScope, Self: self, View: view, MaySpend: maySpend}}, wire.TeamRole("a"))
 	return m
 }
 
@@ -190,12 +193,12 @@
 		m.hoard()
 	}
 	for range requests {
-		if m.team.take() {
+		if m.account.take(1) {
 			s.admit()
 		} else if len(m.waiting) < 10 {
-			w := &waiter{granted: make(chan struct{})}
+			w := &waiter{need: 1, granted: make(chan struct{})}
 			m.waiting = append(m.waiting, w)
-			m.team.waiters = append(m.team.waiters, w)
+			m.account.waiters = append(m.account.waiters, w)
 		}
 	}
 	m.collect()
@@ -208,10 +211,10 @@
 	s := m.simulation
 	switch s.random.IntN(s.pace) {
 	case 0:
-		m.team.allowance.demand = 1e6
-		m.team.allowance.asked = s.now
+		m.account.allowance.demand = 1e6
+		m.account.allowance.asked = s.now
 	case 1:
-		for m.team.take() {
+		for m.account.take(1) {
 			s.admit()
 		}
 	}
@@ -241,8 +244,8 @@
 	if m.pending && s.random.IntN(30) > 0 {
 		return
 	}
-	m.team.noteEpoch(m.seen)
-	c := m.team.next(s.random.IntN(s.flushing) == 0)
+	m.account.noteEpoch(m.seen)
+	c := m.account.next(s.random.IntN(s.flushing) == 0)
 	if c == nil {
 		return
 	}
@@ -263,12 +266,19 @@
 		s.network = append(s.network, delivery{s.now + nap, func() { s.serve(owner, m, c, request) }})
 		return
 	}
-	s.later(func() {
-		if m.team.pending == c {
-			m.team.finish(c, answer, nil)
-			m.pending = false
-		}
-	})
+	s.later(func() { s.answer(m, c, answer) })
+}
+
+// answer reaches a member, or waits for it while it is frozen.
+func (s *simulation) answer(m *member, c *call, answer *wire.GrantResponse) {
+	if m.frozen {
+		s.network = append(s.network, delivery{s.now + 10*time.Millisecond, func() { s.answer(m, c, answer) }})
+		return
+	}
+	if m.account.pending == c {
+		m.account.finish(c, answer, nil)
+		m.pending = false
+	}
 }
 
 // admit checks an admitted request against one ideal bucket: a sequence conforms to rate
@@ -387,8 +397,8 @@
 		is := is.New(t)
 		var a Allowance
 		a.Add(answered, sent, 2, PotLifetime)
-		is.True(a.Take(sent + PotLifetime - 1))
-		is.True(!a.Take(sent + PotLifetime))
+		is.True(a.Take(sent+PotLifetime-1, 1))
+		is.True(!a.Take(sent+PotLifetime, 1))
 	})
 	t.Run("tokens that come too late are dropped", func(t *testing.T) {
 		is := is.New(t)
@@ -408,7 +418,7 @@
 		is := is.New(t)
 		var a Allowance
 		a.Add(answered, sent, 2, PotLifetime)
-		is.True(a.Take(answered))
+		is.True(a.Take(answered, 1))
 		is.Equal(a.Reports(answered+time.Millisecond), []Use{{Tokens: 1, Age: time.Millisecond}})
 		is.Equal(len(a.Reports(answered)), 0)
 	})
@@ -420,16 +430,16 @@
 	is := is.New(t)
 	now := time.Hour
 	v := &receiver.View{Roles: map[string]*wire.Role{wire.TeamRole("a"): {Epoch: 1}}}
-	m := newTeam(&Limiter{config: Config{
+	m := newAccount(&Limiter{config: Config{
 		Clock:    timekeeper.Clock{Now: func() time.Duration { return now }},
 		View:     func() *receiver.View { return v },
 		MaySpend: func() bool { return true },
-	}}, "a")
+	}}, wire.TeamRole("a"))
 	m.noteEpoch(1)
 	m.allowance.Add(now, now, 2, PotLifetime)
-	is.True(m.take())
+	is.True(m.take(1))
 	v = &receiver.View{Roles: map[string]*wire.Role{wire.TeamRole("a"): {Epoch: 2}}}
-	is.True(!m.take())
+	is.True(!m.take(1))
 }
 
 // TestEpochsNeverGoBack: a look at an older view, late, must not undo a newer epoch or
@@ -437,12 +447,12 @@
 func TestEpochsNeverGoBack(t *testing.T) {
 	is := is.New(t)
 	now := time.Hour
-	m := newTeam(&Limiter{config: Config{
+	m := newAccount(&Limiter{config: Config{
 		Clock: timekeeper.Clock{Now: func() time.Duration { return now }}, Self: &wire.EntryMember{},
 		View: func() *receiver.View { return &receiver.View{} }, MaySpend: func() bool { return true },
-	}}, "a")
+	}}, wire.TeamRole("a"))
 	m.noteEpoch(2)
-	m.waiters = append(m.waiters, &waiter{})
+	m.waiters = append(m.waiters, &waiter{need: 1})
 	first := m.next(false)
 	is.True(m.finish(first, &wire.GrantResponse{Granted: 0}, nil) == false)
 	m.noteEpoch(1)
@@ -456,9 +466,112 @@
 	var a Allowance
 	for b.Loop() {
 		now := clock.Now()
-		if !a.Take(now) {
+		if !a.Take(now, 1) {
 			a.Add(now, now, 1000, PotLifetime)
 		}
 		a.Reports(now)
 	}
 }
+
+func TestLimits(t *testing.T) {
+	c := &parser.Configuration{
+		Teams: map[string]*parser.Team{"a": {Name: "a", Rate: 5, Burst: 7}},
+		Links: map[parser.LinkName]*parser.Link{{First: "north", Second: "south"}: {BitsPerSecond: 8 * 1024 * 1000}},
+	}
+	cases := []struct {
+		role  string
+		limit Limit
+		known bool
+	}{
+		{wire.TeamRole("a"), Limit{5, 7}, true},
+		{wire.TeamRole("b"), Limit{}, false},
+		{wire.Way{From: "north", To: "south"}.Role(), Limit{800, 200}, true},
+		{wire.Way{From: "south", To: "north"}.Role(), Limit{800, 200}, true},
+		{wire.Way{From: "south", To: "east"}.Role(), Limit{}, false},
+		{"pool/a/b/c", Limit{}, false},
+	}
+	for _, c2 := range cases {
+		t.Run(c2.role, func(t *testing.T) {
+			is := is.New(t)
+			got, known := limitOf(c, c2.role)
+			is.Equal(known, c2.known)
+			is.Equal(got, c2.limit)
+		})
+	}
+}
+
+// TestLinkRoom: entries that reserve on one way at once never take more than the link
+// carries in any second, and get most of the part that is ours.
+func TestLinkRoom(t *testing.T) {
+	is := is.New(t)
+	const bytes, length = 8 * 1024, 2500 * time.Millisecond
+	c := &parser.Configuration{Links: map[parser.LinkName]*parser.Link{{First: "north", Second: "south"}: {BitsPerSecond: 8 * 1024 * 4000}}}
+	w := wire.Way{From: "north", To: "south"}
+	self := &wire.EntryMember{Name: "entry1", Incarnation: 1}
+	view := &receiver.View{
+		Configuration: c, Entries: map[string]*wire.EntryMember{"entry1": self},
+		Roles: map[string]*wire.Role{w.Role(): {Holder: "entry1", Incarnation: 1, Epoch: 1}},
+	}
+	look := func() *receiver.View { return view }
+	clock, group := timekeeper.NewClock(), supervisor.NewGroup(supervisor.Config{})
+	defer group.Stop()
+	o := NewOwner(OwnerConfig{Clock: clock, Assert: asserter.NewPanicking(), View: look, Holds: func(string) (uint64, bool) { return 1, true }})
+	n, err := connector.NewConnector(connector.Config{})
+	is.NoErr(err)
+	var mutex sync.Mutex
+	var taken []time.Duration
+	begun := clock.Now()
+	var all sync.WaitGroup
+	for i := range 3 {
+		member := &wire.EntryMember{Name: "entry1", Incarnation: uint64(i + 1)}
+		l := NewLimiter(Config{
+			Clock: clock, Scope: tally.NoopScope, Connector: n, Group: group, Self: member,
+			View: look, MaySpend: func() bool { return true }, Owner: o,
+		})
+		for range 20 {
+			all.Go(func() {
+				for clock.Now()-begun < length {
+					if l.Reserve(t.Context(), w, bytes, 50*time.Millisecond) {
+						mutex.Lock()
+						taken = append(taken, clock.Now())
+						mutex.Unlock()
+					}
+				}
+			})
+		}
+	}
+	all.Wait()
+	for i := range taken {
+		inSecond := 0
+		for _, at := range taken[i:] {
+			if at-taken[i] < time.Second {
+				inSecond++
+			}
+		}
+		is.True(inSecond <= 4000*1024/bytes)
+	}
+	t.Logf("%d reservations of 8 KiB in %v on a link of 500 a second", len(taken), length)
+	is.True(len(taken) >= 500)
+	is.True(NewLimiter(Config{View: look, Scope: tally.NoopScope, Connector: n}).Reserve(t.Context(), wire.Way{From: "north", To: "east"}, 1<<30, 0))
+}
+
+// TestFrozenWaiter: a request whose token came before its process was stopped does not run
+// on it once the lease is over.
+func TestFrozenWaiter(t *testing.T) {
+	for _, alive := range []bool{true, false} {
+		t.Run(fmt.Sprint("lease runs: ", alive), func(t *testing.T) {
+			is := is.New(t)
+			a := newAccount(&Limiter{config: Config{MaySpend: func() bool { return alive }}}, wire.TeamRole("a"))
+			got := make(chan bool)
+			go func() { got <- a.wait(t.Context(), 1, time.Minute) }()
+			for waiting := 0; waiting == 0; {
+				a.mutex.Lock()
+				if waiting = len(a.waiters); waiting > 0 {
+					close(a.waiters[0].granted)
+				}
+				a.mutex.Unlock()
+			}
+			is.Equal(<-got, alive)
+		})
+	}
+}
--- a/entry/limiter/owner.go
+++ b/entry/limiter/owner.go
@@ -28,14 +28,14 @@
 	Holds func(role string) (epoch uint64, ok bool)
 }
 
-// Owner holds the buckets of the teams that this entry owns.
+// Owner holds the buckets of the accounts that this entry owns.
 type Owner struct {
 	config  OwnerConfig
 	mutex   sync.Mutex
 	buckets map[string]*owned
 }
 
-// owned is the bucket of one team in one epoch.
+// owned is the bucket of one account in one epoch.
 type owned struct {
 	epoch   uint64
 	bucket  *Bucket
@@ -82,8 +82,8 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	out := map[string]BucketDump{}
-	for team, w := range o.buckets {
-		out[team] = BucketDump{Epoch: w.epoch, Free: w.bucket.Free(o.config.Clock.Now()), Lent: w.bucket.lent, Waiting: w.waiting}
+	for role, w := range o.buckets {
+		out[role] = BucketDump{Epoch: w.epoch, Free: w.bucket.Free(o.config.Clock.Now()), Lent: w.bucket.lent, Waiting: w.waiting}
 	}
 	return out
 }
@@ -140,46 +140,46 @@
 func (o *Owner) stopWaiting(r *wire.GrantRequest) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if w := o.buckets[r.GetTeam()]; w != nil && w.waiting > 0 {
+	if w := o.buckets[r.GetAccount()]; w != nil && w.waiting > 0 {
 		w.waiting--
 	}
 }
 
 // owned returns the bucket that a call is for, or nil if this entry may not grant from it.
 func (o *Owner) owned(r *wire.GrantRequest, now time.Duration) *owned {
-	epoch, ok := o.config.Holds(wire.TeamRole(r.GetTeam()))
-	c := o.config.View().Configuration
-	if !ok || epoch != r.GetEpoch() || c == nil || c.Teams[r.GetTeam()] == nil {
+	role := r.GetAccount()
+	epoch, ok := o.config.Holds(role)
+	limit, known := limitOf(o.config.View().Configuration, role)
+	if !ok || !known || epoch != r.GetEpoch() {
 		return nil
 	}
-	team := c.Teams[r.GetTeam()]
-	w := o.buckets[team.Name]
+	w := o.buckets[role]
 	if w == nil || w.epoch != epoch {
 		w = &owned{epoch: epoch, answers: map[string]givenAnswer{}, reported: map[string]uint64{}}
-		w.bucket = o.newBucket(epoch, now, team.Rate, team.Burst)
-		w.unsettled = o.unsettled(team.Name)
-		o.buckets[team.Name] = w
-		o.config.Logger.Log(logger.OwnerStarted, logger.F("team", team.Name), logger.F("epoch", epoch))
+		w.bucket = o.newBucket(epoch, now, limit)
+		w.unsettled = o.unsettled(role)
+		o.buckets[role] = w
+		o.config.Logger.Log(logger.OwnerStarted, logger.F("account", role), logger.F("epoch", epoch))
 	}
-	if w.bucket.rate != team.Rate || w.bucket.burst != team.Burst {
-		w.bucket.SetLimits(now, team.Rate, team.Burst)
+	if w.bucket.rate != limit.Rate || w.bucket.burst != limit.Burst {
+		w.bucket.SetLimits(now, limit.Rate, limit.Burst)
 	}
 	return w
 }
 
-func (o *Owner) newBucket(epoch uint64, now time.Duration, rate, burst float64) *Bucket {
+func (o *Owner) newBucket(epoch uint64, now time.Duration, l Limit) *Bucket {
 	if epoch == wire.FirstEpoch {
-		return NewBucket(o.config.Assert, now, rate, burst)
+		return NewBucket(o.config.Assert, now, l.Rate, l.Burst)
 	}
-	return NewSuccessor(o.config.Assert, now, rate, burst)
+	return NewSuccessor(o.config.Assert, now, l.Rate, l.Burst)
 }
 
 // unsettled lists the entries whose earlier tokens a successor has to ask for. The holder
 // before can't spend any: its lease has run out.
-func (o *Owner) unsettled(team string) map[string]bool {
+func (o *Owner) unsettled(role string) map[string]bool {
 	v, out := o.config.View(), map[string]bool{}
 	for n := range v.Entries {
-		out[n] = n != v.Roles[wire.TeamRole(team)].GetPrevious()
+		out[n] = n != v.Roles[role].GetPrevious()
 	}
 	return out
 }
