Wait for a dispatcher whose lease ran out for a moment instead of refusing

While a new leader is elected the lease of a dispatcher can lapse for moments; its answer 'not the dispatcher' was taken like its word that there is no room, because the view still named it. Ruled out: full slots (1,000 requests/s of 5 ms on 20 slots) and the limiter (the reason was noRoom). Change: Acquire tells a refusal from the lack of a dispatcher; without one the request asks again until its deadline. Test: TestNoDispatcher, which fails with the old rule.

--- a/entry/dispatcher/client.go
+++ b/entry/dispatcher/client.go
@@ -86,19 +86,20 @@
 }
 
 // Acquire asks a pool's dispatcher for a permit and waits up to a bound. It returns nil
-// if there is none.
-func (c *Client) Acquire(ctx context.Context, role, team string, wait, run time.Duration, excluded []string) *Held {
+// if there is none; refused tells that the dispatcher said so, and not that there was no
+// dispatcher to ask.
+func (c *Client) Acquire(ctx context.Context, role, team string, wait, run time.Duration, excluded []string) (held *Held, refused bool) {
 	v := c.config.View()
 	h := v.Roles[role]
 	holder := v.Entries[h.GetHolder()]
 	if holder == nil || h.GetVacant() || run <= 0 {
-		return nil
+		return nil, false
 	}
 	p := c.pool(role)
 	n := c.number.Add(1)
 	sent := c.config.Clock.Now()
 	// Held before it is granted, so that a new dispatcher is told of it either way.
-	held := &Held{Pool: role, Number: n, Team: team, Expires: sent + run + timekeeper.SlotGrace, granted: sent}
+	held = &Held{Pool: role, Number: n, Team: team, Expires: sent + run + timekeeper.SlotGrace, granted: sent}
 	r := &wire.AcquireRequest{
 		Pool: role, Epoch: h.GetEpoch(), Entry: c.config.Self.GetName(), Incarnation: c.config.Self.GetIncarnation(),
 		Team: team, Permit: n, WaitMilliseconds: milliseconds(wait), RunMilliseconds: milliseconds(run), Excluded: excluded,
@@ -107,16 +108,16 @@
 	switch {
 	case err != nil:
 		p.release(&wire.Release{Permit: n}) // it may have been granted
-		return nil
+		return nil, false
 	case !answer.GetGranted():
-		return nil
+		return nil, !answer.GetNotDispatcher()
 	}
 	held.Target, held.granted = answer.GetTarget(), c.config.Clock.Now()
 	if !p.hold(held, h.GetEpoch()) {
 		p.release(&wire.Release{Permit: n})
-		return nil
+		return nil, false
 	}
-	return held
+	return held, false
 }
 
 // Release returns a permit with its result.
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -189,29 +189,30 @@
 		if left <= 0 {
 			return nil
 		}
-		h, linkFull := d.ask(ctx, e, course, regions[0], left, excluded)
+		h, refused := d.ask(ctx, e, course, regions[0], left, excluded)
 		if h != nil {
 			return h
 		}
-		if !linkFull && d.known(e, course, regions[0]) {
-			return nil // the dispatcher says that it can't be met
+		if refused {
+			return nil
 		}
 		d.pause(ctx)
 	}
 	return nil
 }
 
-// ask gets a permit of a region, and room on the link to it.
-func (d *Dispatcher) ask(ctx context.Context, e *handler.Exchange, course handler.Course, region string, wait time.Duration, excluded []string) (h *Held, linkFull bool) {
+// ask gets a permit of a region, and room on the link to it. refused tells that the
+// region's dispatcher said that the request can't be met.
+func (d *Dispatcher) ask(ctx context.Context, e *handler.Exchange, course handler.Course, region string, wait time.Duration, excluded []string) (h *Held, refused bool) {
 	left := e.Deadline - d.config.Clock.Now()
 	role := poolOf(e, course, region).Role()
-	h = d.config.Client.Acquire(ctx, role, e.TeamName(), min(wait, left), left, excluded)
+	h, refused = d.config.Client.Acquire(ctx, role, e.TeamName(), min(wait, left), left, excluded)
 	if h == nil || d.reserve(ctx, e, region) {
-		return h, false
+		return h, refused
 	}
 	d.fullLinks.Inc(1)
 	d.config.Client.Release(h, Result{})
-	return nil, true
+	return nil, false
 }
 
 // reserve takes room on the link for the request and its answer.
@@ -224,13 +225,6 @@
 		d.config.Reserve(ctx, there, headBytes+len(e.Body), linkWait)
 }
 
-// known tells whether a region's pool has a dispatcher.
-func (d *Dispatcher) known(e *handler.Exchange, course handler.Course, region string) bool {
-	v := d.config.Client.config.View()
-	h := v.Roles[poolOf(e, course, region).Role()]
-	return h != nil && !h.GetVacant() && v.Entries[h.GetHolder()] != nil
-}
-
 // home returns the region that a course is served in first.
 func (d *Dispatcher) home(c handler.Course) string {
 	if c.Region != "" {
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -1,19 +1,27 @@
 package dispatcher
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
 	"github.com/filberthoist/filberthoist/core/asserter"
+	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/supervisor"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/entry/handler"
+	"github.com/filberthoist/filberthoist/entry/receiver"
 )
 
 // TestMain fixes the seed unless one is given; -rapid.checks sets the number of runs.
@@ -300,3 +308,38 @@
 	p.sent(1, 1)
 	is.Equal(len(p.wake), 0)
 }
+
+// TestNoDispatcher: a holder whose lease ran out for a moment is no refusal; the request
+// waits for it.
+func TestNoDispatcher(t *testing.T) {
+	is := is.New(t)
+	s := &parser.Service{Name: "lamps", Version: "v1"}
+	target := &parser.Target{Name: "t", Service: "lamps", Region: "north", Version: "v1", Slots: 1}
+	s.Targets = []*parser.Target{target}
+	pool := wire.Pool{Service: "lamps", Region: "north", Version: "v1"}.Role()
+	self := &wire.EntryMember{Name: "entry1", Incarnation: 1}
+	view := &receiver.View{
+		Configuration: &parser.Configuration{Services: map[string]*parser.Service{"lamps": s}, Targets: map[string]*parser.Target{"t": target}},
+		Entries:       map[string]*wire.EntryMember{"entry1": self},
+		Roles:         map[string]*wire.Role{pool: {Holder: "entry1", Incarnation: 1, Epoch: 1}},
+	}
+	look := func() *receiver.View { return view }
+	clock, group := timekeeper.NewClock(), supervisor.NewGroup(supervisor.Config{})
+	defer group.Stop()
+	var asked atomic.Int64
+	g := NewGranter(GranterConfig{
+		Clock: clock, Assert: asserter.NewPanicking(), View: look,
+		Holds: func(string) (uint64, bool) { return 1, asked.Add(1) > 3 }, // lapsed at first
+	})
+	n, err := connector.NewConnector(connector.Config{})
+	is.NoErr(err)
+	client := NewClient(ClientConfig{Clock: clock, Connector: n, Group: group, Self: self, View: look, Granter: g})
+	d := NewDispatcher(Config{
+		Clock: clock, Scope: tally.NoopScope, Region: "north", Client: client,
+		Forward: func(context.Context, *handler.Exchange, *parser.Target) (handler.Outcome, Result) {
+			return handler.Answered(), Result{Latency: time.Millisecond}
+		},
+	})
+	e := &handler.Exchange{View: view, Route: &parser.Route{Service: s}, Course: handler.Course{Version: "v1"}, Deadline: clock.Now() + time.Minute}
+	is.Equal(d.dispatch(t.Context(), e).Run, handler.Done)
+}
