Record answers of at-most-once requests on eight loops instead of one

Cause: one loop per entry records answers, one call at a time; a call that control answers late holds up the rest, its queue of 4,096 overflows, and a resend then gets 'begun' instead of the first answer. Change: eight loops; their order does not matter, since only the request that began under a key may finish it.

--- a/entry/deduplicator/deduplicator.go
+++ b/entry/deduplicator/deduplicator.go
@@ -31,6 +31,9 @@
 	tries       = 5
 	retryPause  = 200 * time.Millisecond
 	queueLength = 4096
+	// finishers is the number of records on their way to control at once; their order does
+	// not matter, since only the request that began under a key may finish it.
+	finishers = 8
 )
 
 // Config sets up a Deduplicator.
@@ -51,7 +54,9 @@
 // NewDeduplicator returns a Deduplicator.
 func NewDeduplicator(c Config) *Deduplicator {
 	d := &Deduplicator{config: c, client: c.Connector.Client(), finished: make(chan *wire.FinishOnceCommand, queueLength)}
-	c.Group.Go("deduplicator", d.run)
+	for range finishers {
+		c.Group.Go("deduplicator", d.run)
+	}
 	return d
 }
 
