--- a/control/mover/mover_test.go
+++ b/control/mover/mover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"math"
 	"os"
 	"strings"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/filberthoist/filberthoist/control/distributor"
@@ -265,3 +267,32 @@
 		})
 	}
 }
+
+// BenchmarkWindow is the leader's cost of one window of a move with two routes, by entries
+// that report, and the bytes that each report adds to a poll.
+func BenchmarkWindow(b *testing.B) {
+	for _, entries := range []int{12, 100, 1000, 5700} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			m := newMove(0.2, time.Hour, 0)
+			j := NewJudge(m, allRoutes[2], start)
+			size := 0
+			var rounds [2]map[distributor.CallerName]distributor.Caller
+			for i := range rounds {
+				p := split(0, 1000*(i+1), 0.2, 0.01)
+				rounds[i] = map[distributor.CallerName]distributor.Caller{}
+				for n := range entries {
+					e := &wire.MoveEvidence{Move: m.Name, Course: m.Course()}
+					for _, r := range allRoutes[2] {
+						e.Routes = append(e.Routes, &wire.RouteEvidence{Route: r.Name, Old: wire.ToVersionTally(p.old), New: wire.ToVersionTally(p.new)})
+					}
+					size = proto.Size(e)
+					rounds[i][distributor.CallerName{Name: fmt.Sprint(n)}] = distributor.Caller{Evidence: []*wire.MoveEvidence{e}}
+				}
+			}
+			for i := 0; b.Loop(); i++ {
+				j.Window(rounds[i%2])
+			}
+			b.ReportMetric(float64(size), "bytes/report")
+		})
+	}
+}
