--- a/bench/endtoend/deployment_test.go
+++ b/bench/endtoend/deployment_test.go
@@ -63,6 +63,7 @@
 
 // deployment is a whole system on loopback with fake upstreams in this process.
 type deployment struct {
+	security security
 	t        testing.TB
 	folder   string
 	controls []*process
@@ -90,10 +91,24 @@
 	otherKey = "end-to-end-other"
 )
 
-// newDeployment starts everything and puts revision 1 in force.
+// newDeployment starts everything on plain loopback.
 func newDeployment(t testing.TB, entries int) *deployment {
 	t.Helper()
-	d := &deployment{t: t, folder: t.TempDir(), fakes: map[string]*faker.Fake{}}
+	return newSecured(t, entries, security{})
+}
+
+// security is what a deployment uses beyond the defaults: sections of every process's
+// settings, sections of control's, and flags of operators' commands.
+type security struct {
+	settings string
+	control  string
+	flags    []string
+}
+
+// newSecured starts everything and puts revision 1 in force.
+func newSecured(t testing.TB, entries int, s security) *deployment {
+	t.Helper()
+	d := &deployment{t: t, folder: t.TempDir(), fakes: map[string]*faker.Fake{}, security: s}
 	d.text = text{revision: 1, keys: map[string]string{"good1": goodKey, "other1": otherKey}, limits: "lookupLifetime = 1s\n"}
 	for i := range 4 {
 		d.addFake(fmt.Sprintf("lamps%d", i), "lamps")
@@ -152,7 +167,7 @@
 	}
 	settings := fmt.Sprintf("[member]\nname = control%d\nregion = north\navailabilityZone = north1\n"+
 		"[listen]\npeer = %s\nadvertised = %s\nadministration = %s\nreport = %s\n[storage]\nfolder = %s\n[peers]\naddresses = %s\n",
-		i, d.peers[i], d.relays[i].address, d.administration[i], freeAddress(d.t), d.dataFolder(i), strings.Join(others, ", "))
+		i, d.peers[i], d.relays[i].address, d.administration[i], freeAddress(d.t), d.dataFolder(i), strings.Join(others, ", ")) + d.security.settings + d.security.control
 	return d.start(fmt.Sprintf("control%d", i), "filberthoist-control", settings)
 }
 
@@ -168,7 +183,7 @@
 	callers := freeAddress(d.t)
 	settings := fmt.Sprintf("[member]\nname = entry%d\nregion = north\navailabilityZone = north1\n"+
 		"[listen]\ncallers = %s\npeer = %s\nreport = %s\n[control]\naddresses = %s\n",
-		i, callers, freeAddress(d.t), freeAddress(d.t), strings.Join(controls, ", "))
+		i, callers, freeAddress(d.t), freeAddress(d.t), strings.Join(controls, ", ")) + d.security.settings
 	d.callers = append(d.callers, callers)
 	d.entries = append(d.entries, d.start(fmt.Sprintf("entry%d", i), "filberthoist-entry", settings))
 }
@@ -228,7 +243,8 @@
 func (d *deployment) run(arguments ...string) (status int, out, problems string) {
 	var o, e bytes.Buffer
 	c := commander.NewCommander(commander.Config{Out: &o, Err: &e})
-	status = c.Run(append(arguments, "--control", strings.Join(d.administration, ",")))
+	arguments = append(arguments, "--control", strings.Join(d.administration, ","))
+	status = c.Run(append(arguments, d.security.flags...))
 	return status, o.String(), e.String()
 }
 
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -49,7 +49,7 @@
 	MoveDone           = Event{614, "moveDone", log.InfoLevel, "All traffic goes the new way."}
 	MoveHeld           = Event{615, "moveHeld", log.WarnLevel, "A move can't go on by its schedule; the reason says why."}
 	MoveStoppedHere    = Event{616, "moveStoppedHere", log.WarnLevel, "This entry saw the new side fail and sends it no more requests."}
-	OwnerStarted       = Event{701, "ownerStarted", log.InfoLevel, "This entry owns a team's bucket under a new epoch."}
+	OwnerStarted       = Event{701, "ownerStarted", log.InfoLevel, "This entry owns an account, a team's rate or the room on a link, under a new epoch."}
 	InvariantBroken    = Event{901, "invariantBroken", log.FatalLevel, "An invariant does not hold; the process stops."}
 )
 
