Find a caller's region by blocks of clients, in a compiled table

Before: a look-up that named no region was answered for the region of the entry it reached. Change: sections 'clients' of the text give blocks to regions; entry/locator flattens them into sorted ranges, entry/resolver asks it. Longest prefix wins.

--- a/core/parser/configuration.go
+++ b/core/parser/configuration.go
@@ -1,6 +1,7 @@
 package parser
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/filberthoist/filberthoist/core/digester"
@@ -33,6 +34,15 @@
 	Teams   map[string]*Team
 	Keys    map[digester.Digest]*Key
 	Moves   map[string]*Move
+	// Clients tell where callers are, by their addresses.
+	Clients []*Clients
+}
+
+// Clients are blocks of caller addresses in a region.
+type Clients struct {
+	Name   string
+	Region string
+	Blocks []netip.Prefix
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/core/parser/parser.go
+++ b/core/parser/parser.go
@@ -2,6 +2,7 @@
 package parser
 
 import (
+	"net/netip"
 	"sort"
 	"strings"
 	"time"
@@ -40,7 +41,7 @@
 
 // Compile checks sections and returns their Configuration, or every problem.
 func Compile(sections []loader.Section) (*Configuration, loader.Problems) {
-	c := &compiler{out: newConfiguration(), seen: map[string]bool{}}
+	c := &compiler{out: newConfiguration(), seen: map[string]bool{}, blocks: map[netip.Prefix]string{}}
 	for _, step := range steps {
 		for _, s := range sections {
 			kind, name := s.Kind()
@@ -74,6 +75,7 @@
 	{"team", (*compiler).readTeam},
 	{"key", (*compiler).readKey},
 	{"move", (*compiler).readMove},
+	{"clients", (*compiler).readClients},
 }
 
 // compiler collects what the steps read and every problem they meet.
@@ -81,6 +83,8 @@
 	out      *Configuration
 	problems loader.Problems
 	seen     map[string]bool
+	// blocks names the section that a block of clients stands in.
+	blocks map[netip.Prefix]string
 }
 
 func newConfiguration() *Configuration {
--- a/core/parser/parser_test.go
+++ b/core/parser/parser_test.go
@@ -108,6 +108,11 @@
 		{"bad deadline", "deadline = 2027-03-01T18:00:00Z", "deadline = tomorrow", "is not a time"},
 		{"section twice", "[service store]", "[service lamps]\n[service store]", "the section stands twice"},
 		{"nameless", "[team landlords]", "[team]\nrate = 1\nburst = 1\n[team landlords]", "needs a name"},
+		{"bad block", "[team landlords]", "[clients a]\nregion = north\nblocks = 10.0.0.0/33\n[team landlords]", "is not a block"},
+		{"block with a tail", "[team landlords]", "[clients a]\nregion = north\nblocks = 10.0.0.1/8\n[team landlords]", "bits behind its length"},
+		{"block twice", "[team landlords]", "[clients a]\nregion = north\nblocks = 10.0.0.0/8, 10.0.0.0/8\n[team landlords]", "stands in clients a already"},
+		{"clients nowhere", "[team landlords]", "[clients a]\nregion = east\nblocks = ::/0\n[team landlords]", "region east is not in the text"},
+		{"move between regions and versions", "to = v2", "to = v2\nfromRegion = north\ntoRegion = south", "not both"},
 		{"version without target", "[service store]\nversion = v1", "[service store]\nversion = v9", "no target runs version v9"},
 	}
 	for _, c := range cases {
--- a/core/parser/sections.go
+++ b/core/parser/sections.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"math"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -237,6 +238,30 @@
 	return hex.EncodeToString(d[:8])
 }
 
+func (c *compiler) readClients(name string, r *loader.Reader) {
+	n := &Clients{Name: name, Region: r.Required("region")}
+	c.checkRegion(r, "region", n.Region)
+	for _, text := range r.List("blocks") {
+		p, err := netip.ParsePrefix(text)
+		switch {
+		case err != nil:
+			r.Fail("blocks", "%q is not a block such as 10.1.0.0/16", text)
+		case p != p.Masked():
+			r.Fail("blocks", "%s has bits behind its length; %s is meant, or a longer block", p, p.Masked())
+		case c.blocks[p] != "":
+			r.Fail("blocks", "%s stands in clients %s already", p, c.blocks[p])
+		default:
+			c.blocks[p] = name
+			n.Blocks = append(n.Blocks, p)
+		}
+	}
+	if len(n.Blocks) == 0 {
+		r.Fail("blocks", "missing")
+	}
+	c.out.Clients = append(c.out.Clients, n)
+	r.Finish()
+}
+
 // percent reads a share written as "10%" and returns it between 0 and 1.
 func (c *compiler) percent(r *loader.Reader, key string) float64 {
 	v := r.Required(key)
--- a/entry/resolver/resolver.go
+++ b/entry/resolver/resolver.go
@@ -12,6 +12,7 @@
 
 	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/entry/locator"
 	"github.com/filberthoist/filberthoist/entry/receiver"
 )
 
@@ -56,12 +57,13 @@
 		http.Error(w, "no such service", http.StatusNotFound)
 		return
 	}
+	table, caller := r.table(v), callerOf(q)
 	region := q.URL.Query().Get("region")
 	if region == "" {
-		region = r.config.Region
+		region = table.Locate(caller, r.config.Region)
 	}
 	out := Answer{
-		Entries:         r.table(v).Resolve(region, callerOf(q)+service),
+		Entries:         table.Resolve(region, caller.String()+service),
 		LifetimeSeconds: v.Configuration.Limits.LookupLifetime.Seconds(),
 	}
 	if len(out.Entries) == 0 {
@@ -90,6 +92,14 @@
 	return out
 }
 
+// Locate returns the region of a caller by the text's blocks of clients, or a fallback.
+func (t *Table) Locate(caller netip.Addr, fallback string) string {
+	if site, ok := t.clients.Find(caller); ok {
+		return t.sites[site]
+	}
+	return fallback
+}
+
 // appendBest adds the members of a group with the highest weights, as far as there is room.
 func appendBest(out []string, group []*wire.EntryMember, caller string) []string {
 	var best [maxEntries]choice
@@ -124,17 +134,45 @@
 	view *receiver.View
 	// groups holds the live entries by distance, for callers of each region.
 	groups map[string][][]*wire.EntryMember
+	// clients finds the number of a caller's region in sites.
+	clients *locator.Table
+	sites   []string
 }
 
-// NewTable compiles a view that has a configuration.
-func NewTable(v *receiver.View) *Table {
+// NewTable compiles a view that has a configuration. The clients of an older table are
+// taken over if the text is the same; old may be nil.
+func NewTable(v *receiver.View, old *Table) *Table {
 	t := &Table{view: v, groups: map[string][][]*wire.EntryMember{}}
+	if old != nil && old.view.Configuration == v.Configuration {
+		t.clients, t.sites = old.clients, old.sites
+	} else {
+		t.compileClients(v.Configuration)
+	}
 	for region := range v.Configuration.Regions {
 		t.groups[region] = t.order(region)
 	}
 	return t
 }
 
+func (t *Table) compileClients(c *parser.Configuration) {
+	var blocks []locator.Block
+	for _, n := range c.Clients {
+		site := slices.Index(t.sites, n.Region)
+		if site < 0 {
+			site = len(t.sites)
+			t.sites = append(t.sites, n.Region)
+		}
+		for _, p := range n.Blocks {
+			blocks = append(blocks, locator.Block{Prefix: p, Site: site})
+		}
+	}
+	clients, err := locator.NewTable(blocks)
+	if err != nil {
+		clients = &locator.Table{} // the parser refuses such blocks; callers go by their entry
+	}
+	t.clients = clients
+}
+
 // order groups the live entries by their distance from a region, the nearest first.
 func (t *Table) order(region string) [][]*wire.EntryMember {
 	byDistance := map[int64][]*wire.EntryMember{}
@@ -161,7 +199,7 @@
 func (r *Resolver) table(v *receiver.View) *Table {
 	t := r.compiled.Load()
 	if t == nil || t.view != v {
-		t = NewTable(v)
+		t = NewTable(v, t)
 		r.compiled.Store(t)
 	}
 	return t
@@ -190,10 +228,11 @@
 	return d.Sum64()
 }
 
-func callerOf(q *http.Request) string {
+// callerOf returns the caller's address; it is invalid if there is none.
+func callerOf(q *http.Request) netip.Addr {
 	a, err := netip.ParseAddrPort(q.RemoteAddr)
 	if err != nil {
-		return q.RemoteAddr
+		return netip.Addr{}
 	}
-	return a.Addr().String()
+	return a.Addr()
 }
--- a/entry/resolver/resolver_test.go
+++ b/entry/resolver/resolver_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -25,17 +29,32 @@
 func TestResolve(t *testing.T) {
 	t.Run("nearest regions first", func(t *testing.T) {
 		is := is.New(t)
-		is.Equal(NewTable(view(3)).Resolve("region0", "a"), []string{"entry0", "entry2", "entry1"})
+		is.Equal(NewTable(view(3), nil).Resolve("region0", "a"), []string{"entry0", "entry2", "entry1"})
 	})
 	t.Run("leaving entries are left out", func(t *testing.T) {
 		is := is.New(t)
 		v := view(3)
 		v.Entries["entry0"].State = wire.EntryState_ENTRY_STATE_LEAVING
-		is.Equal(NewTable(v).Resolve("region0", "a"), []string{"entry2", "entry1"})
+		is.Equal(NewTable(v, nil).Resolve("region0", "a"), []string{"entry2", "entry1"})
+	})
+	t.Run("callers are located by their blocks", func(t *testing.T) {
+		is := is.New(t)
+		v := view(3)
+		v.Configuration.Clients = []*parser.Clients{
+			{Region: "region1", Blocks: []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}},
+			{Region: "region2", Blocks: []netip.Prefix{netip.MustParsePrefix("10.1.0.0/16")}},
+		}
+		r := NewResolver(Config{View: func() *receiver.View { return v }, Region: "region0"})
+		for from, want := range map[string]string{"10.2.0.1": "entry1", "10.1.0.1": "entry2", "11.0.0.1": "entry0"} {
+			q, w := httptest.NewRequest(http.MethodGet, "/", nil), httptest.NewRecorder()
+			q.RemoteAddr = from + ":1"
+			r.ServeHTTP(w, q)
+			is.True(strings.HasPrefix(w.Body.String(), `{"entries":["`+want+`"`))
+		}
 	})
 	t.Run("callers spread evenly", func(t *testing.T) {
 		is := is.New(t)
-		counts, table := map[string]int{}, NewTable(view(12))
+		counts, table := map[string]int{}, NewTable(view(12), nil)
 		for i := range 4000 {
 			counts[table.Resolve("region0", fmt.Sprint("caller", i))[0]]++
 		}
@@ -49,7 +68,7 @@
 func BenchmarkResolve(b *testing.B) {
 	for _, n := range []int{12, 100, 1000, 5700} {
 		b.Run(fmt.Sprintf("%d entries", n), func(b *testing.B) {
-			table := NewTable(view(n))
+			table := NewTable(view(n), nil)
 			b.ReportAllocs()
 			for b.Loop() {
 				table.Resolve("region0", "caller")
