Send a request of a dropped route the old way instead of breaking it off

Found by reading: the lanes of a move follow the newest view. A request that was judged by the view before, on a route that the newest text dropped, met no lane, and the nil pointer broke its connection. TestOlderView panics before and passes after.

--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -143,6 +143,9 @@
 		return handler.Outcome{}
 	}
 	l := m.lanes[e.Route.Name]
+	if l == nil {
+		return handler.Outcome{} // a newer text than the request's view has dropped the route
+	}
 	if l.choose(position(e), m.shift.Share(e.Route), m.creditOf(e.Route)) {
 		s.moved.Inc(1)
 		e.Course, e.Fallback = other, &old
--- a/entry/shifter/shifter_test.go
+++ b/entry/shifter/shifter_test.go
@@ -188,6 +188,18 @@
 	is.True(run(newView(3, m, &wire.MoveRecord{Definition: "b", Share: 0.2}), false) >= 30)
 }
 
+// TestOlderView: a request that was judged by a view before the newest, on a route that the
+// newest text dropped, goes the old way.
+func TestOlderView(t *testing.T) {
+	is := is.New(t)
+	s := NewShifter(Config{Scope: tally.NoopScope, Region: "north"})
+	m := &parser.Move{Name: "m", Service: "lamps", From: "v1", To: "v2"}
+	older, newest := newView(1, m, &wire.MoveRecord{Share: 0.5}), newView(2, m, &wire.MoveRecord{Share: 0.5})
+	newest.Configuration.Routes = newest.Configuration.Routes[:1]
+	send(s, newest, "status", "/lamps/7")
+	is.Equal(send(s, older, "arm", "/lamps/7").Course.Version, "v1")
+}
+
 // BenchmarkShift is the cost of the choice for a service under move, on many threads.
 func BenchmarkShift(b *testing.B) {
 	s := NewShifter(Config{Scope: tally.NoopScope, Region: "north"})
