--- a/bench/endtoend/deployment_test.go
+++ b/bench/endtoend/deployment_test.go
@@ -19,6 +19,7 @@
 	"github.com/matryer/is"
 
 	"github.com/filberthoist/filberthoist/bench/faker"
+	"github.com/filberthoist/filberthoist/bench/generator"
 	"github.com/filberthoist/filberthoist/cli/commander"
 	"github.com/filberthoist/filberthoist/core/digester"
 )
@@ -402,3 +403,17 @@
 	t.Fatal("no port is free")
 	return ""
 }
+
+// load looks lamps up at a rate for a time, through all entries; the function it returns
+// waits for the end and gives the report.
+func (d *deployment) load(rate float64, length time.Duration) func() generator.Report {
+	is := is.New(d.t)
+	g, err := generator.NewGenerator(generator.Config{
+		Lookups: d.callers, Service: "lamps", Method: http.MethodGet, Path: "/lamps/7",
+		Key: goodKey, Rate: rate, Duration: length, Seed: 1,
+	})
+	is.NoErr(err)
+	done := make(chan generator.Report, 1)
+	go func() { done <- g.Run(d.t.Context()) }()
+	return func() generator.Report { return <-done }
+}
--- a/bench/endtoend/endtoend_test.go
+++ b/bench/endtoend/endtoend_test.go
@@ -12,7 +12,6 @@
 	"github.com/matryer/is"
 
 	"github.com/filberthoist/filberthoist/bench/faker"
-	"github.com/filberthoist/filberthoist/bench/generator"
 )
 
 // TestWholePath serves through look-up and entry, loses the leader and an entry, and goes on.
@@ -184,13 +183,7 @@
 func TestTwelveEntries(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t, 12)
-	g, err := generator.NewGenerator(generator.Config{
-		Lookups: d.callers, Service: "lamps", Method: http.MethodGet, Path: "/lamps/7",
-		Key: goodKey, Rate: 1000, Duration: 11 * time.Second, Seed: 1,
-	})
-	is.NoErr(err)
-	done := make(chan generator.Report, 1)
-	go func() { done <- g.Run(t.Context()) }()
+	report := d.load(1000, 11*time.Second)
 	for _, p := range d.entries[:2] {
 		p.signal(syscall.SIGTERM)
 	}
@@ -203,7 +196,7 @@
 	}
 	slices.Sort(times)
 	t.Logf("apply --wait on 12 entries: median %v, longest %v (looked at every 200 ms)", times[5], times[9])
-	r := <-done
+	r := report()
 	for _, p := range d.entries[:2] {
 		<-p.done
 	}
@@ -222,13 +215,8 @@
 func TestLeavingTarget(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t, 2)
-	g, err := generator.NewGenerator(generator.Config{
-		Lookups: d.callers, Service: "lamps", Method: http.MethodGet, Path: "/lamps/7",
-		Key: goodKey, Rate: 200, Duration: 6 * time.Second, Seed: 1,
-	})
-	is.NoErr(err)
 	d.fakes["lamps0"].SetFaults(faker.Faults{Leaving: true})
-	r := g.Run(t.Context())
+	r := d.load(200, 6*time.Second)()
 	is.Equal(d.fakes["lamps0"].Counts().AfterLeaving, 0)
 	is.Equal(r.Done, r.Sent)
 	t.Logf("refused by the leaving target before it was known: %d of %d", d.fakes["lamps0"].Counts().Refused, r.Sent)
--- a/bench/endtoend/frozen_test.go
+++ b/bench/endtoend/frozen_test.go
@@ -1,14 +1,11 @@
 package endtoend
 
 import (
-	"net/http"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/filberthoist/filberthoist/bench/generator"
 )
 
 // TestFrozenLeader stops the control leader's process for longer than a freshness lease
@@ -17,13 +14,7 @@
 func TestFrozenLeader(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t, 12)
-	g, err := generator.NewGenerator(generator.Config{
-		Lookups: d.callers, Service: "lamps", Method: http.MethodGet, Path: "/lamps/7",
-		Key: goodKey, Rate: 1000, Duration: 8 * time.Second, Seed: 1,
-	})
-	is.NoErr(err)
-	done := make(chan generator.Report, 1)
-	go func() { done <- g.Run(t.Context()) }()
+	report := d.load(1000, 8*time.Second)
 	time.Sleep(time.Second)
 	frozen := d.leader()
 	d.controls[frozen].signal(syscall.SIGSTOP)
@@ -32,7 +23,7 @@
 	d.controls[frozen].signal(syscall.SIGCONT)
 	d.text.revision = 3
 	d.apply()
-	r := <-done
+	r := report()
 	t.Logf("sent %d, done %d, not run %v, unknown %v", r.Sent, r.Done, r.NotRun, r.Unknown)
 	is.Equal(r.Broken+r.Wrong+r.Unanswered+len(r.Unknown), 0)
 	is.Equal(r.Done, r.Sent) // entries go on by their leases
--- a/bench/endtoend/moves_test.go
+++ b/bench/endtoend/moves_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -10,25 +9,10 @@
 	"github.com/matryer/is"
 
 	"github.com/filberthoist/filberthoist/bench/faker"
-	"github.com/filberthoist/filberthoist/bench/generator"
 )
 
 const moveRate = 400
 
-// load sends look-ups to the service under move until the function it returns is called,
-// which gives the report.
-func (d *deployment) load(length time.Duration) func() generator.Report {
-	is := is.New(d.t)
-	g, err := generator.NewGenerator(generator.Config{
-		Lookups: d.callers, Service: "lamps", Method: http.MethodGet, Path: "/lamps/7",
-		Key: goodKey, Rate: moveRate, Duration: length, Seed: 1,
-	})
-	is.NoErr(err)
-	done := make(chan generator.Report, 1)
-	go func() { done <- g.Run(d.t.Context()) }()
-	return func() generator.Report { return <-done }
-}
-
 // addNext adds targets of the next version.
 func (d *deployment) addNext() {
 	for i := range 4 {
@@ -73,7 +57,7 @@
 	is := is.New(t)
 	d := newDeployment(t, 3)
 	d.addNext()
-	report := d.load(18 * time.Second)
+	report := d.load(moveRate, 18*time.Second)
 	due := 16 * time.Second
 	begun := time.Now()
 	d.beginMove(due)
@@ -118,7 +102,7 @@
 			is := is.New(t)
 			d := newDeployment(t, 3)
 			d.addNext()
-			report := d.load(12 * time.Second)
+			report := d.load(moveRate, 12*time.Second)
 			if !c.late {
 				d.setNext(c.fault)
 			}
--- a/bench/experimenter/experimenter.go
+++ b/bench/experimenter/experimenter.go
@@ -4,7 +4,8 @@
 
 import (
 	"io"
-	"sort"
+	"maps"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -32,12 +33,7 @@
 
 // Names lists the experiments.
 func Names() []string {
-	var out []string
-	for n := range experiments {
-		out = append(out, n)
-	}
-	sort.Strings(out)
-	return out
+	return slices.Sorted(maps.Keys(experiments))
 }
 
 // Run runs one experiment, or all.
--- a/bench/experimenter/outcomes.go
+++ b/bench/experimenter/outcomes.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -153,7 +155,7 @@
 	for _, f := range upstreamFaults {
 		out.Rows = append(out.Rows, tabulator.Compare("upstream faults met", f.name, "%d", ours.faults[f.name]))
 	}
-	for _, n := range sortedKeys(path.keeper.faults) {
+	for _, n := range slices.Sorted(maps.Keys(path.keeper.faults)) {
 		out.Rows = append(out.Rows, tabulator.Compare("control faults met", n, "%d", path.keeper.faults[n]))
 	}
 	return []tabulator.Result{out}, nil
@@ -164,7 +166,7 @@
 		tabulator.Compare("sent, answered", subject, "%d, %d of %d", s.sent, s.done, outcomeIDs),
 		tabulator.Compare("ids that ran twice or more", subject, "%d", u.doubled()),
 	}
-	for _, n := range sortedKeys(s.outcomes) {
+	for _, n := range slices.Sorted(maps.Keys(s.outcomes)) {
 		rows = append(rows, tabulator.Compare("outcome "+n, subject, "%d", s.outcomes[n]))
 	}
 	return rows
--- a/bench/experimenter/path.go
+++ b/bench/experimenter/path.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
-	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -216,12 +215,3 @@
 	}
 	return ""
 }
-
-func sortedKeys(m map[string]int) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
--- a/control/administrator/administrator.go
+++ b/control/administrator/administrator.go
@@ -117,11 +117,7 @@
 	if err := a.config.Sequencer.Confirm(ctx); err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, errors.Wrap(err, "no quorum answers"))
 	}
-	var sections []loader.Section
-	for _, s := range a.config.State.Sections() {
-		sections = append(sections, wire.FromTextSection(s))
-	}
-	out := &wire.FetchResponse{Text: loader.Join(parser.Sort(sections)), Revision: a.config.State.Head().GetRevision()}
+	out := &wire.FetchResponse{Text: loader.Join(parser.Sort(a.config.State.Sections())), Revision: a.config.State.Head().GetRevision()}
 	return connect.NewResponse(out), nil
 }
 
--- a/control/applier/applier_test.go
+++ b/control/applier/applier_test.go
@@ -145,7 +145,7 @@
 			s := NewState(asserter.NewPanicking())
 			for i := range n {
 				s.index++
-				s.put(EntryPrefix+fmt.Sprint(i), &wire.EntryMember{Name: fmt.Sprint(i)})
+				s.put(wire.EntryRecords+fmt.Sprint(i), &wire.EntryMember{Name: fmt.Sprint(i)})
 			}
 			for b.Loop() {
 				s.Since(s.index - 1)
--- a/control/applier/apply.go
+++ b/control/applier/apply.go
@@ -41,7 +41,7 @@
 	case *wire.Command_FinishOnce:
 		out.Done = s.finishOnce(k.FinishOnce)
 	case *wire.Command_PutEntry:
-		out.Done = s.put(EntryPrefix+k.PutEntry.GetMember().GetName(), k.PutEntry.GetMember())
+		out.Done = s.put(wire.EntryRecords+k.PutEntry.GetMember().GetName(), k.PutEntry.GetMember())
 	case *wire.Command_RemoveEntry:
 		out.Done = s.removeEntry(k.RemoveEntry)
 	case *wire.Command_AdvanceMove:
@@ -86,19 +86,19 @@
 func (s *State) putText(sections []*wire.TextSection) {
 	kept := map[string]bool{}
 	for _, t := range sections {
-		key := TextPrefix + t.GetName()
+		key := wire.TextRecords + t.GetName()
 		kept[key] = true
 		s.put(key, t)
 	}
 	for k := range s.records {
-		if strings.HasPrefix(k, TextPrefix) && !kept[k] {
+		if strings.HasPrefix(k, wire.TextRecords) && !kept[k] {
 			s.delete(k)
 		}
 	}
 }
 
 func (s *State) removeEntry(c *wire.RemoveEntryCommand) bool {
-	key := EntryPrefix + c.GetName()
+	key := wire.EntryRecords + c.GetName()
 	r := s.records[key]
 	if r == nil || r.GetDeleted() {
 		return false
@@ -114,7 +114,7 @@
 
 // assignRole takes a role over if its epoch follows, or marks the same epoch vacant.
 func (s *State) assignRole(n *wire.Role) bool {
-	key := RolePrefix + n.GetName()
+	key := wire.RoleRecords + n.GetName()
 	var old wire.Role
 	if r := s.records[key]; r != nil {
 		s.decode(r, &old)
@@ -130,7 +130,7 @@
 // advanceMove takes the next change of a move, or removes the move.
 func (s *State) advanceMove(c *wire.AdvanceMoveCommand) bool {
 	n := c.GetMove()
-	key := MovePrefix + n.GetName()
+	key := wire.MoveRecords + n.GetName()
 	var old wire.MoveRecord
 	if r := s.records[key]; r != nil && !r.GetDeleted() {
 		s.decode(r, &old)
--- a/control/applier/keys.go
+++ b/control/applier/keys.go
@@ -5,12 +5,8 @@
 	"strings"
 )
 
-// Prefixes of the keys of records.
+// Prefixes of the keys of records that stay on control, and the key of the head.
 const (
-	TextPrefix     = "text/"
-	EntryPrefix    = "entry/"
-	RolePrefix     = "role/"
-	MovePrefix     = "move/"
 	revisionPrefix = "revision/"
 	oncePrefix     = "once/"
 	// HeadKey holds the RevisionRecord of the text in force.
--- a/control/applier/state.go
+++ b/control/applier/state.go
@@ -5,6 +5,8 @@
 package applier
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -137,12 +139,12 @@
 }
 
 // Sections returns the sections of the text in force.
-func (s *State) Sections() []*wire.TextSection {
-	var out []*wire.TextSection
-	s.each(TextPrefix, func(r *wire.Record) {
+func (s *State) Sections() []loader.Section {
+	var out []loader.Section
+	s.each(wire.TextRecords, func(r *wire.Record) {
 		section := &wire.TextSection{}
 		s.decode(r, section)
-		out = append(out, section)
+		out = append(out, wire.FromTextSection(section))
 	})
 	return out
 }
@@ -156,11 +158,7 @@
 	if head == s.compiledRevision {
 		return s.compiled, nil
 	}
-	sections := make([]loader.Section, 0)
-	for _, t := range s.Sections() {
-		sections = append(sections, wire.FromTextSection(t))
-	}
-	c, problems := parser.Compile(sections)
+	c, problems := parser.Compile(s.Sections())
 	if c == nil {
 		return nil, problems.Err()
 	}
@@ -171,7 +169,7 @@
 // Entries returns the entries by name.
 func (s *State) Entries() map[string]*wire.EntryMember {
 	out := map[string]*wire.EntryMember{}
-	s.each(EntryPrefix, func(r *wire.Record) {
+	s.each(wire.EntryRecords, func(r *wire.Record) {
 		m := &wire.EntryMember{}
 		s.decode(r, m)
 		out[m.GetName()] = m
@@ -182,7 +180,7 @@
 // Roles returns the roles by name.
 func (s *State) Roles() map[string]*wire.Role {
 	out := map[string]*wire.Role{}
-	s.each(RolePrefix, func(r *wire.Record) {
+	s.each(wire.RoleRecords, func(r *wire.Record) {
 		m := &wire.Role{}
 		s.decode(r, m)
 		out[m.GetName()] = m
@@ -193,7 +191,7 @@
 // Moves returns how far the moves are, by name.
 func (s *State) Moves() map[string]*wire.MoveRecord {
 	out := map[string]*wire.MoveRecord{}
-	s.each(MovePrefix, func(r *wire.Record) {
+	s.each(wire.MoveRecords, func(r *wire.Record) {
 		m := &wire.MoveRecord{}
 		s.decode(r, m)
 		out[m.GetName()] = m
@@ -222,12 +220,7 @@
 }
 
 func (s *State) sortedKeys() []string {
-	keys := make([]string, 0, len(s.records))
-	for k := range s.records {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
+	return slices.Sorted(maps.Keys(s.records))
 }
 
 func (s *State) revision(key string) *wire.RevisionRecord {
--- a/control/coordinator/plan.go
+++ b/control/coordinator/plan.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -76,7 +77,7 @@
 			}})
 		}
 	}
-	for _, n := range sortedNames(p.Entries) {
+	for _, n := range slices.Sorted(maps.Keys(p.Entries)) {
 		m := p.Entries[n]
 		if p.silence(m.GetName(), m.GetIncarnation()) > removeAfter && !p.present(m.GetName()) {
 			out = append(out, &wire.Command{Kind: &wire.Command_RemoveEntry{
@@ -199,7 +200,7 @@
 // eligible returns the live entries of a region, or all of them.
 func (p Picture) eligible(region string) []*wire.EntryMember {
 	var out []*wire.EntryMember
-	for _, n := range sortedNames(p.Entries) {
+	for _, n := range slices.Sorted(maps.Keys(p.Entries)) {
 		m := p.Entries[n]
 		_, polls := p.Callers[distributor.CallerName{Name: n, Incarnation: m.GetIncarnation()}]
 		live := polls && m.GetState() == wire.EntryState_ENTRY_STATE_LIVE && p.silence(n, m.GetIncarnation()) <= lapsed
@@ -219,15 +220,6 @@
 	return out
 }
 
-func sortedNames(m map[string]*wire.EntryMember) []string {
-	out := make([]string, 0, len(m))
-	for n := range m {
-		out = append(out, n)
-	}
-	sort.Strings(out)
-	return out
-}
-
 func same(a, b *wire.EntryMember) bool {
 	return a != nil && a.GetIncarnation() == b.GetIncarnation() && a.GetState() == b.GetState() &&
 		a.GetAddress() == b.GetAddress() && a.GetPeerAddress() == b.GetPeerAddress() &&
--- a/control/mover/judge.go
+++ b/control/mover/judge.go
@@ -1,7 +1,8 @@
 package mover
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/filberthoist/filberthoist/control/distributor"
@@ -26,11 +27,9 @@
 
 // Judge collects the evidence of one move.
 type Judge struct {
-	course     string
-	definition string
-	regional   bool
-	routes     map[string]*routeJudge
-	limit      float64
+	move   *parser.Move
+	routes map[string]*routeJudge
+	limit  float64
 	// seen is what each caller had told when its evidence was last taken in.
 	seen map[seenName]pair
 }
@@ -57,8 +56,7 @@
 func NewJudge(m *parser.Move, routes []*parser.Route, begun time.Time) *Judge {
 	windows := int(max(0, m.Deadline.Sub(begun)) / WindowLength)
 	j := &Judge{
-		course: m.Course(), definition: m.Definition, regional: m.Regional(),
-		routes: map[string]*routeJudge{}, seen: map[seenName]pair{},
+		move: m, routes: map[string]*routeJudge{}, seen: map[seenName]pair{},
 	}
 	for _, r := range routes {
 		j.routes[r.Name] = &routeJudge{route: r, assessor: assessor.NewAssessor(assessor.Config{Windows: windows})}
@@ -72,7 +70,7 @@
 	sums := map[string]pair{}
 	for name, c := range callers {
 		for _, e := range c.Evidence {
-			if e.GetCourse() == j.course {
+			if e.GetCourse() == j.move.Course() {
 				j.collect(name, e, sums)
 			}
 		}
@@ -122,7 +120,7 @@
 
 // against is the evidence that counts; another region is slower for its distance alone.
 func (j *Judge) against(v assessor.Verdict) float64 {
-	if j.regional {
+	if j.move.Regional() {
 		return v.Failures
 	}
 	return v.Evidence()
@@ -159,12 +157,7 @@
 }
 
 func (j *Judge) names() []string {
-	out := make([]string, 0, len(j.routes))
-	for n := range j.routes {
-		out = append(out, n)
-	}
-	sort.Strings(out)
-	return out
+	return slices.Sorted(maps.Keys(j.routes))
 }
 
 func (r *routeJudge) step() pair {
--- a/control/mover/mover.go
+++ b/control/mover/mover.go
@@ -5,7 +5,8 @@
 
 import (
 	"context"
-	"sort"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,7 +70,7 @@
 	}
 	records := m.config.State.Moves()
 	var out []*wire.MoveStatus
-	for _, n := range moveNames(c) {
+	for _, n := range slices.Sorted(maps.Keys(c.Moves)) {
 		out = append(out, m.describe(c.Moves[n], records[n]))
 	}
 	return out
@@ -127,7 +128,7 @@
 	}
 	callers, records := m.config.Distributor.Callers(), m.config.State.Moves()
 	var out []*wire.AdvanceMoveCommand
-	for _, n := range moveNames(c) {
+	for _, n := range slices.Sorted(maps.Keys(c.Moves)) {
 		if next := m.planMove(c, c.Moves[n], records, callers); next != nil {
 			out = append(out, &wire.AdvanceMoveCommand{Move: next})
 		}
@@ -135,6 +136,7 @@
 	for n, r := range records {
 		if c.Moves[n] == nil {
 			delete(m.judges, n)
+			delete(m.held, n)
 			out = append(out, &wire.AdvanceMoveCommand{
 				Move: &wire.MoveRecord{Name: n, Change: r.GetChange() + 1}, Removed: true,
 			})
@@ -147,20 +149,22 @@
 	r := records[v.Name]
 	now := m.config.Now()
 	routes := c.RoutesOf(v.Service)
-	if r == nil {
-		r = renamed(v, records)
+	if old := wire.FindMove(records, v.Name, v.Course()); r == nil && old != nil {
+		r = proto.CloneOf(old) // renamed; this is the first record under its name
+		r.Change = 0
 	}
 	if r.GetDefinition() != v.Definition || r.GetName() != v.Name {
 		delete(m.judges, v.Name)
 		return Begin(v, Schedule(v, routes, now), r, now)
 	}
+	begun := time.UnixMilli(r.GetBegunUnixMilliseconds())
 	j := m.judges[v.Name]
-	if j == nil || j.definition != v.Definition {
-		j = NewJudge(v, routes, time.UnixMilli(r.GetBegunUnixMilliseconds()))
+	if j == nil || j.move.Definition != v.Definition {
+		j = NewJudge(v, routes, begun)
 		m.judges[v.Name] = j
 	}
 	j.Window(callers)
-	list := Schedule(v, routes, time.UnixMilli(r.GetBegunUnixMilliseconds()))
+	list := Schedule(v, routes, begun)
 	next, held := Advance(v, list, r, j, now)
 	m.noteHeld(v, held, now)
 	if next != nil {
@@ -169,18 +173,6 @@
 	return next
 }
 
-// renamed returns the record of the same move under another name, as the first of this one.
-func renamed(v *parser.Move, records map[string]*wire.MoveRecord) *wire.MoveRecord {
-	for _, r := range records {
-		if r.GetCourse() == v.Course() {
-			out := proto.CloneOf(r)
-			out.Change = 0
-			return out
-		}
-	}
-	return nil
-}
-
 // checkStep asserts the cap of a step forward.
 func (m *Mover) checkStep(v *parser.Move, r, next *wire.MoveRecord) {
 	m.config.Assert.That(next.GetShare()-r.GetShare() <= v.Cap+tiny, "moveCapKept", "move %s: %g after %g", v.Name, next.GetShare(), r.GetShare())
@@ -219,12 +211,3 @@
 	m.config.Logger.Log(event, logger.F("move", n.GetName()), logger.F("share", n.GetShare()),
 		logger.F("onceShare", n.GetOnceShare()), logger.F("reason", n.GetReason()))
 }
-
-func moveNames(c *parser.Configuration) []string {
-	out := make([]string, 0, len(c.Moves))
-	for n := range c.Moves {
-		out = append(out, n)
-	}
-	sort.Strings(out)
-	return out
-}
--- a/control/mover/mover_test.go
+++ b/control/mover/mover_test.go
@@ -1,7 +1,6 @@
 package mover
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"os"
@@ -16,16 +15,13 @@
 	"github.com/filberthoist/filberthoist/control/distributor"
 	"github.com/filberthoist/filberthoist/core/assessor"
 	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/seeder"
 	"github.com/filberthoist/filberthoist/core/wire"
 )
 
-// TestMain fixes the seed, so that every run is the same.
+// TestMain fixes the seed unless one is given; -rapid.checks sets the number of runs.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("20261204")
-	}
-	os.Exit(m.Run())
+	os.Exit(seeder.Run(m, 0))
 }
 
 var (
@@ -143,8 +139,8 @@
 		failing func(w int, r *parser.Route) float64
 		share   float64
 	}{
-		{"at once", allRoutes[0], func(int, *parser.Route) float64 { return 0.5 }, firstShare},
-		{"at most once only", allRoutes[1], func(int, *parser.Route) float64 { return 0.5 }, firstShare},
+		{"at once", allRoutes[0], func(int, *parser.Route) float64 { return 0.5 }, wire.FirstShare},
+		{"at most once only", allRoutes[1], func(int, *parser.Route) float64 { return 0.5 }, wire.FirstShare},
 		{"late", allRoutes[0], func(w int, _ *parser.Route) float64 {
 			if w > 300 {
 				return 0.3
@@ -197,7 +193,7 @@
 		share float64
 	}{
 		{"goes on", wire.MoveStage_MOVE_STAGE_RAMPING, 0.41},
-		{"begins anew after it was taken back", wire.MoveStage_MOVE_STAGE_TAKEN_BACK, firstShare},
+		{"begins anew after it was taken back", wire.MoveStage_MOVE_STAGE_TAKEN_BACK, wire.FirstShare},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/control/mover/objections.go
+++ b/control/mover/objections.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/filberthoist/filberthoist/core/loader"
@@ -16,7 +17,7 @@
 		return nil
 	}
 	var out loader.Problems
-	for _, n := range moveNames(inForce) {
+	for _, n := range slices.Sorted(maps.Keys(inForce.Moves)) {
 		m, r := inForce.Moves[n], records[n]
 		s := next.Services[m.Service]
 		if s == nil || m.Regional() || r.GetCourse() != m.Course() || goesOn(next, m) {
--- a/control/mover/schedule.go
+++ b/control/mover/schedule.go
@@ -4,12 +4,11 @@
 	"time"
 
 	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/wire"
 )
 
 // Shape of a schedule.
 const (
-	// firstShare is the share of the first step, in which most bad versions show.
-	firstShare = 0.01
 	// lastStep is the largest share that stays on the old side while the new one bakes.
 	lastStep = 0.2
 	// minHold is the least time between two steps.
@@ -63,7 +62,7 @@
 // shares returns the shares of the ramp, each at most cap above the one before.
 func shares(limit float64) []float64 {
 	top := 1 - min(limit, lastStep)
-	out := []float64{min(limit, firstShare, top)}
+	out := []float64{min(limit, wire.FirstShare, top)}
 	for out[len(out)-1] < top {
 		out = append(out, min(out[len(out)-1]+limit, top))
 	}
--- a/control/replicator/replicator_test.go
+++ b/control/replicator/replicator_test.go
@@ -1,7 +1,6 @@
 package replicator
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"time"
@@ -10,21 +9,13 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/filberthoist/filberthoist/core/seeder"
 	"github.com/filberthoist/filberthoist/core/wire"
 )
 
 // TestMain fixes the seed unless one is given; -rapid.checks sets the number of runs.
 func TestMain(m *testing.M) {
-	setDefault("rapid.seed", "20261204")
-	setDefault("rapid.checks", "400")
-	flag.Parse()
-	os.Exit(m.Run())
-}
-
-func setDefault(name, value string) {
-	if err := flag.Set(name, value); err != nil {
-		panic(err)
-	}
+	os.Exit(seeder.Run(m, 400))
 }
 
 // input is a submit, output its answer.
--- a/core/parser/checks.go
+++ b/core/parser/checks.go
@@ -1,6 +1,7 @@
 package parser
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -89,11 +90,7 @@
 // checkAddresses refuses two targets at one address.
 func (c *compiler) checkAddresses() {
 	owners := map[string]string{}
-	names := make([]string, 0, len(c.out.Targets))
-	for n := range c.out.Targets {
-		names = append(names, n)
-	}
-	sort.Strings(names)
+	names := slices.Sorted(maps.Keys(c.out.Targets))
 	for _, n := range names {
 		a := c.out.Targets[n].Address
 		if other := owners[a]; other != "" && a != "" {
--- /dev/null
+++ b/core/wire/records.go
@@ -0,0 +1,9 @@
+package wire
+
+// Prefixes of the keys of the records that control distributes.
+const (
+	TextRecords  = "text/"
+	EntryRecords = "entry/"
+	RoleRecords  = "role/"
+	MoveRecords  = "move/"
+)
--- a/entry/dispatcher/dispatcher_test.go
+++ b/entry/dispatcher/dispatcher_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -17,6 +16,7 @@
 	"github.com/filberthoist/filberthoist/core/asserter"
 	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/seeder"
 	"github.com/filberthoist/filberthoist/core/supervisor"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
@@ -26,13 +26,7 @@
 
 // TestMain fixes the seed unless one is given; -rapid.checks sets the number of runs.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "300"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse()
-	os.Exit(m.Run())
+	os.Exit(seeder.Run(m, 300))
 }
 
 // run is a ledger with targets that serve, fail, leave and come back.
--- a/entry/dispatcher/pool.go
+++ b/entry/dispatcher/pool.go
@@ -39,10 +39,8 @@
 		p.unreported[n] = true
 	}
 	longest := time.Duration(0)
-	for _, r := range v.Configuration.Routes {
-		if r.Service.Name == p.name.Service {
-			longest = max(longest, r.Timeout)
-		}
+	for _, r := range v.Configuration.RoutesOf(p.name.Service) {
+		longest = max(longest, r.Timeout)
 	}
 	p.learnUntil = now + longest + timekeeper.SlotGrace
 }
--- a/entry/limiter/limiter_test.go
+++ b/entry/limiter/limiter_test.go
@@ -1,7 +1,6 @@
 package limiter
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -17,6 +16,7 @@
 	"github.com/filberthoist/filberthoist/core/asserter"
 	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/seeder"
 	"github.com/filberthoist/filberthoist/core/supervisor"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
@@ -25,13 +25,7 @@
 
 // TestMain fixes the seed unless one is given; -rapid.checks sets the number of runs.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "300"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse()
-	os.Exit(m.Run())
+	os.Exit(seeder.Run(m, 300))
 }
 
 // simulation is a set of entries that share one team's limit, with messages between them
--- a/entry/locator/table_test.go
+++ b/entry/locator/table_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -12,15 +11,13 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/filberthoist/filberthoist/core/seeder"
 )
 
-// TestMain fixes the seed, so that every run is the same.
+// TestMain fixes the seed unless one is given; -rapid.checks sets the number of runs.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("20261204")
-	}
-	os.Exit(m.Run())
+	os.Exit(seeder.Run(m, 0))
 }
 
 // slowFind is the longest prefix that holds an address.
--- a/entry/receiver/view.go
+++ b/entry/receiver/view.go
@@ -11,14 +11,6 @@
 	"github.com/filberthoist/filberthoist/core/wire"
 )
 
-// Prefixes of the records that control distributes.
-const (
-	textPrefix  = "text/"
-	entryPrefix = "entry/"
-	rolePrefix  = "role/"
-	movePrefix  = "move/"
-)
-
 // View is the replicated state at one index, compiled for use. It never changes.
 type View struct {
 	Index         uint64
@@ -72,7 +64,7 @@
 		textChanged = true
 	}
 	for _, n := range p.GetRecords() {
-		textChanged = textChanged || strings.HasPrefix(n.GetKey(), textPrefix)
+		textChanged = textChanged || strings.HasPrefix(n.GetKey(), wire.TextRecords)
 		if n.GetDeleted() {
 			delete(r, n.GetKey())
 			continue
@@ -106,47 +98,34 @@
 	return v, nil
 }
 
-// matchMoves joins the moves of the text with their records.
+// matchMoves joins the moves of the text with their records. One that was renamed goes on by
+// its old record until control has made a new one.
 func (v *View) matchMoves() {
 	if v.Configuration == nil {
 		return
 	}
 	for n, m := range v.Configuration.Moves {
-		if r := v.recordOf(n, m); r != nil {
+		if r := wire.FindMove(v.moves, n, m.Course()); r != nil {
 			v.Shifts[m.Service] = Shift{Move: m, Record: r}
 		}
 	}
 }
 
-// recordOf returns how far a move is. One that was renamed goes on by its old record until
-// control has made a new one.
-func (v *View) recordOf(name string, m *parser.Move) *wire.MoveRecord {
-	if r := v.moves[name]; r.GetCourse() == m.Course() {
-		return r
-	}
-	for _, r := range v.moves {
-		if r.GetCourse() == m.Course() {
-			return r
-		}
-	}
-	return nil
-}
-
 func (v *View) add(key string, r *wire.Record) error {
 	switch {
-	case strings.HasPrefix(key, entryPrefix):
+	case strings.HasPrefix(key, wire.EntryRecords):
 		m := &wire.EntryMember{}
 		if err := proto.Unmarshal(r.GetValue(), m); err != nil {
 			return err
 		}
 		v.Entries[m.GetName()] = m
-	case strings.HasPrefix(key, rolePrefix):
+	case strings.HasPrefix(key, wire.RoleRecords):
 		m := &wire.Role{}
 		if err := proto.Unmarshal(r.GetValue(), m); err != nil {
 			return err
 		}
 		v.Roles[m.GetName()] = m
-	case strings.HasPrefix(key, movePrefix):
+	case strings.HasPrefix(key, wire.MoveRecords):
 		m := &wire.MoveRecord{}
 		if err := proto.Unmarshal(r.GetValue(), m); err != nil {
 			return err
@@ -173,7 +152,7 @@
 func (r records) sections() ([]loader.Section, error) {
 	var keys []string
 	for k := range r {
-		if strings.HasPrefix(k, textPrefix) {
+		if strings.HasPrefix(k, wire.TextRecords) {
 			keys = append(keys, k)
 		}
 	}
--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -25,8 +25,6 @@
 	guardInterval = 100 * time.Millisecond
 	// guardLimit is the evidence at which an entry stops on its own.
 	guardLimit = 10_000
-	// firstShares bounds the shares of a move's first step.
-	firstShares = 0.01
 	// guardWindows is how many windows a guard expects to watch.
 	guardWindows = 10_000
 )
@@ -56,10 +54,9 @@
 
 // moving is one move with its lanes by route.
 type moving struct {
-	shift      receiver.Shift
-	definition string
-	lanes      map[string]*lane
-	guards     map[string]*guard
+	shift  receiver.Shift
+	lanes  map[string]*lane
+	guards map[string]*guard
 	// repeatable and once are the credits of the service's two kinds of requests.
 	repeatable *credit
 	once       *credit
@@ -200,23 +197,19 @@
 // newMoving takes over the lanes of the same move, and begins new ones for another.
 func newMoving(old *moving, shift receiver.Shift, c *parser.Configuration) *moving {
 	m := &moving{
-		shift: shift, definition: shift.Record.GetDefinition(),
-		lanes: map[string]*lane{}, guards: map[string]*guard{}, classes: map[string]bool{},
+		shift: shift, lanes: map[string]*lane{}, guards: map[string]*guard{}, classes: map[string]bool{},
 		repeatable: &credit{}, once: &credit{},
 	}
 	same := old != nil && old.shift.Move.Course() == shift.Move.Course()
 	if same {
 		m.repeatable, m.once = old.repeatable, old.once
 	}
-	for _, r := range c.Routes {
-		if r.Service.Name != shift.Move.Service {
-			continue
-		}
+	for _, r := range c.RoutesOf(shift.Move.Service) {
 		m.lanes[r.Name], m.classes[r.Name] = &lane{}, r.Repeatable()
 		if same && old.lanes[r.Name] != nil {
 			m.lanes[r.Name], m.guards[r.Name] = old.lanes[r.Name], old.guards[r.Name]
 		}
-		if m.guards[r.Name] == nil || old.definition != m.definition {
+		if m.guards[r.Name] == nil || old.shift.Record.GetDefinition() != shift.Record.GetDefinition() {
 			m.guards[r.Name] = newGuard(m.lanes[r.Name])
 		}
 	}
@@ -243,7 +236,7 @@
 	share := max(m.shift.Record.GetShare(), m.shift.Record.GetOnceShare())
 	for n, l := range m.lanes {
 		class, seen := m.classes[n], l.seen.Load()
-		if share > firstShares || share == 0 || seen == 0 {
+		if share > wire.FirstShare || share == 0 || seen == 0 {
 			l.setFactor(1)
 			continue
 		}
--- a/entry/shifter/shifter_test.go
+++ b/entry/shifter/shifter_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -17,18 +16,15 @@
 
 	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/seeder"
 	"github.com/filberthoist/filberthoist/core/wire"
 	"github.com/filberthoist/filberthoist/entry/handler"
 	"github.com/filberthoist/filberthoist/entry/receiver"
 )
 
-// TestMain fixes the seed, so that every run is the same.
+// TestMain fixes the seed unless one is given; -rapid.checks sets the number of runs.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("20261204")
-	}
-	os.Exit(m.Run())
+	os.Exit(seeder.Run(m, 0))
 }
 
 // TestShareHolds: however callers and shares change, no lane ever sends more than its
