--- a/control/administrator/administrator.go
+++ b/control/administrator/administrator.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"sort"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -50,6 +51,10 @@
 	Messenger   *messenger.Messenger
 	// Moves describes the moves of the text in force.
 	Moves func() []*wire.MoveStatus
+	// Zones are the regions of the availability zones, for configurations of items.
+	Zones map[string]string
+	// Voters is the size to which the quorum is filled up.
+	Voters int
 }
 
 // Administrator answers operators on any control member; it passes on what only the
@@ -57,6 +62,8 @@
 type Administrator struct {
 	config Config
 	client *http.Client
+	// ordering lets orders pass one at a time.
+	ordering sync.Mutex
 }
 
 // NewAdministrator returns an Administrator.
@@ -162,6 +169,9 @@
 	if len(problems) > 0 {
 		return nil, problems
 	}
+	if len(a.config.State.Items()) > 0 {
+		return nil, loader.Problems{{Text: "the configuration is kept by items here; change items"}}
+	}
 	c, problems := parser.Compile(sections)
 	if c == nil {
 		return nil, problems
--- a/control/administrator/operators.go
+++ b/control/administrator/operators.go
@@ -79,6 +79,12 @@
 	return direct{a}
 }
 
+// Order proposes an order.
+func (d direct) Order(ctx context.Context, q *connect.Request[wire.OrderRequest]) (*connect.Response[wire.OrderResponse], error) {
+	q.Msg.Forwarded = false
+	return d.Administrator.Order(ctx, q)
+}
+
 // Submit proposes a text in the name of the operator whose token came with it.
 func (d direct) Submit(ctx context.Context, q *connect.Request[wire.SubmitRequest]) (*connect.Response[wire.SubmitResponse], error) {
 	q.Msg.Forwarded = false
--- a/control/applier/apply.go
+++ b/control/applier/apply.go
@@ -36,6 +36,12 @@
 	case *wire.Command_Submit:
 		out = s.applySubmit(k.Submit)
 		out.Head = s.revision(HeadKey).GetRevision()
+	case *wire.Command_ChangeItems:
+		out = s.changeItems(k.ChangeItems)
+	case *wire.Command_Evacuate:
+		out = s.evacuate(k.Evacuate)
+	case *wire.Command_BeginMove:
+		out = s.beginMove(k.BeginMove)
 	case *wire.Command_BeginOnce:
 		out = s.beginOnce(k.BeginOnce)
 	case *wire.Command_FinishOnce:
@@ -173,6 +179,9 @@
 }
 
 func (s *State) record(r *wire.Record) {
+	if strings.HasPrefix(r.GetKey(), wire.ItemRecords) {
+		s.itemsIndex = r.GetIndex()
+	}
 	s.records[r.GetKey()] = r
 	s.changes = append(s.changes, change{r.GetIndex(), r.GetKey()})
 }
--- /dev/null
+++ b/control/applier/items.go
@@ -0,0 +1,198 @@
+package applier
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/filberthoist/filberthoist/core/loader"
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// changeItems sets and drops items. Of each name the highest version stands, and the
+// version of a dropped item is remembered, so that an older change never brings it back.
+func (s *State) changeItems(c *wire.ChangeItemsCommand) Result {
+	for _, n := range c.GetItems() {
+		s.changeItem(n)
+	}
+	s.rememberOrder(c.GetDigest())
+	return Result{Submit: wire.SubmitResult_SUBMIT_RESULT_ACCEPTED}
+}
+
+func (s *State) changeItem(n *wire.Item) {
+	old := s.item(n.GetName())
+	if old != nil && old.GetVersion() >= n.GetVersion() {
+		return
+	}
+	kept := &wire.Item{Name: n.GetName(), Version: n.GetVersion(), Dropped: n.GetDropped(), Section: n.GetSection()}
+	s.put(wire.ItemRecords+n.GetName(), kept)
+	if n.GetDropped() {
+		s.delete(formPrefix + n.GetName())
+		return
+	}
+	s.put(formPrefix+n.GetName(), &wire.Item{Name: n.GetName(), Version: n.GetVersion(), Form: n.GetForm()})
+}
+
+func (s *State) item(name string) *wire.Item {
+	r := s.records[wire.ItemRecords+name]
+	if r == nil || r.GetDeleted() {
+		return nil
+	}
+	n := &wire.Item{}
+	s.decode(r, n)
+	return n
+}
+
+// rememberOrder keeps the digests of the last orders, so that one that is sent again is
+// known even after newer ones.
+func (s *State) rememberOrder(digest string) {
+	key := orderPrefix + digest
+	if digest == "" || s.records[key] != nil {
+		return
+	}
+	s.put(key, &wire.RevisionRecord{Digest: digest, Index: s.index})
+	s.orders = append(s.orders, change{s.index, key})
+	for len(s.orders) > KeptOrders {
+		s.delete(s.orders[0].key)
+		s.orders = s.orders[1:]
+	}
+}
+
+func (s *State) restoreOrders() {
+	s.orders = nil
+	for k, r := range s.records {
+		if strings.HasPrefix(k, orderPrefix) {
+			s.orders = append(s.orders, change{r.GetIndex(), k})
+		}
+	}
+	sort.Slice(s.orders, func(i, j int) bool {
+		if s.orders[i].index != s.orders[j].index {
+			return s.orders[i].index < s.orders[j].index
+		}
+		return s.orders[i].key < s.orders[j].key
+	})
+}
+
+// evacuate begins or ends the evacuation of an availability zone.
+func (s *State) evacuate(c *wire.EvacuateCommand) Result {
+	key := wire.EvacuationRecords + c.GetAvailabilityZone()
+	if c.GetWithdrawn() {
+		s.delete(key)
+	} else {
+		s.put(key, &wire.Evacuation{AvailabilityZone: c.GetAvailabilityZone()})
+	}
+	return Result{Submit: wire.SubmitResult_SUBMIT_RESULT_ACCEPTED}
+}
+
+// Shape of ordered moves.
+const (
+	// orderedExposure is the share that the new side of an ordered move gets until it is
+	// proven.
+	orderedExposure = "6%"
+	// orderedBake is the time that the last step of an ordered move waits for late faults.
+	orderedBake = "0s"
+)
+
+// beginMove writes the move of a service that an operator ordered as an item. The same
+// order sent again changes nothing.
+func (s *State) beginMove(c *wire.BeginMoveCommand) Result {
+	name := "move " + c.GetService()
+	old := s.item(name)
+	previous := ""
+	if old != nil {
+		previous, _ = wire.FromTextSection(old.GetSection()).Value("to")
+	}
+	if previous == c.GetTo() {
+		return Result{Submit: wire.SubmitResult_SUBMIT_RESULT_ACCEPTED}
+	}
+	deadline := time.UnixMilli(c.GetBegunUnixMilliseconds() + c.GetDurationMilliseconds()).UTC()
+	section := loader.Section{Name: name, Keys: []loader.Key{
+		{Name: "service", Value: c.GetService()}, {Name: "to", Value: c.GetTo()},
+		{Name: "cap", Value: "100%"}, {Name: "exposure", Value: orderedExposure}, {Name: "bake", Value: orderedBake},
+		{Name: "deadline", Value: deadline.Format(time.RFC3339Nano)},
+	}}
+	if barred := s.barred(c.GetService(), old); barred != "" {
+		section.Keys = append(section.Keys, loader.Key{Name: "barred", Value: barred})
+	}
+	s.put(wire.ItemRecords+name, &wire.Item{Name: name, Version: s.index, Section: wire.ToTextSection(section)})
+	return Result{Submit: wire.SubmitResult_SUBMIT_RESULT_ACCEPTED}
+}
+
+// barred lists the versions whose moves were taken back.
+func (s *State) barred(service string, old *wire.Item) string {
+	if old == nil {
+		return ""
+	}
+	section := wire.FromTextSection(old.GetSection())
+	list, _ := section.Value("barred")
+	var m wire.MoveRecord
+	if r := s.records[wire.MoveRecords+service]; r != nil && !r.GetDeleted() {
+		s.decode(r, &m)
+	}
+	if m.GetStage() != wire.MoveStage_MOVE_STAGE_TAKEN_BACK {
+		return list
+	}
+	to, _ := section.Value("to")
+	if list == "" {
+		return to
+	}
+	return list + ", " + to
+}
+
+// KnowsOrder tells whether an order of this digest was accepted before.
+func (s *State) KnowsOrder(digest string) bool {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.records[orderPrefix+digest] != nil
+}
+
+// Items returns the items by name, dropped ones with their versions included.
+func (s *State) Items() map[string]*wire.Item {
+	out := map[string]*wire.Item{}
+	s.each(wire.ItemRecords, func(r *wire.Record) {
+		n := &wire.Item{}
+		s.decode(r, n)
+		out[n.GetName()] = n
+	})
+	return out
+}
+
+// Forms returns the items that stand as their operators wrote them.
+func (s *State) Forms() []*wire.Item {
+	var out []*wire.Item
+	s.each(formPrefix, func(r *wire.Record) {
+		n := &wire.Item{}
+		s.decode(r, n)
+		out = append(out, n)
+	})
+	return out
+}
+
+// MoveIndex returns the index of the last change of a move's record.
+func (s *State) MoveIndex(name string) uint64 {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.records[wire.MoveRecords+name].GetIndex()
+}
+
+// Evacuated lists the availability zones under evacuation.
+func (s *State) Evacuated() []string {
+	var out []string
+	s.each(wire.EvacuationRecords, func(r *wire.Record) {
+		n := &wire.Evacuation{}
+		s.decode(r, n)
+		out = append(out, n.GetAvailabilityZone())
+	})
+	return out
+}
+
+// CompileItems returns the Configuration of items, for a deployment in the given zones.
+func CompileItems(zones map[string]string, items map[string]*wire.Item) (*parser.Configuration, loader.Problems) {
+	return parser.Compile(append(parser.Frame(zones), wire.ItemSections(items)...))
+}
+
+func itemsVersion(index uint64, revision uint64) string {
+	return fmt.Sprintf("%d/%d", revision, index)
+}
--- a/control/applier/keys.go
+++ b/control/applier/keys.go
@@ -9,13 +9,21 @@
 const (
 	revisionPrefix = "revision/"
 	oncePrefix     = "once/"
+	// formPrefix holds items as their operators wrote them, orderPrefix the digests of orders.
+	formPrefix  = "form/"
+	orderPrefix = "order/"
 	// HeadKey holds the RevisionRecord of the text in force.
 	HeadKey = "head"
 )
 
 // Distributed tells whether entries need the record of a key.
 func Distributed(key string) bool {
-	return !strings.HasPrefix(key, revisionPrefix) && !strings.HasPrefix(key, oncePrefix)
+	for _, p := range []string{revisionPrefix, oncePrefix, formPrefix, orderPrefix} {
+		if strings.HasPrefix(key, p) {
+			return false
+		}
+	}
+	return true
 }
 
 func revisionKey(revision uint64) string {
--- a/control/applier/state.go
+++ b/control/applier/state.go
@@ -27,6 +27,8 @@
 	maxTombstones = 4096
 	// KeptRequests is how many requests are kept against resends.
 	KeptRequests = 20_000
+	// KeptOrders is how many accepted orders a resent one is recognised among.
+	KeptOrders = 4000
 )
 
 // State is the replicated state. It is safe for concurrent use.
@@ -43,10 +45,16 @@
 	// record has a later index are stale.
 	onceOrder []change
 	onceCount int
-	// compiled is the text of compiledRevision.
-	compiledMutex    sync.Mutex
-	compiledRevision uint64
-	compiled         *parser.Configuration
+	// orders lists the digests of accepted orders, the oldest first.
+	orders []change
+	// itemsIndex is the index of the last change of an item.
+	itemsIndex uint64
+	// zones are the regions of the availability zones, for configurations of items.
+	zones map[string]string
+	// compiled is the configuration of compiledVersion.
+	compiledMutex   sync.Mutex
+	compiledVersion string
+	compiled        *parser.Configuration
 }
 
 type change struct {
@@ -59,6 +67,11 @@
 	return &State{assert: a, records: map[string]*wire.Record{}}
 }
 
+// SetZones names the regions of the availability zones, for configurations of items.
+func (s *State) SetZones(zones map[string]string) {
+	s.zones = zones
+}
+
 // Index returns the index of the last applied entry.
 func (s *State) Index() uint64 {
 	s.mutex.RLock()
@@ -88,15 +101,19 @@
 	s.assert.That(index >= s.index, "appliedMonotonic", "restore at %d, applied %d", index, s.index)
 	s.index, s.floor = index, in.GetFloor()
 	s.records = map[string]*wire.Record{}
-	s.changes, s.tombstones, s.onceOrder, s.onceCount = nil, 0, nil, 0
+	s.changes, s.tombstones, s.onceOrder, s.onceCount, s.itemsIndex = nil, 0, nil, 0, 0
 	for _, r := range in.GetRecords() {
 		s.records[r.GetKey()] = r
 		s.changes = append(s.changes, change{r.GetIndex(), r.GetKey()})
 		if r.GetDeleted() {
 			s.tombstones++
 		}
+		if strings.HasPrefix(r.GetKey(), wire.ItemRecords) {
+			s.itemsIndex = max(s.itemsIndex, r.GetIndex())
+		}
 	}
 	s.restoreOnce()
+	s.restoreOrders()
 	sort.SliceStable(s.changes, func(i, j int) bool { return s.changes[i].index < s.changes[j].index })
 	return nil
 }
@@ -154,18 +171,33 @@
 func (s *State) Configuration() (*parser.Configuration, error) {
 	s.compiledMutex.Lock()
 	defer s.compiledMutex.Unlock()
-	head := s.Head().GetRevision()
-	if head == s.compiledRevision {
+	version := s.version()
+	if version == s.compiledVersion {
 		return s.compiled, nil
 	}
-	c, problems := parser.Compile(s.Sections())
+	sections := s.Sections()
+	items := s.Items()
+	if len(sections) == 0 && len(items) > 0 {
+		sections = parser.Frame(s.zones)
+	}
+	if len(sections) == 0 {
+		return nil, nil
+	}
+	c, problems := parser.Compile(append(sections, wire.ItemSections(items)...))
 	if c == nil {
 		return nil, problems.Err()
 	}
-	s.compiledRevision, s.compiled = c.Revision, c
+	s.compiledVersion, s.compiled = version, c
 	return c, nil
 }
 
+// version names the state of the text and the items.
+func (s *State) version() string {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return itemsVersion(s.itemsIndex, s.revision(HeadKey).GetRevision())
+}
+
 // Entries returns the entries by name.
 func (s *State) Entries() map[string]*wire.EntryMember {
 	out := map[string]*wire.EntryMember{}
--- /dev/null
+++ b/control/apportioner/apportioner.go
@@ -0,0 +1,209 @@
+// Package apportioner divides each team's rate and burst among the entries by what each is
+// asked for. The shares in use never add up to more than the whole: a share is given only
+// once another entry has said that it gave up as much.
+package apportioner
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// Parameters of the division.
+const (
+	// evenPart is the part of a team's rate that is divided evenly, whoever asks.
+	evenPart = 0.25
+	// leastChange is the change of a share that is worth telling.
+	leastChange = 0.005
+	// forgetAfter is the silence after which nothing is kept for an entry any more.
+	forgetAfter = 2 * timekeeper.ShareLease
+)
+
+// Config sets up an Apportioner.
+type Config struct {
+	Clock timekeeper.Clock
+	// Entries are the entries of the deployment, by name.
+	Entries func() map[string]*wire.EntryMember
+}
+
+// Caller names one run of an entry.
+type Caller struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Apportioner keeps account of the shares that entries may use. It is safe for concurrent use.
+type Apportioner struct {
+	config  Config
+	mutex   sync.Mutex
+	term    uint64
+	since   time.Duration
+	number  uint64
+	callers map[Caller]*account
+}
+
+// account is what is known of one entry.
+type account struct {
+	asked   time.Duration
+	demands map[string]float64
+	// held are the shares that the entry may use, by team, with the number of the answer
+	// that gave each; the last is the newest.
+	held map[string][]told
+	// brought are the shares that the entry held of an earlier leader.
+	brought map[string]float64
+}
+
+type told struct {
+	number uint64
+	share  float64
+}
+
+// NewApportioner returns an Apportioner that knows no entry.
+func NewApportioner(c Config) *Apportioner {
+	return &Apportioner{config: c, callers: map[Caller]*account{}}
+}
+
+// Answer takes in an entry's demands and returns its shares that change, under a number
+// that the entry names once it uses them; 0 means that none changes. term and since tell
+// since when this member leads.
+func (a *Apportioner) Answer(term uint64, since time.Duration, c Caller, r *wire.PollRequest) ([]*wire.TeamShare, uint64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := a.config.Clock.Now()
+	if term != a.term {
+		a.term, a.since, a.callers = term, since, map[Caller]*account{}
+	}
+	n := a.account(c, r)
+	n.asked = now
+	n.settle(r.GetSharesInUse())
+	for _, d := range r.GetDemands() {
+		n.demands[d.GetTeam()] = d.GetRate()
+	}
+	a.forget(now)
+	var out []*wire.TeamShare
+	for _, team := range slices.Sorted(maps.Keys(n.demands)) {
+		if s, changes := a.next(now, n, team); changes {
+			out = append(out, &wire.TeamShare{Team: team, Share: s})
+		}
+	}
+	if len(out) == 0 {
+		return nil, 0
+	}
+	a.number++
+	for _, s := range out {
+		n.held[s.GetTeam()] = append(n.held[s.GetTeam()], told{a.number, s.GetShare()})
+	}
+	return out, a.number
+}
+
+// account returns the record of an entry. One that an earlier leader gave shares brings
+// them along; an earlier run of it can use none any more.
+func (a *Apportioner) account(c Caller, r *wire.PollRequest) *account {
+	if n := a.callers[c]; n != nil {
+		return n
+	}
+	for o := range a.callers {
+		if o.Name == c.Name {
+			delete(a.callers, o)
+		}
+	}
+	n := &account{demands: map[string]float64{}, held: map[string][]told{}, brought: map[string]float64{}}
+	for _, d := range r.GetDemands() {
+		n.brought[d.GetTeam()] = d.GetShare()
+		n.held[d.GetTeam()] = []told{{0, d.GetShare()}}
+	}
+	a.callers[c] = n
+	return n
+}
+
+// next returns the share that an entry should have now, and whether that is worth telling.
+func (a *Apportioner) next(now time.Duration, n *account, team string) (float64, bool) {
+	total, others := 0.0, 0.0
+	for _, o := range a.callers {
+		total += o.demands[team]
+		if o != n {
+			others += o.mayUse(now, team)
+		}
+	}
+	want := evenPart / float64(len(a.callers))
+	if total > 0 {
+		want += (1 - evenPart) * n.demands[team] / total
+	} else {
+		want = 1 / float64(len(a.callers))
+	}
+	present := n.newest(team)
+	others += a.reserved(now, team)
+	want = min(want, max(0, 1-others))
+	if d := want - present; d > -leastChange && d < leastChange {
+		return present, false
+	}
+	return want, true
+}
+
+// reserved is what entries that have not asked this leader yet may hold of an earlier one.
+func (a *Apportioner) reserved(now time.Duration, team string) float64 {
+	if now-a.since > timekeeper.ShareLease+timekeeper.DriftMargin || !a.awaits() {
+		return 0
+	}
+	brought := 0.0
+	for _, n := range a.callers {
+		brought += n.brought[team]
+	}
+	return max(0, 1-brought)
+}
+
+// awaits tells whether an entry of the deployment has not asked this leader yet.
+func (a *Apportioner) awaits() bool {
+	asked := map[string]bool{}
+	for c := range a.callers {
+		asked[c.Name] = true
+	}
+	for name := range a.config.Entries() {
+		if !asked[name] {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Apportioner) forget(now time.Duration) {
+	for c, n := range a.callers {
+		if now-n.asked > forgetAfter {
+			delete(a.callers, c)
+		}
+	}
+}
+
+// mayUse is the largest share that an entry may be using.
+func (n *account) mayUse(now time.Duration, team string) float64 {
+	most := 0.0
+	for _, t := range n.held[team] {
+		most = max(most, t.share)
+	}
+	if now-n.asked > timekeeper.ShareLease+timekeeper.DriftMargin {
+		return min(most, timekeeper.SilentShare)
+	}
+	return most
+}
+
+func (n *account) newest(team string) float64 {
+	if h := n.held[team]; len(h) > 0 {
+		return h[len(h)-1].share
+	}
+	return 0
+}
+
+// settle forgets what was told before an answer that the entry uses.
+func (n *account) settle(number uint64) {
+	for team, h := range n.held {
+		i := 0
+		for i+1 < len(h) && h[i+1].number <= number {
+			i++
+		}
+		n.held[team] = h[i:]
+	}
+}
--- a/control/cmd/filberthoist-control/main.go
+++ b/control/cmd/filberthoist-control/main.go
@@ -16,7 +16,7 @@
 		Short: "Keeps the state of a filberthoist deployment",
 		Read: func(s starter.Source) (func() *fx.App, error) {
 			settings, err := control.ReadSettings(s)
-			return func() *fx.App { return control.New(settings) }, err
+			return func() *fx.App { return control.New(settings, control.Seams{}) }, err
 		},
 	}))
 }
--- a/control/control.go
+++ b/control/control.go
@@ -12,13 +12,16 @@
 
 	"github.com/filberthoist/filberthoist/control/administrator"
 	"github.com/filberthoist/filberthoist/control/applier"
+	"github.com/filberthoist/filberthoist/control/apportioner"
 	"github.com/filberthoist/filberthoist/control/coordinator"
 	"github.com/filberthoist/filberthoist/control/distributor"
+	"github.com/filberthoist/filberthoist/control/founder"
 	"github.com/filberthoist/filberthoist/control/messenger"
 	"github.com/filberthoist/filberthoist/control/mover"
 	"github.com/filberthoist/filberthoist/control/recorder"
 	"github.com/filberthoist/filberthoist/control/registrar"
 	"github.com/filberthoist/filberthoist/control/sequencer"
+	"github.com/filberthoist/filberthoist/control/surveyor"
 	"github.com/filberthoist/filberthoist/core/asserter"
 	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/listener"
@@ -30,6 +33,15 @@
 	"github.com/filberthoist/filberthoist/core/wire/wireconnect"
 )
 
+// Seams are what a build for another platform puts in place of the product's own; the zero
+// value is the product itself.
+type Seams struct {
+	// List reads the platform's list of targets.
+	List func(ctx context.Context) (targets []surveyor.Target, skipped int, err error)
+	// Surfaces returns further listeners that serve operators.
+	Surfaces func(a *administrator.Administrator, l logger.Logger) []listener.Config
+}
+
 const (
 	// stopTimeout bounds a graceful stop.
 	stopTimeout = 10 * time.Second
@@ -38,11 +50,11 @@
 )
 
 // New composes a control process from its settings.
-func New(s Settings) *fx.App {
+func New(s Settings, x Seams) *fx.App {
 	return fx.New(
 		fx.NopLogger,
 		fx.StopTimeout(stopTimeout),
-		fx.Supply(s),
+		fx.Supply(s, x),
 		fx.Provide(
 			newLogger,
 			newReporter,
@@ -51,14 +63,17 @@
 			asserter.NewAsserter,
 			newConnector,
 			newRecorder,
-			applier.NewState,
+			newState,
 			newMessenger,
 			newSequencer,
+			newSurveyor,
+			newApportioner,
 			newDistributor,
 			newCoordinator,
 			newMover,
 			newAdministrator,
 			newRegistrar,
+			newFounder,
 		),
 		fx.Invoke(run),
 	)
@@ -99,27 +114,60 @@
 	return m, slot
 }
 
-func newSequencer(c timekeeper.Clock, l logger.Logger, a *asserter.Asserter, r *reporter.Reporter,
+func newSequencer(e Settings, c timekeeper.Clock, l logger.Logger, a *asserter.Asserter, r *reporter.Reporter,
 	d *recorder.Recorder, t *applier.State, m *messenger.Messenger, slot *sequencerSlot,
 ) (*sequencer.Sequencer, error) {
 	s, err := sequencer.NewSequencer(sequencer.Config{
 		Clock: c, Logger: l, Assert: a, Scope: r.Scope, Recorder: d, State: t,
 		Send: m.Send, Random: rand.Int64N,
+		ElectionTimeout: e.Replication.ElectionTimeout, Heartbeat: e.Replication.Heartbeat, Copies: e.Replication.ToleratedLosses + 1,
 	})
 	slot.value = s
 	return s, err
 }
 
-func newDistributor(c timekeeper.Clock, s *sequencer.Sequencer, t *applier.State) *distributor.Distributor {
-	return distributor.NewDistributor(distributor.Config{Clock: c, Sequencer: s, State: t})
+func newState(s Settings, a *asserter.Asserter) *applier.State {
+	t := applier.NewState(a)
+	t.SetZones(s.Zones)
+	return t
+}
+
+func newSurveyor(s Settings, x Seams, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, q *sequencer.Sequencer) *surveyor.Surveyor {
+	return surveyor.NewSurveyor(surveyor.Config{
+		Clock: c, Logger: l, Scope: r.Scope, Sequencer: q, List: x.List, Interval: s.ListInterval,
+	})
+}
+
+// newApportioner returns nil where entries own the accounts of teams.
+func newApportioner(s Settings, c timekeeper.Clock, t *applier.State) *apportioner.Apportioner {
+	if s.Roles {
+		return nil
+	}
+	return apportioner.NewApportioner(apportioner.Config{Clock: c, Entries: t.Entries})
+}
+
+func newDistributor(c timekeeper.Clock, s *sequencer.Sequencer, t *applier.State, v *surveyor.Surveyor,
+	a *apportioner.Apportioner,
+) *distributor.Distributor {
+	return distributor.NewDistributor(distributor.Config{Clock: c, Sequencer: s, State: t, Surveyor: v, Apportioner: a})
+}
+
+func newFounder(s Settings, l logger.Logger, n *connector.Connector, q *sequencer.Sequencer, a *administrator.Administrator) *founder.Founder {
+	return founder.NewFounder(founder.Config{
+		Name: s.Name, Address: s.Advertised, Founders: s.Founders, First: s.First, Logger: l, Connector: n, Sequencer: q,
+		Form: func(ctx context.Context) error {
+			_, err := a.Bootstrap(ctx, nil)
+			return err
+		},
+	})
 }
 
 func newRegistrar(s *sequencer.Sequencer) *registrar.Registrar {
 	return registrar.NewRegistrar(registrar.Config{Sequencer: s})
 }
 
-func newCoordinator(c timekeeper.Clock, l logger.Logger, s *sequencer.Sequencer, t *applier.State, d *distributor.Distributor) *coordinator.Coordinator {
-	return coordinator.NewCoordinator(coordinator.Config{Clock: c, Logger: l, Sequencer: s, State: t, Distributor: d})
+func newCoordinator(e Settings, c timekeeper.Clock, l logger.Logger, s *sequencer.Sequencer, t *applier.State, d *distributor.Distributor) *coordinator.Coordinator {
+	return coordinator.NewCoordinator(coordinator.Config{Clock: c, Logger: l, Sequencer: s, State: t, Distributor: d, Roles: e.Roles})
 }
 
 func newAdministrator(s Settings, c timekeeper.Clock, l logger.Logger, n *connector.Connector, q *sequencer.Sequencer,
@@ -128,6 +176,7 @@
 	return administrator.NewAdministrator(administrator.Config{
 		Name: s.Name, PeerAddress: s.Advertised, Peers: s.Peers, Clock: c, Logger: l, Connector: n,
 		Sequencer: q, State: t, Distributor: d, Messenger: m, Moves: v.Status,
+		Zones: s.Zones, Voters: 2*s.Replication.ToleratedLosses + 1,
 	})
 }
 
@@ -151,6 +200,9 @@
 	Mover         *mover.Mover
 	Administrator *administrator.Administrator
 	State         *applier.State
+	Surveyor      *surveyor.Surveyor
+	Founder       *founder.Founder
+	Seams         Seams
 	Lifecycle     fx.Lifecycle
 	Shutdowner    fx.Shutdowner
 }
@@ -170,6 +222,10 @@
 			p.Group.Go("sequencer", p.Sequencer.Run)
 			p.Group.Go("coordinator", p.Coordinator.Run)
 			p.Group.Go("mover", p.Mover.Run)
+			p.Group.Go("surveyor", p.Surveyor.Run)
+			if len(p.Settings.Founders) > 0 {
+				p.Group.Go("founder", p.Founder.Run)
+			}
 			p.Logger.Log(logger.ProcessStarted, logger.F("peer", p.Settings.PeerAddress), logger.F("incarnation", p.Sequencer.View().ID))
 			return nil
 		},
@@ -195,12 +251,16 @@
 	operators := http.NewServeMux()
 	operators.Handle(wireconnect.NewAdministrationServiceHandler(administrator.Direct(p.Administrator)))
 	var out []*listener.Listener
-	for _, c := range []listener.Config{
+	list := []listener.Config{
 		{Name: "peer", Address: p.Settings.PeerAddress, Server: p.Connector.Server(peer)},
 		{Name: "administration", Address: p.Settings.AdministrationAddress,
 			Server: p.Connector.Server(administrator.Guard(p.Settings.Operators, operators))},
 		{Name: "report", Address: p.Settings.ReportAddress, Server: p.Connector.Server(p.Reporter.Handler())},
-	} {
+	}
+	if p.Seams.Surfaces != nil {
+		list = append(list, p.Seams.Surfaces(p.Administrator, p.Logger)...)
+	}
+	for _, c := range list {
 		c.Connector, c.Logger = p.Connector, p.Logger
 		c.Failed = func(error) { _ = p.Shutdowner.Shutdown(fx.ExitCode(1)) }
 		l, err := listener.NewListener(c)
--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/filberthoist/filberthoist/control/distributor"
 	"github.com/filberthoist/filberthoist/control/sequencer"
 	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
 )
@@ -27,12 +28,14 @@
 	Sequencer   *sequencer.Sequencer
 	State       *applier.State
 	Distributor *distributor.Distributor
+	// Roles tells that entries hold roles: owners of accounts and dispatchers of pools.
+	Roles bool
 }
 
 // Coordinator acts while its control member leads.
 type Coordinator struct {
 	config   Config
-	revision uint64
+	compiled *parser.Configuration
 	wanted   []WantedRole
 }
 
@@ -79,15 +82,18 @@
 
 // wantedRoles compiles the text in force again only if it changed.
 func (c *Coordinator) wantedRoles() []WantedRole {
+	if !c.config.Roles {
+		return nil
+	}
 	compiled, err := c.config.State.Configuration()
 	if err != nil {
 		c.config.Logger.Log(logger.ConfigurationBad, logger.F("error", err))
 		return c.wanted
 	}
-	if compiled == nil || compiled.Revision == c.revision {
+	if compiled == nil || compiled == c.compiled {
 		return c.wanted
 	}
-	c.revision, c.wanted = compiled.Revision, Wanted(compiled)
+	c.compiled, c.wanted = compiled, Wanted(compiled)
 	return c.wanted
 }
 
--- a/control/distributor/distributor.go
+++ b/control/distributor/distributor.go
@@ -11,8 +11,10 @@
 	"connectrpc.com/connect"
 
 	"github.com/filberthoist/filberthoist/control/applier"
+	"github.com/filberthoist/filberthoist/control/apportioner"
 	"github.com/filberthoist/filberthoist/control/replicator"
 	"github.com/filberthoist/filberthoist/control/sequencer"
+	"github.com/filberthoist/filberthoist/control/surveyor"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
 )
@@ -34,6 +36,10 @@
 	Clock     timekeeper.Clock
 	Sequencer *sequencer.Sequencer
 	State     *applier.State
+	// Surveyor knows the list of targets; nil means that there is none.
+	Surveyor *surveyor.Surveyor
+	// Apportioner divides teams' rates; nil means that owners grant them.
+	Apportioner *apportioner.Apportioner
 }
 
 // Caller is what is known of one incarnation of an entry or relay.
@@ -49,6 +55,8 @@
 	Vacated map[string]uint64
 	// Evidence is what it saw of the moves under way, since it started.
 	Evidence []*wire.MoveEvidence
+	// toldMembers are the control members whose addresses it was sent.
+	toldMembers *wire.Membership
 }
 
 // CallerName tells incarnations of one entry apart.
@@ -91,12 +99,14 @@
 			return connect.NewResponse(notLeader(v)), nil
 		}
 		confirmed := v.ConfirmedRound(round)
-		changed := v.Serving() && d.config.State.ChangedSince(r.GetApplied())
+		targets := d.targetChanges()
+		changed := v.Serving() && (d.config.State.ChangedSince(r.GetApplied()) || d.listed(r) != nil)
 		if (held && confirmed) || (changed && (confirmed || d.recentlyFresh(r))) {
-			return connect.NewResponse(d.answer(r, confirmed)), nil
+			return connect.NewResponse(d.answer(v, r, confirmed)), nil
 		}
 		select {
 		case <-v.Changed():
+		case <-targets:
 		case <-timer.C:
 			held = true
 		case <-limit.C:
@@ -142,12 +152,49 @@
 	return c.Applied
 }
 
-func (d *Distributor) answer(r *wire.PollRequest, fresh bool) *wire.PollResponse {
+func (d *Distributor) answer(v *sequencer.View, r *wire.PollRequest, fresh bool) *wire.PollResponse {
 	records, index, whole := d.config.State.Since(r.GetApplied())
 	if fresh {
 		d.noteFresh(r)
 	}
-	return &wire.PollResponse{Index: index, Snapshot: whole, Records: records, Fresh: fresh}
+	out := &wire.PollResponse{Index: index, Snapshot: whole, Records: records, Fresh: fresh, Targets: d.listed(r)}
+	if d.config.Apportioner != nil && v.Serving() {
+		caller := apportioner.Caller{Name: r.GetMember().GetName(), Incarnation: r.GetMember().GetIncarnation()}
+		out.Shares, out.SharesNumber = d.config.Apportioner.Answer(v.Term, v.LeaderSince, caller, r)
+	}
+	out.ControlAddresses = d.addresses(v, r)
+	return out
+}
+
+// listed returns what changed on the list of targets since the caller's version, or nil.
+func (d *Distributor) listed(r *wire.PollRequest) *wire.TargetChanges {
+	if d.config.Surveyor == nil {
+		return nil
+	}
+	return d.config.Surveyor.Since(r.GetTargets())
+}
+
+func (d *Distributor) targetChanges() <-chan struct{} {
+	if d.config.Surveyor == nil {
+		return nil
+	}
+	return d.config.Surveyor.Changed()
+}
+
+// addresses returns where control members are, unless the caller was told already.
+func (d *Distributor) addresses(v *sequencer.View, r *wire.PollRequest) []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	c := d.callers[nameOf(r.GetMember())]
+	if c == nil || c.toldMembers == v.Members {
+		return nil
+	}
+	c.toldMembers = v.Members
+	var out []string
+	for _, m := range v.Members.GetMembers() {
+		out = append(out, m.GetAddress())
+	}
+	return out
 }
 
 func (d *Distributor) note(r *wire.PollRequest) {
--- a/control/replicator/core.go
+++ b/control/replicator/core.go
@@ -33,6 +33,9 @@
 	ElectionTimeout time.Duration
 	// Heartbeat is the interval of quorum rounds.
 	Heartbeat time.Duration
+	// Copies is the least number of voters that hold an entry before it is committed, as far
+	// as there are so many; a majority is always needed.
+	Copies int
 	// Random returns a number from 0 to below n.
 	Random func(n int64) int64
 	Assert *asserter.Asserter
--- a/control/replicator/leading.go
+++ b/control/replicator/leading.go
@@ -153,7 +153,7 @@
 	if c.standing != Leader {
 		return
 	}
-	index := c.quorumValue(c.log.last(), func(p *progress) uint64 { return p.match })
+	index := c.heldBy(c.config.Copies, c.log.last(), func(p *progress) uint64 { return p.match })
 	if index <= c.commit || c.log.term(index) != c.term {
 		return
 	}
@@ -171,8 +171,23 @@
 	c.confirmed = max(c.confirmed, round)
 }
 
+// Silence returns how long a peer has not answered; it is 0 unless this member leads.
+func (c *Core) Silence(now time.Duration, id uint64) time.Duration {
+	p := c.peers[id]
+	if c.standing != Leader || p == nil {
+		return 0
+	}
+	return now - p.seen
+}
+
 // quorumValue returns the highest value that a majority of the voters has reached.
 func (c *Core) quorumValue(own uint64, of func(*progress) uint64) uint64 {
+	return c.heldBy(0, own, of)
+}
+
+// heldBy returns the highest value that a majority of the voters has reached, and at least
+// a number of copies.
+func (c *Core) heldBy(copies int, own uint64, of func(*progress) uint64) uint64 {
 	var values []uint64
 	for _, m := range c.members.GetMembers() {
 		switch {
@@ -187,7 +202,8 @@
 		return 0
 	}
 	slices.Sort(values)
-	return values[(len(values)-1)/2]
+	majority := len(values)/2 + 1
+	return values[len(values)-max(majority, min(copies, len(values)))]
 }
 
 func (c *Core) isMember(id uint64) bool {
--- a/control/sequencer/loop.go
+++ b/control/sequencer/loop.go
@@ -11,7 +11,7 @@
 )
 
 func (s *Sequencer) run(ctx context.Context) error {
-	t := time.NewTicker(tickInterval)
+	t := time.NewTicker(s.config.Heartbeat / ticksPerHeartbeat)
 	defer t.Stop()
 	for {
 		select {
--- a/control/sequencer/sequencer.go
+++ b/control/sequencer/sequencer.go
@@ -23,9 +23,11 @@
 
 // Times and bounds of a member.
 const (
+	// ElectionTimeout and Heartbeat are the defaults of a Config.
 	ElectionTimeout = 300 * time.Millisecond
 	Heartbeat       = 60 * time.Millisecond
-	tickInterval    = 10 * time.Millisecond
+	// ticksPerHeartbeat is how often the core looks at the time between two heartbeats.
+	ticksPerHeartbeat = 6
 	// saveRetry is the pause before a refused write is tried again.
 	saveRetry = 200 * time.Millisecond
 	// SnapshotEvery is the number of applied entries after which the log is compacted.
@@ -57,6 +59,12 @@
 	Send func([]*wire.Message)
 	// Random returns a number from 0 to below n.
 	Random func(n int64) int64
+	// ElectionTimeout and Heartbeat replace the defaults unless they are 0.
+	ElectionTimeout time.Duration
+	Heartbeat       time.Duration
+	// Copies is the least number of voters that hold an entry before it is committed; a
+	// majority is always needed.
+	Copies int
 }
 
 // View is what other parts may know of the log.
@@ -104,6 +112,9 @@
 
 // NewSequencer restores the state from the data folder.
 func NewSequencer(c Config) (*Sequencer, error) {
+	if c.ElectionTimeout == 0 || c.Heartbeat == 0 {
+		c.ElectionTimeout, c.Heartbeat = ElectionTimeout, Heartbeat
+	}
 	s := &Sequencer{
 		config:    c,
 		inbox:     make(chan *wire.Message, inboxLength),
@@ -168,6 +179,14 @@
 	return s.call(ctx, func() { err = s.core.Replace(s.config.Clock.Now(), learner) }, &err)
 }
 
+// Silence returns how long a member has not answered this leader; it is 0 while this
+// member does not lead.
+func (s *Sequencer) Silence(id uint64) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.Silence(s.config.Clock.Now(), id)
+}
+
 // Bootstrap forms the first members on an empty data folder.
 func (s *Sequencer) Bootstrap(ctx context.Context, m *wire.Membership) error {
 	err := ErrUnknown
@@ -249,8 +268,9 @@
 	}
 	s.core = replicator.NewCore(replicator.Config{
 		ID:              r.Incarnation,
-		ElectionTimeout: ElectionTimeout,
-		Heartbeat:       Heartbeat,
+		ElectionTimeout: s.config.ElectionTimeout,
+		Heartbeat:       s.config.Heartbeat,
+		Copies:          s.config.Copies,
 		Random:          s.config.Random,
 		Assert:          s.config.Assert,
 	}, r, s.config.Clock.Now())
--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -55,9 +55,12 @@
 		Key:         r.Optional("key", ""),
 		Authority:   r.Optional("authority", ""),
 	}
+	private := r.Bool("privateNetwork", false)
 	r.Finish()
 	if c == (Config{}) {
-		refusePlain(r, listeners)
+		if !private {
+			refusePlain(r, listeners)
+		}
 		return c
 	}
 	for key, v := range map[string]string{"certificate": c.Certificate, "key": c.Key, "authority": c.Authority} {
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -27,6 +27,8 @@
 	PeerUnreachable    = Event{207, "peerUnreachable", log.WarnLevel, "A control member does not answer."}
 	PeerReachable      = Event{208, "peerReachable", log.InfoLevel, "A control member answers again."}
 	SnapshotInstalled  = Event{209, "snapshotInstalled", log.InfoLevel, "A snapshot from the leader replaced the state."}
+	MemberJoins        = Event{210, "memberJoins", log.InfoLevel, "A newcomer was taken in as a learner; it is promoted once it has caught up."}
+	OutsideQuorum      = Event{211, "outsideQuorum", log.WarnLevel, "This control member is outside the quorum and could not form or join it yet."}
 	TextAccepted       = Event{301, "textAccepted", log.InfoLevel, "A text was accepted under its revision."}
 	TextRefused        = Event{302, "textRefused", log.WarnLevel, "A submitted text was refused or in conflict."}
 	ConfigurationInUse = Event{303, "configurationInUse", log.InfoLevel, "This entry uses a new configuration."}
@@ -34,6 +36,13 @@
 	LeaseLapsed        = Event{305, "leaseLapsed", log.WarnLevel, "No fresh word from control within the lease; keyed requests are refused."}
 	LeaseRenewed       = Event{306, "leaseRenewed", log.InfoLevel, "Fresh word from control again; keyed requests are served."}
 	ControlUnreachable = Event{307, "controlUnreachable", log.WarnLevel, "A control member does not answer this entry."}
+	OrderAccepted      = Event{311, "orderAccepted", log.InfoLevel, "An order is committed: a change of items, an evacuation or a move."}
+	OrderRefused       = Event{312, "orderRefused", log.WarnLevel, "An order is not valid; nothing of it is in force."}
+	OrderUnknown       = Event{313, "orderUnknown", log.WarnLevel, "An order may or may not be committed; its sender was told to ask again."}
+	ListReachable      = Event{321, "listReachable", log.InfoLevel, "The platform's list of targets answers again."}
+	ListUnreachable    = Event{322, "listUnreachable", log.WarnLevel, "The platform's list of targets does not answer; what it said last holds."}
+	ListEntriesSkipped = Event{323, "listEntriesSkipped", log.WarnLevel, "Entries of the platform's list can't be read; the others hold."}
+	TargetListed       = Event{324, "targetListed", log.InfoLevel, "A target appeared on the platform's list, changed or left it."}
 	EntryJoined        = Event{401, "entryJoined", log.InfoLevel, "An entry joined or came back."}
 	EntryRemoved       = Event{402, "entryRemoved", log.WarnLevel, "An entry was silent past its lease or left."}
 	RoleAssigned       = Event{403, "roleAssigned", log.InfoLevel, "A role was assigned to an entry under a new epoch."}
@@ -58,8 +67,11 @@
 	ProcessStarted, ProcessStopping, ProcessStopped, ListenerFailed, LoopFailed,
 	LeaderElected, LeaderLost, StorageFailed, TornTailCut, SnapshotSaved,
 	MembershipChanged, PeerUnreachable, PeerReachable, SnapshotInstalled,
+	MemberJoins, OutsideQuorum,
 	TextAccepted, TextRefused, ConfigurationInUse, ConfigurationBad,
 	LeaseLapsed, LeaseRenewed, ControlUnreachable,
+	OrderAccepted, OrderRefused, OrderUnknown,
+	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed,
 	EntryJoined, EntryRemoved, RoleAssigned,
 	RequestCut, RequestUnknown,
 	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady,
--- a/core/parser/checks.go
+++ b/core/parser/checks.go
@@ -15,7 +15,7 @@
 				c.fail("service "+s.Name, "dependsOn", "service "+d+" is not in the text")
 			}
 		}
-		if !hasVersion(s, s.Version) {
+		if s.Version != "" && !hasVersion(s, s.Version) {
 			c.fail("service "+s.Name, "version", "no target runs version "+s.Version)
 		}
 	}
@@ -26,7 +26,7 @@
 
 func (c *compiler) checkMove(m *Move, s *Service) {
 	switch {
-	case s == nil:
+	case s == nil || s.Version == "":
 	case m.Regional() && !hasRegion(s, m.ToRegion):
 		c.fail("move "+m.Name, "toRegion", "no target of the service runs in "+m.ToRegion)
 	case !m.Regional() && !hasVersion(s, m.To):
@@ -76,7 +76,7 @@
 func (c *compiler) checkRoutes() {
 	for i, a := range c.out.Routes {
 		for _, b := range c.out.Routes[:i] {
-			if a.Path == b.Path && overlap(a.Methods, b.Methods) {
+			if a.Host == b.Host && a.Path == b.Path && a.Version == b.Version && overlap(a.Methods, b.Methods) {
 				c.fail("route "+b.Name, "path", "route "+a.Name+" takes the same path and method")
 			}
 		}
@@ -84,6 +84,9 @@
 }
 
 func overlap(a, b []string) bool {
+	if slices.Contains(a, AnyMethod) || slices.Contains(b, AnyMethod) {
+		return true
+	}
 	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
 }
 
--- a/core/parser/configuration.go
+++ b/core/parser/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/filberthoist/filberthoist/core/digester"
@@ -50,6 +51,11 @@
 	BodyBytes int
 	// BodyTimeout bounds the time a caller takes to send its body.
 	BodyTimeout time.Duration
+	HeaderBytes int
+	// HeaderTimeout bounds the time from the first to the last byte of a request's head.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a caller's connection may stay without a request.
+	IdleTimeout time.Duration
 	// LimitWait bounds how long a request waits for its team's tokens.
 	LimitWait time.Duration
 	// LookupLifetime tells callers how long to keep a look-up's answer.
@@ -82,8 +88,14 @@
 type Service struct {
 	Name      string
 	DependsOn []string
-	// Version that takes traffic when no move says otherwise.
+	// Version that takes traffic when no move says otherwise; empty means every version
+	// but the one that a move leads to.
 	Version string
+	// Connections bounds the connections to one target, over all entries; 0 means no bound.
+	Connections int
+	// ColdRate bounds the requests per second to one cold target, over all entries; 0 means
+	// no bound.
+	ColdRate float64
 	// AnswerBytes is the usual size of an answer, for the room on links.
 	AnswerBytes int
 	// Targets in the order of their names.
@@ -92,15 +104,44 @@
 
 // Route maps requests by method and path prefix to a service.
 type Route struct {
-	Name    string
+	Name string
+	// Service is the first of Parts.
 	Service *Service
-	Path    string
+	// Parts share the route's requests by weight.
+	Parts []Part
+	// Host is the name that callers ask for; empty takes every name.
+	Host string
+	Path string
+	// Methods that the route takes; AnyMethod alone takes all.
 	Methods []string
 	Class   Class
+	// Public routes need no key, whatever their class.
+	Public bool
 	// Timeout bounds a request when the caller states no earlier deadline.
 	Timeout time.Duration
+	// Aim is the time within which an answer is worth most; 0 means none is stated.
+	Aim time.Duration
+	// Priority is the rank when there is not room for all; 0 goes first.
+	Priority int
+	// Attempts is the number of targets that one request may be sent to; 0 means the default.
+	Attempts int
+	// Homes are the only regions that may serve the route; empty means all.
+	Homes []string
+	// Affinity tells that targets answer sooner for an object that they handled lately.
+	Affinity bool
+	// Version is that of the route's item; 0 for routes of the text.
+	Version uint64
+}
+
+// Part is one of the services that share a route.
+type Part struct {
+	Service *Service
+	Weight  float64
 }
 
+// AnyMethod stands for all methods.
+const AnyMethod = "*"
+
 // Target is one upstream process of a service.
 type Target struct {
 	Name             string
@@ -118,8 +159,14 @@
 	// Rate is in requests per second.
 	Rate  float64
 	Burst float64
+	// Unlimited teams have neither rate nor burst.
+	Unlimited bool
 	// Weight is the team's part when targets are busy.
 	Weight float64
+	// Priority takes precedence over the routes' ones; nil leaves them.
+	Priority *int
+	// Homes are the only regions that may serve the team; empty means all.
+	Homes []string
 }
 
 // Key admits the requests of a team. Only the digest is known.
@@ -139,8 +186,13 @@
 	// FromRegion and ToRegion are set instead of From and To if the shift is between regions.
 	FromRegion string
 	ToRegion   string
+	// Barred versions take no traffic: earlier moves to them were taken back.
+	Barred []string
 	// Cap is the largest share that one step may shift, from 0 to 1.
 	Cap float64
+	// Exposure bounds the share that the new side gets before all traffic moves at once; 0
+	// means that the shares grow step by step.
+	Exposure float64
 	// Deadline is when all traffic must have moved.
 	Deadline time.Time
 	// Bake is how long the last step waits for late faults.
@@ -180,16 +232,20 @@
 func (c *Configuration) RoutesOf(service string) []*Route {
 	var out []*Route
 	for _, r := range c.Routes {
-		if r.Service.Name == service {
+		if r.uses(service) {
 			out = append(out, r)
 		}
 	}
 	return out
 }
 
+func (r *Route) uses(service string) bool {
+	return slices.ContainsFunc(r.Parts, func(p Part) bool { return p.Service.Name == service })
+}
+
 // Open tells whether the route needs no key.
 func (r *Route) Open() bool {
-	return r.Class == ClassOpen
+	return r.Class == ClassOpen || r.Public
 }
 
 // Repeatable tells whether a request of the route may run more than once.
--- /dev/null
+++ b/core/parser/frame.go
@@ -0,0 +1,27 @@
+package parser
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/filberthoist/filberthoist/core/loader"
+)
+
+// Frame returns the sections that a configuration of items stands in: its head, and the
+// regions of the availability zones that the settings name.
+func Frame(zones map[string]string) []loader.Section {
+	out := []loader.Section{{Name: "configuration", Keys: []loader.Key{
+		{Name: "revision", Value: "1"}, {Name: "deployment", Value: "items"},
+	}}}
+	byRegion := map[string][]string{}
+	for _, z := range slices.Sorted(maps.Keys(zones)) {
+		byRegion[zones[z]] = append(byRegion[zones[z]], z)
+	}
+	for _, r := range slices.Sorted(maps.Keys(byRegion)) {
+		out = append(out, loader.Section{Name: "region " + r, Keys: []loader.Key{
+			{Name: "availabilityZones", Value: strings.Join(byRegion[r], ", ")},
+		}})
+	}
+	return out
+}
--- a/core/parser/parser.go
+++ b/core/parser/parser.go
@@ -26,6 +26,12 @@
 	defaultLifetime  = 5 * time.Second
 	defaultRetry     = 0.1
 	defaultAnswer    = 4 << 10
+	defaultHeader    = 16 << 10
+	defaultHeadTime  = 5 * time.Second
+	defaultIdle      = time.Minute
+	maxAttempts      = 100
+	maxPriority      = 1000
+	maxConnections   = 1_000_000
 	minLeastCapacity = 1e3
 	maxCapacity      = 1e13
 )
@@ -92,6 +98,7 @@
 		Limits: Limits{
 			BodyBytes: defaultBody, BodyTimeout: defaultSend,
 			LimitWait: defaultWait, LookupLifetime: defaultLifetime, RetryShare: defaultRetry,
+			HeaderBytes: defaultHeader, HeaderTimeout: defaultHeadTime, IdleTimeout: defaultIdle,
 		},
 		Regions:  map[string]*Region{},
 		Links:    map[LinkName]*Link{},
@@ -146,6 +153,9 @@
 		if len(a.Path) != len(b.Path) {
 			return len(a.Path) > len(b.Path)
 		}
+		if a.Version != b.Version {
+			return a.Version > b.Version
+		}
 		return a.Name < b.Name
 	})
 	c.checkServices()
--- a/core/parser/sections.go
+++ b/core/parser/sections.go
@@ -32,6 +32,9 @@
 	l.LimitWait = r.Duration("limitWait", l.LimitWait, 0, 10*time.Second)
 	l.LookupLifetime = r.Duration("lookupLifetime", l.LookupLifetime, time.Second, time.Minute)
 	l.RetryShare = r.Float("retryShare", l.RetryShare, 0, 1)
+	l.HeaderBytes = r.Int("headerBytes", l.HeaderBytes, 256, maxBody)
+	l.HeaderTimeout = r.Duration("headerTimeout", l.HeaderTimeout, time.Millisecond, maxTimeout)
+	l.IdleTimeout = r.Duration("idleTimeout", l.IdleTimeout, time.Millisecond, time.Hour)
 	r.Finish()
 }
 
@@ -75,25 +78,73 @@
 }
 
 func (c *compiler) readService(name string, r *loader.Reader) {
-	s := &Service{Name: name, DependsOn: r.List("dependsOn"), Version: r.Required("version")}
+	s := &Service{Name: name, DependsOn: r.List("dependsOn"), Version: r.Optional("version", "")}
 	s.AnswerBytes = r.Int("answerBytes", defaultAnswer, 1, maxBody)
+	s.Connections = r.Int("connections", 0, 0, maxConnections)
+	s.ColdRate = r.Float("coldRate", 0, 0, maxRate)
+	r.Optional("healthPath", "") // read by whoever probes
 	c.out.Services[name] = s
 	r.Finish()
 }
 
 func (c *compiler) readRoute(name string, r *loader.Reader) {
-	t := &Route{Name: name, Path: r.Required("path"), Methods: r.List("methods")}
+	t := &Route{Name: name, Host: r.Optional("host", ""), Path: r.Required("path"), Methods: r.List("methods")}
 	if !strings.HasPrefix(t.Path, "/") {
 		r.Fail("path", "%q does not begin with /", t.Path)
 	}
 	t.Class = Class(r.Choice("class", "", string(ClassIdempotent), string(ClassAtMostOnce), string(ClassOpen)))
+	t.Public = r.Bool("public", false)
 	t.Timeout = r.Duration("timeout", defaultTimeout, time.Millisecond, maxTimeout)
-	if service := r.Required("service"); service != "" {
-		t.Service = c.out.Services[service]
-		if t.Service == nil {
-			r.Fail("service", "service %s is not in the text", service)
+	t.Aim = r.Duration("aim", 0, 0, maxTimeout)
+	t.Priority = r.Int("priority", 0, 0, maxPriority)
+	t.Attempts = r.Int("attempts", 0, 0, maxAttempts)
+	if r.Optional("attempts", "") == "0" {
+		r.Fail("attempts", "a request needs one target at least")
+	}
+	t.Affinity = r.Bool("affinity", false)
+	t.Homes = c.readHomes(r)
+	t.Version = uint64(r.Int("itemVersion", 0, 0, math.MaxInt))
+	c.readParts(t, r)
+	c.checkMethods(t, r)
+	c.out.Routes = append(c.out.Routes, t)
+	r.Finish()
+}
+
+// readParts reads one service, or a list of services with weights: lamps 90, bulbs 10.
+func (c *compiler) readParts(t *Route, r *loader.Reader) {
+	list := r.List("services")
+	if one := r.Optional("service", ""); one != "" {
+		list = append(list, one+" 1")
+	}
+	if len(list) == 0 {
+		r.Fail("service", "missing")
+	}
+	total := 0.0
+	for _, text := range list {
+		name, weight, _ := strings.Cut(text, " ")
+		w, err := strconv.ParseFloat(strings.TrimSpace(weight), 64)
+		if err != nil || !(w >= 0 && w <= maxRate) {
+			r.Fail("services", "%q is not a service and its weight, such as lamps 90", text)
+			continue
+		}
+		s := c.out.Services[name]
+		if s == nil {
+			r.Fail("service", "service %s is not in the text", name)
+			continue
 		}
+		total += w
+		t.Parts = append(t.Parts, Part{Service: s, Weight: w})
 	}
+	if len(t.Parts) == 0 {
+		return
+	}
+	t.Service = t.Parts[0].Service
+	if total <= 0 {
+		r.Fail("services", "the weights add up to 0")
+	}
+}
+
+func (c *compiler) checkMethods(t *Route, r *loader.Reader) {
 	if len(t.Methods) == 0 {
 		r.Fail("methods", "missing")
 	}
@@ -102,8 +153,14 @@
 			r.Fail("methods", "%q is not in capitals", m)
 		}
 	}
-	c.out.Routes = append(c.out.Routes, t)
-	r.Finish()
+}
+
+func (c *compiler) readHomes(r *loader.Reader) []string {
+	homes := r.List("homes")
+	for _, h := range homes {
+		c.checkRegion(r, "homes", h)
+	}
+	return homes
 }
 
 func (c *compiler) readTarget(name string, r *loader.Reader) {
@@ -137,15 +194,44 @@
 
 func (c *compiler) readTeam(name string, r *loader.Reader) {
 	t := &Team{Name: name}
-	t.Rate = r.Float("rate", 0, 0, maxRate)
-	r.Required("rate")
-	t.Burst = r.Float("burst", 1, 1, maxRate)
-	r.Required("burst")
+	if r.Required("rate") == unlimited {
+		t.Unlimited = true
+		r.Optional("burst", "")
+	} else {
+		t.Rate = r.Float("rate", 0, 0, maxRate)
+		t.Burst = r.Float("burst", 1, 1, maxRate)
+		r.Required("burst")
+	}
 	t.Weight = r.Float("weight", 1, 0.001, 1000)
+	if r.Optional("priority", "") != "" {
+		p := r.Int("priority", 0, 0, maxPriority)
+		t.Priority = &p
+	}
+	t.Homes = c.readHomes(r)
 	c.out.Teams[name] = t
+	for i, text := range r.List("keys") {
+		c.addKey(r, "keys", &Key{Name: fmt.Sprintf("%s-%d", name, i+1), Team: t}, text)
+	}
 	r.Finish()
 }
 
+// unlimited is the rate of teams without a limit.
+const unlimited = "unlimited"
+
+// addKey reads the digest of a key and adds the key.
+func (c *compiler) addKey(r *loader.Reader, field string, k *Key, text string) {
+	d, ok := digester.Parse(text)
+	if !ok {
+		r.Fail(field, "not a SHA-256 digest in hexadecimal; 'filberthoist keys new' prints one")
+		return
+	}
+	if other := c.out.Keys[d]; other != nil {
+		r.Fail(field, "key %s has the same digest", other.Name)
+	}
+	k.Digest = d
+	c.out.Keys[d] = k
+}
+
 func (c *compiler) readKey(name string, r *loader.Reader) {
 	k := &Key{Name: name}
 	if team := r.Required("team"); team != "" {
@@ -154,16 +240,9 @@
 			r.Fail("team", "team %s is not in the text", team)
 		}
 	}
-	text := r.Required("digest")
-	d, ok := digester.Parse(text)
-	if text != "" && !ok {
-		r.Fail("digest", "not a SHA-256 digest in hexadecimal; 'filberthoist keys new' prints one")
-	}
-	if other := c.out.Keys[d]; ok && other != nil {
-		r.Fail("digest", "key %s has the same digest", other.Name)
+	if text := r.Required("digest"); text != "" {
+		c.addKey(r, "digest", k, text)
 	}
-	k.Digest = d
-	c.out.Keys[d] = k
 	r.Finish()
 }
 
@@ -173,6 +252,10 @@
 		FromRegion: r.Optional("fromRegion", ""), ToRegion: r.Optional("toRegion", ""),
 	}
 	m.Cap = c.percent(r, "cap")
+	m.Barred = r.List("barred")
+	if r.Optional("exposure", "") != "" {
+		m.Exposure = c.percent(r, "exposure")
+	}
 	m.Bake = r.Duration("bake", defaultBake, 0, maxBake)
 	if d := r.Required("deadline"); d != "" {
 		t, err := time.Parse(time.RFC3339, d)
@@ -201,8 +284,10 @@
 		c.checkRegions(m, r)
 		return
 	}
-	r.Required("from")
 	r.Required("to")
+	if s == nil || s.Version != "" {
+		r.Required("from")
+	}
 	if m.From != "" && m.From == m.To {
 		r.Fail("to", "from and to are the same version")
 	}
@@ -233,7 +318,7 @@
 // digest tells one definition of a move from another.
 func (m *Move) digest() string {
 	from, to := m.Ends()
-	text := fmt.Sprintf("%s|%s|%s|%v|%g|%s|%s", m.Service, from, to, m.Regional(), m.Cap, m.Bake, m.Deadline.UTC().Format(time.RFC3339))
+	text := fmt.Sprintf("%s|%s|%s|%v|%g|%s|%s", m.Service, from, to, m.Regional(), m.Cap, m.Bake, m.Deadline.UTC().Format(time.RFC3339Nano))
 	d := sha256.Sum256([]byte(text))
 	return hex.EncodeToString(d[:8])
 }
--- a/core/timekeeper/lease.go
+++ b/core/timekeeper/lease.go
@@ -15,4 +15,10 @@
 	DriftMargin = 100 * time.Millisecond
 	// SlotGrace is how long a slot stays taken past the deadline of a silent holder.
 	SlotGrace = 500 * time.Millisecond
+	// ShareLease is how long an entry may use its shares of teams' rates after it asked; then
+	// it falls back to SilentShare of each.
+	ShareLease = 10 * time.Second
 )
+
+// SilentShare is the share of a team's rate that an entry may use without word from control.
+const SilentShare = 0.02
--- a/core/wire/records.go
+++ b/core/wire/records.go
@@ -6,4 +6,7 @@
 	EntryRecords = "entry/"
 	RoleRecords  = "role/"
 	MoveRecords  = "move/"
+	ItemRecords  = "item/"
+	// EvacuationRecords name the availability zones that are to get no work.
+	EvacuationRecords = "evacuation/"
 )
--- a/core/wire/wireconnect/wire.connect.go
+++ b/core/wire/wireconnect/wire.connect.go
@@ -68,6 +68,15 @@
 	// AdministrationServiceReplaceMemberProcedure is the fully-qualified name of the
 	// AdministrationService's ReplaceMember RPC.
 	AdministrationServiceReplaceMemberProcedure = "/filberthoist.wire.v1.AdministrationService/ReplaceMember"
+	// AdministrationServiceJoinProcedure is the fully-qualified name of the AdministrationService's
+	// Join RPC.
+	AdministrationServiceJoinProcedure = "/filberthoist.wire.v1.AdministrationService/Join"
+	// AdministrationServiceOrderProcedure is the fully-qualified name of the AdministrationService's
+	// Order RPC.
+	AdministrationServiceOrderProcedure = "/filberthoist.wire.v1.AdministrationService/Order"
+	// AdministrationServiceReadProcedure is the fully-qualified name of the AdministrationService's
+	// Read RPC.
+	AdministrationServiceReadProcedure = "/filberthoist.wire.v1.AdministrationService/Read"
 	// LimitServiceGrantProcedure is the fully-qualified name of the LimitService's Grant RPC.
 	LimitServiceGrantProcedure = "/filberthoist.wire.v1.LimitService/Grant"
 	// PermitServiceAcquireProcedure is the fully-qualified name of the PermitService's Acquire RPC.
@@ -267,6 +276,12 @@
 	Bootstrap(context.Context, *connect.Request[wire.BootstrapRequest]) (*connect.Response[wire.BootstrapResponse], error)
 	// ReplaceMember starts the replacement of one control member by another incarnation.
 	ReplaceMember(context.Context, *connect.Request[wire.ReplaceMemberRequest]) (*connect.Response[wire.ReplaceMemberResponse], error)
+	// Join offers a member that runs outside the quorum; the leader takes it where one is due.
+	Join(context.Context, *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error)
+	// Order proposes one order of an operator that needs no revision.
+	Order(context.Context, *connect.Request[wire.OrderRequest]) (*connect.Response[wire.OrderResponse], error)
+	// Read returns the items and records that stand, as of a quorum round after the call.
+	Read(context.Context, *connect.Request[wire.ReadRequest]) (*connect.Response[wire.ReadResponse], error)
 }
 
 // NewAdministrationServiceClient constructs a client for the
@@ -310,6 +325,24 @@
 			connect.WithSchema(administrationServiceMethods.ByName("ReplaceMember")),
 			connect.WithClientOptions(opts...),
 		),
+		join: connect.NewClient[wire.JoinRequest, wire.JoinResponse](
+			httpClient,
+			baseURL+AdministrationServiceJoinProcedure,
+			connect.WithSchema(administrationServiceMethods.ByName("Join")),
+			connect.WithClientOptions(opts...),
+		),
+		order: connect.NewClient[wire.OrderRequest, wire.OrderResponse](
+			httpClient,
+			baseURL+AdministrationServiceOrderProcedure,
+			connect.WithSchema(administrationServiceMethods.ByName("Order")),
+			connect.WithClientOptions(opts...),
+		),
+		read: connect.NewClient[wire.ReadRequest, wire.ReadResponse](
+			httpClient,
+			baseURL+AdministrationServiceReadProcedure,
+			connect.WithSchema(administrationServiceMethods.ByName("Read")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -320,6 +353,9 @@
 	fetch         *connect.Client[wire.FetchRequest, wire.FetchResponse]
 	bootstrap     *connect.Client[wire.BootstrapRequest, wire.BootstrapResponse]
 	replaceMember *connect.Client[wire.ReplaceMemberRequest, wire.ReplaceMemberResponse]
+	join          *connect.Client[wire.JoinRequest, wire.JoinResponse]
+	order         *connect.Client[wire.OrderRequest, wire.OrderResponse]
+	read          *connect.Client[wire.ReadRequest, wire.ReadResponse]
 }
 
 // Submit calls filberthoist.wire.v1.AdministrationService.Submit.
@@ -347,6 +383,21 @@
 	return c.replaceMember.CallUnary(ctx, req)
 }
 
+// Join calls filberthoist.wire.v1.AdministrationService.Join.
+func (c *administrationServiceClient) Join(ctx context.Context, req *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error) {
+	return c.join.CallUnary(ctx, req)
+}
+
+// Order calls filberthoist.wire.v1.AdministrationService.Order.
+func (c *administrationServiceClient) Order(ctx context.Context, req *connect.Request[wire.OrderRequest]) (*connect.Response[wire.OrderResponse], error) {
+	return c.order.CallUnary(ctx, req)
+}
+
+// Read calls filberthoist.wire.v1.AdministrationService.Read.
+func (c *administrationServiceClient) Read(ctx context.Context, req *connect.Request[wire.ReadRequest]) (*connect.Response[wire.ReadResponse], error) {
+	return c.read.CallUnary(ctx, req)
+}
+
 // AdministrationServiceHandler is an implementation of the
 // filberthoist.wire.v1.AdministrationService service.
 type AdministrationServiceHandler interface {
@@ -360,6 +411,12 @@
 	Bootstrap(context.Context, *connect.Request[wire.BootstrapRequest]) (*connect.Response[wire.BootstrapResponse], error)
 	// ReplaceMember starts the replacement of one control member by another incarnation.
 	ReplaceMember(context.Context, *connect.Request[wire.ReplaceMemberRequest]) (*connect.Response[wire.ReplaceMemberResponse], error)
+	// Join offers a member that runs outside the quorum; the leader takes it where one is due.
+	Join(context.Context, *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error)
+	// Order proposes one order of an operator that needs no revision.
+	Order(context.Context, *connect.Request[wire.OrderRequest]) (*connect.Response[wire.OrderResponse], error)
+	// Read returns the items and records that stand, as of a quorum round after the call.
+	Read(context.Context, *connect.Request[wire.ReadRequest]) (*connect.Response[wire.ReadResponse], error)
 }
 
 // NewAdministrationServiceHandler builds an HTTP handler from the service implementation. It
@@ -399,6 +456,24 @@
 		connect.WithSchema(administrationServiceMethods.ByName("ReplaceMember")),
 		connect.WithHandlerOptions(opts...),
 	)
+	administrationServiceJoinHandler := connect.NewUnaryHandler(
+		AdministrationServiceJoinProcedure,
+		svc.Join,
+		connect.WithSchema(administrationServiceMethods.ByName("Join")),
+		connect.WithHandlerOptions(opts...),
+	)
+	administrationServiceOrderHandler := connect.NewUnaryHandler(
+		AdministrationServiceOrderProcedure,
+		svc.Order,
+		connect.WithSchema(administrationServiceMethods.ByName("Order")),
+		connect.WithHandlerOptions(opts...),
+	)
+	administrationServiceReadHandler := connect.NewUnaryHandler(
+		AdministrationServiceReadProcedure,
+		svc.Read,
+		connect.WithSchema(administrationServiceMethods.ByName("Read")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/filberthoist.wire.v1.AdministrationService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AdministrationServiceSubmitProcedure:
@@ -411,6 +486,12 @@
 			administrationServiceBootstrapHandler.ServeHTTP(w, r)
 		case AdministrationServiceReplaceMemberProcedure:
 			administrationServiceReplaceMemberHandler.ServeHTTP(w, r)
+		case AdministrationServiceJoinProcedure:
+			administrationServiceJoinHandler.ServeHTTP(w, r)
+		case AdministrationServiceOrderProcedure:
+			administrationServiceOrderHandler.ServeHTTP(w, r)
+		case AdministrationServiceReadProcedure:
+			administrationServiceReadHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -440,6 +521,18 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("filberthoist.wire.v1.AdministrationService.ReplaceMember is not implemented"))
 }
 
+func (UnimplementedAdministrationServiceHandler) Join(context.Context, *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("filberthoist.wire.v1.AdministrationService.Join is not implemented"))
+}
+
+func (UnimplementedAdministrationServiceHandler) Order(context.Context, *connect.Request[wire.OrderRequest]) (*connect.Response[wire.OrderResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("filberthoist.wire.v1.AdministrationService.Order is not implemented"))
+}
+
+func (UnimplementedAdministrationServiceHandler) Read(context.Context, *connect.Request[wire.ReadRequest]) (*connect.Response[wire.ReadResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("filberthoist.wire.v1.AdministrationService.Read is not implemented"))
+}
+
 // LimitServiceClient is a client for the filberthoist.wire.v1.LimitService service.
 type LimitServiceClient interface {
 	Grant(context.Context, *connect.Request[wire.GrantRequest]) (*connect.Response[wire.GrantResponse], error)
