--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -21,6 +21,8 @@
 	leastChange = 0.005
 	// forgetAfter is the silence after which nothing is kept for an entry any more.
 	forgetAfter = 2 * timekeeper.ShareLease
+	// termBits leaves room below a term for the answers of its leader.
+	termBits = 32
 )
 
 // Config sets up an Apportioner.
@@ -48,7 +50,9 @@
 
 // account is what is known of one entry.
 type account struct {
-	asked   time.Duration
+	asked time.Duration
+	// inUse is the last answer whose shares the entry uses.
+	inUse   uint64
 	demands map[string]float64
 	// held are the shares that the entry may use, by team, with the number of the answer
 	// that gave each; the last is the newest.
@@ -75,11 +79,15 @@
 	defer a.mutex.Unlock()
 	now := a.config.Clock.Now()
 	if term != a.term {
-		a.term, a.since, a.callers = term, since, map[Caller]*account{}
+		a.term, a.since, a.number, a.callers = term, since, 0, map[Caller]*account{}
+	}
+	if a.callers[c] == nil && len(r.GetDemands()) == 0 {
+		return nil, 0 // it may hold shares that it has not told yet
 	}
 	n := a.account(c, r)
 	n.asked = now
-	n.settle(r.GetSharesInUse())
+	n.inUse = r.GetSharesInUse()
+	n.settle(n.inUse)
 	for _, d := range r.GetDemands() {
 		n.demands[d.GetTeam()] = d.GetRate()
 	}
@@ -94,10 +102,11 @@
 		return nil, 0
 	}
 	a.number++
+	number := a.term<<termBits + a.number
 	for _, s := range out {
-		n.held[s.GetTeam()] = append(n.held[s.GetTeam()], told{a.number, s.GetShare()})
+		n.held[s.GetTeam()] = append(n.held[s.GetTeam()], told{number, s.GetShare()})
 	}
-	return out, a.number
+	return out, number
 }
 
 // account returns the record of an entry. One that an earlier leader gave shares brings
@@ -138,7 +147,7 @@
 	present := n.newest(team)
 	others += a.reserved(now, team)
 	want = min(want, max(0, 1-others))
-	if d := want - present; d > -leastChange && d < leastChange {
+	if d := want - present; d > -leastChange && d < leastChange && n.has(team) {
 		return present, false
 	}
 	return want, true
@@ -190,6 +199,12 @@
 	return most
 }
 
+// has tells whether the entry uses the newest share that it was told.
+func (n *account) has(team string) bool {
+	h := n.held[team]
+	return len(h) == 0 || h[len(h)-1].number <= n.inUse
+}
+
 func (n *account) newest(team string) float64 {
 	if h := n.held[team]; len(h) > 0 {
 		return h[len(h)-1].share
--- a/control/control.go
+++ b/control/control.go
@@ -56,6 +56,7 @@
 		fx.StopTimeout(stopTimeout),
 		fx.Supply(s, x),
 		fx.Provide(
+			starter.NewQueue,
 			newLogger,
 			newReporter,
 			starter.NewGroup,
@@ -79,8 +80,8 @@
 	)
 }
 
-func newLogger(s Settings) logger.Logger {
-	return starter.NewLogger(s.Name, s.LogLevel)
+func newLogger(s Settings, q *logger.Queue) logger.Logger {
+	return starter.NewLogger(s.Name, s.LogLevel, q)
 }
 
 func newReporter(s Settings, l fx.Lifecycle) *reporter.Reporter {
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -18,6 +18,9 @@
 	Name    string
 	Address string
 	Server  *http.Server
+	// Serve and Shutdown replace Server for other ways to serve.
+	Serve    func(net.Listener) error
+	Shutdown func(context.Context) error
 	// Connector adds TLS; nil serves plain HTTP.
 	Connector *connector.Connector
 	Logger    logger.Logger
@@ -53,10 +56,7 @@
 
 // Stop takes no new connection and waits for requests under way, until the context ends.
 func (l *Listener) Stop(ctx context.Context) error {
-	err := l.config.Server.Shutdown(ctx)
-	if err != nil {
-		_ = l.config.Server.Close() // what is left is cut
-	}
+	err := l.shutdown(ctx)
 	<-l.done
 	return errors.Wrapf(err, "draining the %s listener", l.config.Name)
 }
@@ -78,7 +78,21 @@
 	l.config.Failed(err)
 }
 
+func (l *Listener) shutdown(ctx context.Context) error {
+	if l.config.Shutdown != nil {
+		return l.config.Shutdown(ctx)
+	}
+	err := l.config.Server.Shutdown(ctx)
+	if err != nil {
+		_ = l.config.Server.Close() // what is left is cut
+	}
+	return err
+}
+
 func (l *Listener) serve() error {
+	if l.config.Serve != nil {
+		return l.config.Serve(l.socket)
+	}
 	if l.config.Connector == nil {
 		return l.config.Server.Serve(l.socket)
 	}
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -18,6 +18,9 @@
 	ProcessStopped     = Event{103, "processStopped", log.InfoLevel, "The process ends after its last request."}
 	ListenerFailed     = Event{104, "listenerFailed", log.ErrorLevel, "A listener ended for another reason than shutdown."}
 	LoopFailed         = Event{105, "loopFailed", log.ErrorLevel, "A background loop ended with an error; the process stops."}
+	AcceptFailed       = Event{106, "acceptFailed", log.WarnLevel, "A connection could not be accepted; the listener goes on."}
+	HandlerPanicked    = Event{107, "handlerPanicked", log.ErrorLevel, "A request ended in a panic; its connection was cut."}
+	LinesDropped       = Event{108, "linesDropped", log.WarnLevel, "Log lines found no room, since their reader is slow."}
 	LeaderElected      = Event{201, "leaderElected", log.InfoLevel, "This control member became leader of a term."}
 	LeaderLost         = Event{202, "leaderLost", log.WarnLevel, "This control member is leader no more."}
 	StorageFailed      = Event{203, "storageFailed", log.ErrorLevel, "The data folder refused a write; nothing is acknowledged until it takes one."}
@@ -47,6 +50,9 @@
 	EntryRemoved       = Event{402, "entryRemoved", log.WarnLevel, "An entry was silent past its lease or left."}
 	RoleAssigned       = Event{403, "roleAssigned", log.InfoLevel, "A role was assigned to an entry under a new epoch."}
 	RequestCut         = Event{501, "requestCut", log.WarnLevel, "An answer broke off midway; the caller's connection was closed."}
+	RequestServed      = Event{503, "requestServed", log.InfoLevel, "A request was answered by a target; the line tells how it got there."}
+	RequestRefused     = Event{504, "requestRefused", log.WarnLevel, "A request was refused; the line tells by which step, why and for how long."}
+	RequestFailed      = Event{505, "requestFailed", log.WarnLevel, "A request failed or may have run; the line tells where it was sent."}
 	RequestUnknown     = Event{502, "requestUnknown", log.WarnLevel, "A request may have run; the caller was told so."}
 	TargetEjected      = Event{601, "targetEjected", log.WarnLevel, "A target failed repeatedly and gets probes only."}
 	TargetReadmitted   = Event{602, "targetReadmitted", log.InfoLevel, "A probe succeeded; the target takes work again."}
@@ -64,7 +70,7 @@
 
 // Catalogue lists every event in the order of its number.
 var Catalogue = []Event{
-	ProcessStarted, ProcessStopping, ProcessStopped, ListenerFailed, LoopFailed,
+	ProcessStarted, ProcessStopping, ProcessStopped, ListenerFailed, LoopFailed, AcceptFailed, HandlerPanicked, LinesDropped,
 	LeaderElected, LeaderLost, StorageFailed, TornTailCut, SnapshotSaved,
 	MembershipChanged, PeerUnreachable, PeerReachable, SnapshotInstalled,
 	MemberJoins, OutsideQuorum,
@@ -73,7 +79,7 @@
 	OrderAccepted, OrderRefused, OrderUnknown,
 	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed,
 	EntryJoined, EntryRemoved, RoleAssigned,
-	RequestCut, RequestUnknown,
+	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed,
 	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
 	OwnerStarted, InvariantBroken,
--- a/core/parser/configuration.go
+++ b/core/parser/configuration.go
@@ -240,7 +240,7 @@
 }
 
 func (r *Route) uses(service string) bool {
-	return slices.ContainsFunc(r.Parts, func(p Part) bool { return p.Service.Name == service })
+	return r.Service.Name == service || slices.ContainsFunc(r.Parts, func(p Part) bool { return p.Service.Name == service })
 }
 
 // Open tells whether the route needs no key.
--- a/core/starter/parts.go
+++ b/core/starter/parts.go
@@ -1,7 +1,9 @@
 package starter
 
 import (
+	"context"
 	"os"
+	"time"
 
 	"go.uber.org/fx"
 
@@ -36,9 +38,23 @@
 	return r.Choice("level", "info", "debug", "info", "warn", "error")
 }
 
-// NewLogger returns the logger of a process, which writes to standard error.
-func NewLogger(name, level string) logger.Logger {
-	return logger.NewLogger(logger.Config{Writer: os.Stderr, Process: name, Level: level})
+// flushTimeout bounds the wait for the reader of the log at the end of a process.
+const flushTimeout = 500 * time.Millisecond
+
+// NewQueue returns the queue of a process's log, which goes to standard output.
+func NewQueue(l fx.Lifecycle) *logger.Queue {
+	q := logger.NewQueue(os.Stdout)
+	l.Append(fx.StopHook(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+		defer cancel()
+		q.Close(ctx)
+	}))
+	return q
+}
+
+// NewLogger returns the logger of a process.
+func NewLogger(name, level string, q *logger.Queue) logger.Logger {
+	return logger.NewLogger(logger.Config{Queue: q, Process: name, Level: level})
 }
 
 // NewReporter returns the reporter of a process; it closes when the process stops.
--- a/core/starter/starter.go
+++ b/core/starter/starter.go
@@ -26,6 +26,9 @@
 type Config struct {
 	Use   string
 	Short string
+	// Variable names the environment variable that holds the path of the settings where the
+	// command line does not say; empty for none.
+	Variable string
 	// Read checks the settings and returns what composes the program from them.
 	Read func(Source) (compose func() *fx.App, err error)
 }
@@ -70,9 +73,15 @@
 			return run(c, path, check)
 		},
 	}
-	root.Flags().StringVar(&path, "settings", "", "the settings file (INI)")
+	fallback := ""
+	if c.Variable != "" {
+		fallback = os.Getenv(c.Variable)
+	}
+	root.Flags().StringVar(&path, "settings", fallback, "the settings file (INI)")
 	root.Flags().BoolVar(&check, "check", false, "only check the settings")
-	_ = root.MarkFlagRequired("settings") // the flag exists
+	if fallback == "" {
+		_ = root.MarkFlagRequired("settings") // the flag exists
+	}
 	return root
 }
 
--- a/entry/authenticator/authenticator.go
+++ b/entry/authenticator/authenticator.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 
 	"github.com/filberthoist/filberthoist/core/digester"
 	"github.com/filberthoist/filberthoist/entry/handler"
@@ -31,20 +30,11 @@
 	return handler.Step{Name: "authenticator", Handle: a.authenticate}
 }
 
-// Strip removes every header of the system from a caller's headers or trailers.
-func Strip(h http.Header) {
-	for name := range h {
-		if strings.HasPrefix(http.CanonicalHeaderKey(name), handler.HeaderPrefix) {
-			delete(h, name)
-		}
-	}
-}
-
 // authenticate runs on every request, also on a connection that was open before a
 // withdrawal. Unknown and withdrawn keys get the same answer.
 func (a *Authenticator) authenticate(_ context.Context, e *handler.Exchange) handler.Outcome {
-	keys := e.Request.Header.Values(handler.KeyHeader)
-	Strip(e.Request.Header)
+	keys := e.Request.Header.Values(e.Dialect.Key)
+	e.Dialect.Strip(e.Request.Header)
 	if e.Route.Open() {
 		return handler.Outcome{}
 	}
--- /dev/null
+++ b/entry/balancer/balancer.go
@@ -0,0 +1,244 @@
+// Package balancer sends each request to a target that this entry chooses by itself: by
+// the load that targets tell with their answers, its own requests under way, and a stable
+// order of targets for each object.
+package balancer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/entry/dispatcher"
+	"github.com/filberthoist/filberthoist/entry/forwarder"
+	"github.com/filberthoist/filberthoist/entry/handler"
+)
+
+// Bounds of one request's way.
+const (
+	// defaultAttempts is the number of targets that may run a request whose route does not say.
+	defaultAttempts = 2
+	// maxSends bounds the targets that a request is sent to, refusals included.
+	maxSends = 4
+	// leastRetryAfter and mostRetryAfter bound what refused callers are asked to wait.
+	leastRetryAfter = 100 * time.Millisecond
+	mostRetryAfter  = time.Second
+)
+
+// Config sets up a Balancer.
+type Config struct {
+	Clock  timekeeper.Clock
+	Logger logger.Logger
+	Scope  tally.Scope
+	Picker *Picker
+	// Send sends a request to a target and waits for the answer; Pass hands one on.
+	Send func(ctx context.Context, e *handler.Exchange, t *parser.Target) *forwarder.Sending
+	Pass func(ctx context.Context, e *handler.Exchange, s *forwarder.Sending) (handler.Outcome, dispatcher.Result)
+	// Repeats is the budget of requests that are sent to a further target.
+	Repeats *Budget
+}
+
+// Balancer is the step that finds a target and has the request sent to it.
+type Balancer struct {
+	config  Config
+	retries tally.Counter
+	spared  tally.Counter
+	refused tally.Counter
+}
+
+// NewBalancer returns a Balancer.
+func NewBalancer(c Config) *Balancer {
+	return &Balancer{
+		config: c, retries: c.Scope.Counter("retries"), spared: c.Scope.Counter("retriesSpared"),
+		refused: c.Scope.Counter("noRoom"),
+	}
+}
+
+// Step returns the pipeline step.
+func (b *Balancer) Step() handler.Step {
+	return handler.Step{Name: "balancer", Handle: b.balance}
+}
+
+// way is a request on its way through targets.
+type way struct {
+	demand Demand
+	// ran counts the targets that may have run the request.
+	ran  int
+	sent int
+	// arrived counts the targets that the request reached.
+	arrived int
+	// kept is an answer with a failure, for want of a better one.
+	kept *forwarder.Sending
+	last handler.Outcome
+}
+
+func (b *Balancer) balance(ctx context.Context, e *handler.Exchange) handler.Outcome {
+	b.config.Repeats.Earn(e.Service.Name)
+	w := &way{demand: b.demand(e)}
+	for w.sent < maxSends {
+		w.demand.Left = e.Deadline - b.config.Clock.Now()
+		if w.sent > 0 && !b.mayRepeat(e, w) {
+			break
+		}
+		pick, soonest := b.config.Picker.Pick(e.View, w.demand)
+		if pick == nil && e.Fallback != nil {
+			w.demand.Allows, e.Fallback = e.Fallback.Allows, nil
+			continue
+		}
+		if pick == nil {
+			b.noTarget(e, w, soonest)
+			break
+		}
+		if o, over := b.send(ctx, e, w, pick); over {
+			return o
+		}
+	}
+	if w.kept != nil {
+		o, _ := b.config.Pass(ctx, e, w.kept)
+		return o
+	}
+	return w.last
+}
+
+func (b *Balancer) demand(e *handler.Exchange) Demand {
+	d := Demand{
+		Service: e.Service.Name, Work: e.Service.Name + " " + e.Route.Name,
+		Allows: e.Course.Allows, Homes: homesOf(e), ColdRate: e.Service.ColdRate,
+	}
+	if e.Route.Affinity && e.Dialect.Affinity != "" {
+		if c, err := e.Request.Cookie(e.Dialect.Affinity); err == nil {
+			d.Object = e.Route.Name + "/" + c.Value
+		}
+	}
+	if d.Object == "" {
+		d.Object = e.ID // spread evenly
+	}
+	e.Trace.Object = d.Object
+	return d
+}
+
+// homesOf returns the regions that may serve a request: those of its route and those of
+// its team, where both say.
+func homesOf(e *handler.Exchange) []string {
+	if e.Team == nil || len(e.Team.Homes) == 0 {
+		return e.Route.Homes
+	}
+	if len(e.Route.Homes) == 0 {
+		return e.Team.Homes
+	}
+	out := []string{"-"} // no region, unless both name one
+	for _, h := range e.Route.Homes {
+		for _, t := range e.Team.Homes {
+			if h == t {
+				out = append(out, h)
+			}
+		}
+	}
+	return out
+}
+
+// mayRepeat tells whether a request may go to a further target.
+func (b *Balancer) mayRepeat(e *handler.Exchange, w *way) bool {
+	attempts := e.Route.Attempts
+	if attempts == 0 {
+		attempts = defaultAttempts
+	}
+	if w.ran >= attempts || w.demand.Left <= 0 {
+		return false
+	}
+	if w.arrived == 0 {
+		return true // no target has heard of the request
+	}
+	if !b.config.Repeats.Spend(e.Service.Name) {
+		b.spared.Inc(1)
+		return false
+	}
+	b.retries.Inc(1)
+	return true
+}
+
+// send sends to one target; over tells that the request ends with this.
+func (b *Balancer) send(ctx context.Context, e *handler.Exchange, w *way, k *Pick) (o handler.Outcome, over bool) {
+	s := &forwarder.Sending{Result: dispatcher.Result{Failed: true}} // if Send ends in a panic
+	defer func() {
+		if b.config.Picker.Done(k, w.demand, s, s.Dialed) {
+			b.config.Logger.Log(logger.TargetEjected, logger.F("target", k.Target.Name), logger.F("service", e.Service.Name),
+				logger.F("unreachable", s.Unreachable))
+		}
+	}()
+	begun := b.config.Clock.Now()
+	s = b.config.Send(ctx, e, k.Target.Target)
+	w.sent++
+	if !s.Unreachable {
+		w.arrived++
+	}
+	w.demand.Excluded = append(w.demand.Excluded, k.Target.Name)
+	e.Trace.Targets = append(e.Trace.Targets, describe(k, s, b.config.Clock.Now()-begun))
+	if e.Observe != nil && (s.Result.Failed || s.Result.Latency > 0) && !s.Refused {
+		e.Observe(handler.Course{Version: k.Target.Version}, s.Result.Latency, s.Result.Failed)
+	}
+	if !s.Refused && !s.Unreachable {
+		w.ran++
+	}
+	if s.Answer != nil {
+		return b.answered(ctx, e, w, s)
+	}
+	w.last = s.Outcome
+	again := s.Outcome.Run == handler.NotRun || (s.Outcome.Run == handler.Unknown && e.Route.Repeatable())
+	return s.Outcome, !again || ctx.Err() != nil || w.keepsPromise(s)
+}
+
+// keepsPromise notes the outcome of a request that may have run before: a later refusal
+// does not make that undone.
+func (w *way) keepsPromise(s *forwarder.Sending) bool {
+	if w.ran > 0 && s.Outcome.Run == handler.NotRun {
+		w.last = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUpstream)
+	}
+	return false
+}
+
+// answered passes an answer on, or keeps a failure for another try.
+func (b *Balancer) answered(ctx context.Context, e *handler.Exchange, w *way, s *forwarder.Sending) (handler.Outcome, bool) {
+	failed := s.Answer.Status >= http.StatusInternalServerError
+	if failed && e.Route.Repeatable() && s.Answer.Rest == nil && ctx.Err() == nil {
+		w.kept = s
+		return handler.Outcome{}, false
+	}
+	o, _ := b.config.Pass(ctx, e, s)
+	return o, true
+}
+
+// noTarget is the outcome of a request for which no target would answer in time.
+func (b *Balancer) noTarget(e *handler.Exchange, w *way, soonest time.Duration) {
+	b.refused.Inc(1)
+	e.Trace.Targets = append(e.Trace.Targets, fmt.Sprintf("none: soonest %v, left %v", soonest.Round(time.Millisecond), w.demand.Left.Round(time.Millisecond)))
+	if w.ran > 0 {
+		return
+	}
+	wait := min(mostRetryAfter, max(leastRetryAfter, soonest-w.demand.Left))
+	e.RetryAfter = (wait + time.Duration(rand.Int64N(int64(wait)))).Round(time.Millisecond)
+	w.last = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoRoom)
+}
+
+// describe tells a choice and what came of it, for the request's log line.
+func describe(k *Pick, s *forwarder.Sending, took time.Duration) string {
+	result := "answered"
+	switch {
+	case s.Misdirected:
+		result = "misdirected"
+	case s.Refused:
+		result = "refused"
+	case s.Unreachable:
+		result = "unreachable"
+	case s.Answer == nil:
+		result = string(s.Outcome.Reason)
+	}
+	return fmt.Sprintf("%s %s: load %.1f wait %v expected %v rank %d warm %t, %s after %v", k.Target.Name, k.Target.AvailabilityZone,
+		k.Load, k.Wait.Round(time.Millisecond), k.Cost.Round(time.Millisecond), k.Rank, k.Warm, result, took.Round(time.Millisecond))
+}
--- /dev/null
+++ b/entry/balancer/picker.go
@@ -0,0 +1,411 @@
+package balancer
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/entry/forwarder"
+	"github.com/filberthoist/filberthoist/entry/receiver"
+)
+
+// Parameters of the choice.
+const (
+	// firstWarm, secondWarm and otherWarm are the chances that an object is warm on the
+	// first, second and any further target of its order, where nothing is known.
+	firstWarm  = 0.7
+	secondWarm = 0.4
+	otherWarm  = 0.05
+	// knownWarm is the chance on a target that answered for the object lately.
+	knownWarm = 0.95
+	// zonePenalty and regionPenalty are what a way to another zone or region costs beyond
+	// its time, since bytes on it are dear and others need its targets.
+	zonePenalty   = 15 * time.Millisecond
+	regionPenalty = 30 * time.Millisecond
+	// unknownTrip is assumed for a trip to another region before one was measured.
+	unknownTrip = 60 * time.Millisecond
+	tripWeight  = 0.2
+	// coldSlowdown is how much longer a target takes while it is cold.
+	coldSlowdown = 2
+	// ejectedPart is the part of a service's targets that may be ejected at once.
+	ejectedPart = 0.5
+)
+
+// PickerConfig sets up a Picker.
+type PickerConfig struct {
+	Clock timekeeper.Clock
+	// Entry, Zone and Region tell which entry this is and where.
+	Entry  string
+	Zone   string
+	Region string
+	// Reachable tells whether control answered lately; without it no cold target is used.
+	Reachable func() bool
+}
+
+// Picker chooses targets by what they are expected to take: the wait for a slot, the work,
+// which is short for objects that the target handled lately, and the way. It needs no
+// network. It is safe for concurrent use.
+type Picker struct {
+	config   PickerConfig
+	mutex    sync.Mutex
+	view     *receiver.View
+	services map[string]*service
+	trips    map[string]time.Duration
+	works    map[string]*work
+}
+
+// service holds the targets of a service by their ids.
+type service struct {
+	targets map[string]*target
+	list    []*target
+}
+
+// Demand is a request that needs a target.
+type Demand struct {
+	Service string
+	// Work names the kind of work: requests of one name take alike.
+	Work string
+	// Object is what the request is about; empty for none.
+	Object string
+	// Allows tells whether a version may serve.
+	Allows func(version string) bool
+	// Homes are the only regions that may serve; empty means all.
+	Homes []string
+	// Left is the time that is left for the request.
+	Left time.Duration
+	// Excluded are targets that were tried already.
+	Excluded []string
+	ColdRate float64
+}
+
+// Pick is a chosen target.
+type Pick struct {
+	Target *receiver.Listed
+	// Cost is the time that the answer is expected to take.
+	Cost time.Duration
+	// Warm tells that the object is expected to be warm there.
+	Warm bool
+	// Load is the target's load and Wait the expected time in its queue at the choice.
+	Load float64
+	Wait time.Duration
+	// Rank is the target's place in the object's order.
+	Rank  int
+	state *target
+	base  time.Duration
+}
+
+// NewPicker returns a Picker that knows no target.
+func NewPicker(c PickerConfig) *Picker {
+	return &Picker{config: c, services: map[string]*service{}, trips: map[string]time.Duration{}, works: map[string]*work{}}
+}
+
+// Pick chooses a target and counts the request on it, until Done. It returns nil if there
+// is none that would answer in time; soonest is then the time of the best that there is.
+func (p *Picker) Pick(v *receiver.View, d Demand) (pick *Pick, soonest time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.use(v)
+	now := p.config.Clock.Now()
+	best := p.best(now, v, d)
+	switch {
+	case best == nil:
+		return nil, 0
+	case best.Cost > d.Left:
+		return nil, best.Cost
+	}
+	if best.state.isCold(now) {
+		best.state.coldTokens--
+	}
+	best.state.running++
+	best.state.tried = true
+	if best.state.ejectedUntil > 0 {
+		best.state.probing = true
+	}
+	return best, best.Cost
+}
+
+// Done takes in what came of a picked request.
+func (p *Picker) Done(k *Pick, d Demand, s *forwarder.Sending, dialed time.Duration) (ejected bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now, t := p.config.Clock.Now(), k.state
+	t.running--
+	t.probing = false
+	t.learnLoad(now, s.Load)
+	if dialed > 0 {
+		p.learnTrip(t.listed.Region, dialed)
+	}
+	if s.Result.Leaving {
+		t.leavingUntil = now + leavingSpan
+	}
+	switch {
+	case s.Misdirected:
+		t.gone = true
+	case s.Result.Failed:
+		return t.fail(now, s.Unreachable)
+	case s.Result.Latency > 0:
+		p.learnAnswer(now, k, d, s.Result.Latency)
+	}
+	return false
+}
+
+func (p *Picker) learnTrip(region string, d time.Duration) {
+	old, ok := p.trips[region]
+	if !ok {
+		old = d
+	}
+	p.trips[region] = old + time.Duration(tripWeight*float64(d-old))
+}
+
+func (p *Picker) learnAnswer(now time.Duration, k *Pick, d Demand, took time.Duration) {
+	t, w := k.state, p.work(d.Work)
+	work := max(took-p.trip(t.listed)-k.Wait, took/4)
+	expected := w.expect(t.isWarm(now, d.Object))
+	w.learn(work, t.isWarm(now, d.Object))
+	t.succeed(now, float64(work)/float64(expected))
+	if d.Object != "" {
+		t.remember(now, d.Object)
+	}
+}
+
+func (p *Picker) work(name string) *work {
+	w := p.works[name]
+	if w == nil {
+		w = &work{}
+		p.works[name] = w
+	}
+	return w
+}
+
+// use takes a view's targets over; what is known of them stays.
+func (p *Picker) use(v *receiver.View) {
+	if p.view == v || (p.view != nil && sameLists(p.view.Listed, v.Listed)) {
+		p.view = v
+		return
+	}
+	p.view = v
+	for name, list := range v.Listed {
+		s := p.services[name]
+		if s == nil {
+			s = &service{targets: map[string]*target{}}
+			p.services[name] = s
+		}
+		s.use(list)
+	}
+	for name, s := range p.services {
+		if len(v.Listed[name]) == 0 {
+			s.use(nil)
+		}
+	}
+}
+
+func sameLists(a, b map[string][]*receiver.Listed) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for n, list := range a {
+		if len(list) != len(b[n]) || !slices.Equal(list, b[n]) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *service) use(list []*receiver.Listed) {
+	next := make(map[string]*target, len(list))
+	s.list = s.list[:0:0]
+	for _, l := range list {
+		t := s.targets[l.Name]
+		if t == nil || t.listed.Address != l.Address {
+			t = newTarget(l)
+		}
+		t.listed = l
+		next[l.Name] = t
+		s.list = append(s.list, t)
+	}
+	s.targets = next
+}
+
+// candidate is a target that may serve a demand, with its place in the object's order.
+type candidate struct {
+	target *target
+	weight uint64
+	// group is 0 in the entry's zone, 1 in its region, 2 beyond.
+	group int
+}
+
+// best returns the target with the least cost.
+func (p *Picker) best(now time.Duration, v *receiver.View, d Demand) *Pick {
+	list := p.candidates(now, v, d)
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.group != b.group {
+			return a.group - b.group
+		}
+		if a.weight > b.weight {
+			return -1
+		}
+		return 1
+	})
+	var best *Pick
+	for i, c := range list {
+		k := p.price(now, c, i, d)
+		if i == 0 && !c.target.tried {
+			return k // a target that joined gets its first request
+		}
+		if best == nil || k.Cost < best.Cost {
+			best = k
+		}
+	}
+	return best
+}
+
+// candidates returns the targets that may serve a demand now.
+func (p *Picker) candidates(now time.Duration, v *receiver.View, d Demand) []candidate {
+	s := p.services[d.Service]
+	if s == nil {
+		return nil
+	}
+	out := make([]candidate, 0, len(s.list))
+	ejected := 0
+	for _, t := range s.list {
+		if !p.serves(now, v, d, t) {
+			continue
+		}
+		if t.isEjected(now) {
+			ejected++
+			continue
+		}
+		out = append(out, candidate{t, hash(d.Object, t.listed.Name), p.group(t.listed)})
+	}
+	if ejected == 0 || float64(ejected) <= ejectedPart*float64(ejected+len(out)) {
+		return out
+	}
+	for _, t := range s.list { // too many to do without: those that can be reached serve
+		if p.serves(now, v, d, t) && t.isEjected(now) && t.failures < 1 {
+			out = append(out, candidate{t, hash(d.Object, t.listed.Name), p.group(t.listed)})
+		}
+	}
+	return out
+}
+
+func (p *Picker) serves(now time.Duration, v *receiver.View, d Demand, t *target) bool {
+	l := t.listed
+	switch {
+	case t.isLeaving(now), v.Evacuated[l.AvailabilityZone], !d.Allows(l.Version):
+		return false
+	case len(d.Homes) > 0 && !slices.Contains(d.Homes, l.Region):
+		return false
+	case slices.Contains(d.Excluded, l.Name):
+		return false
+	case t.isCold(now) && d.ColdRate > 0:
+		return p.warms(v, l) && t.hasCold(now, d.ColdRate)
+	}
+	return true
+}
+
+// warms tells whether this entry is the one that sends to a cold target, so that its rate
+// holds over all entries.
+func (p *Picker) warms(v *receiver.View, l *receiver.Listed) bool {
+	if !p.config.Reachable() {
+		return false
+	}
+	best, weight, near := "", uint64(0), false
+	for name, m := range v.Entries {
+		if m.GetState() != wire.EntryState_ENTRY_STATE_LIVE {
+			continue
+		}
+		w, n := hash(l.Name, name), m.GetRegion() == l.Region
+		if best == "" || (n && !near) || (n == near && w > weight) {
+			best, weight, near = name, w, n
+		}
+	}
+	return best == p.config.Entry
+}
+
+func (p *Picker) group(l *receiver.Listed) int {
+	switch {
+	case l.AvailabilityZone == p.config.Zone:
+		return 0
+	case l.Region == p.config.Region:
+		return 1
+	}
+	return 2
+}
+
+// price returns what a candidate is expected to take.
+func (p *Picker) price(now time.Duration, c candidate, rank int, d Demand) *Pick {
+	t := c.target
+	w := p.work(d.Work)
+	chance := warmChance(rank)
+	warm := t.isWarm(now, d.Object)
+	if warm {
+		chance = knownWarm
+	}
+	work := chance*float64(w.expect(true)) + (1-chance)*float64(w.expect(false))
+	if t.isCold(now) {
+		work *= coldSlowdown
+	}
+	work *= t.pace(now)
+	k := &Pick{Target: t.listed, Warm: warm, Load: t.load(now), Rank: rank, state: t, base: time.Duration(work)}
+	slots := max(1, t.listed.Slots)
+	if queue := k.Load + 1 - float64(slots); queue > 0 {
+		k.Wait = time.Duration(queue / float64(slots) * float64(w.average()) * t.pace(now))
+	}
+	k.Cost = k.Wait + k.base + p.trip(t.listed)
+	switch c.group {
+	case 1:
+		k.Cost += zonePenalty
+	case 2:
+		k.Cost += regionPenalty
+	}
+	return k
+}
+
+func warmChance(rank int) float64 {
+	switch rank {
+	case 0:
+		return firstWarm
+	case 1:
+		return secondWarm
+	}
+	return otherWarm
+}
+
+func (p *Picker) trip(l *receiver.Listed) time.Duration {
+	if d, ok := p.trips[l.Region]; ok {
+		return d
+	}
+	if l.Region == p.config.Region {
+		return 0
+	}
+	return unknownTrip
+}
+
+func hash(a, b string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(a)      // never fails
+	_, _ = d.WriteString("\x00") // never fails
+	_, _ = d.WriteString(b)      // never fails
+	return d.Sum64()
+}
+
+// Names lists the targets of a service that are known, for dumps.
+func (p *Picker) Names(service string) string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	s := p.services[service]
+	if s == nil {
+		return ""
+	}
+	var out []string
+	for _, t := range s.list {
+		out = append(out, t.listed.Name)
+	}
+	return strings.Join(out, ", ")
+}
--- a/entry/classifier/classifier.go
+++ b/entry/classifier/classifier.go
@@ -53,9 +53,9 @@
 	if route == nil {
 		return handler.Refuse(http.StatusNotFound, handler.ReasonNoRoute)
 	}
-	e.Route = route
-	e.Course = handler.Course{Version: e.Route.Service.Version}
-	timeout, ok := c.timeout(e.Request, route)
+	e.Route, e.Service = route, route.Service
+	e.Course = handler.Course{Version: e.Service.Version}
+	timeout, ok := c.timeout(e, route)
 	if !ok {
 		return handler.Refuse(http.StatusBadRequest, handler.ReasonBadRequest)
 	}
@@ -71,11 +71,12 @@
 	if strings.Contains(r.URL.Path, "/../") || strings.HasSuffix(r.URL.Path, "/..") {
 		return nil, false
 	}
+	host := hostOf(r.Host)
 	for _, t := range c.Routes {
-		if !strings.HasPrefix(r.URL.Path, t.Path) {
+		if !strings.HasPrefix(r.URL.Path, t.Path) || (t.Host != "" && !strings.EqualFold(t.Host, host)) {
 			continue
 		}
-		if slices.Contains(t.Methods, r.Method) {
+		if slices.Contains(t.Methods, r.Method) || t.Methods[0] == parser.AnyMethod {
 			return t, true
 		}
 		known = true
@@ -83,9 +84,17 @@
 	return nil, known
 }
 
+// hostOf drops the port from a host.
+func hostOf(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		return host[:i]
+	}
+	return host
+}
+
 // timeout returns the time left for the request: the caller's, but at most the route's.
-func (c *Classifier) timeout(r *http.Request, route *parser.Route) (time.Duration, bool) {
-	v := r.Header.Get(handler.DeadlineHeader)
+func (c *Classifier) timeout(e *handler.Exchange, route *parser.Route) (time.Duration, bool) {
+	v := e.Request.Header.Get(e.Dialect.Deadline)
 	if v == "" {
 		return route.Timeout, true
 	}
--- a/entry/cmd/filberthoist-entry/main.go
+++ b/entry/cmd/filberthoist-entry/main.go
@@ -16,7 +16,7 @@
 		Short: "Serves callers: look-ups and requests",
 		Read: func(s starter.Source) (func() *fx.App, error) {
 			settings, err := entry.ReadSettings(s)
-			return func() *fx.App { return entry.New(settings) }, err
+			return func() *fx.App { return entry.New(settings, entry.Seams{}) }, err
 		},
 	}))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,7 +22,9 @@
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
 	"github.com/filberthoist/filberthoist/core/wire/wireconnect"
+	"github.com/filberthoist/filberthoist/entry/acceptor"
 	"github.com/filberthoist/filberthoist/entry/authenticator"
+	"github.com/filberthoist/filberthoist/entry/balancer"
 	"github.com/filberthoist/filberthoist/entry/classifier"
 	"github.com/filberthoist/filberthoist/entry/deduplicator"
 	"github.com/filberthoist/filberthoist/entry/dispatcher"
@@ -33,6 +35,7 @@
 	"github.com/filberthoist/filberthoist/entry/receiver"
 	"github.com/filberthoist/filberthoist/entry/resolver"
 	"github.com/filberthoist/filberthoist/entry/shifter"
+	"github.com/filberthoist/filberthoist/entry/splitter"
 )
 
 // LookupPath is where callers ask which entries to use.
@@ -47,13 +50,34 @@
 	stopMargin = time.Minute
 )
 
+// Seams are what a build for another platform puts in place of the product's own; the zero
+// value is the product itself.
+type Seams struct {
+	Dialect handler.Dialect
+	// Surfaces returns further listeners.
+	Surfaces func(p Ports) []listener.Config
+}
+
+// Ports are what surfaces show of an entry.
+type Ports struct {
+	// Entries returns the callers' addresses of live entries for a region and availability
+	// zone, at most a number of them.
+	Entries func(region, zone string, most int) []string
+	// Ready tells whether this entry takes callers.
+	Ready func() bool
+}
+
 // New composes an entry process from its settings.
-func New(s Settings) *fx.App {
+func New(s Settings, x Seams) *fx.App {
+	if x.Dialect.Key == "" {
+		x.Dialect = handler.Own()
+	}
 	return fx.New(
 		fx.NopLogger,
 		fx.StopTimeout(s.Drain+stopMargin),
-		fx.Supply(s),
+		fx.Supply(s, x),
 		fx.Provide(
+			starter.NewQueue,
 			newLogger,
 			newReporter,
 			starter.NewGroup,
@@ -62,13 +86,18 @@
 			newConnector,
 			newSelf,
 			newShifter,
+			newDividedSlot,
 			newReceiver,
 			newOwner,
 			newLimiter,
+			newDivided,
 			newGranter,
 			newClient,
 			newForwarder,
 			newDispatcher,
+			newPicker,
+			newBalancer,
+			newAcceptor,
 			newDeduplicator,
 			newProber,
 			newResolver,
@@ -78,28 +107,44 @@
 	)
 }
 
+// steps are the parts of the pipeline. Of limiters and of the last step there are two
+// kinds: with roles, owners and dispatchers grant; without, this entry decides by itself.
+type steps struct {
+	fx.In
+	Limiter      *limiter.Limiter
+	Divided      *limiter.Divided
+	Deduplicator *deduplicator.Deduplicator
+	Shifter      *shifter.Shifter
+	Dispatcher   *dispatcher.Dispatcher
+	Balancer     *balancer.Balancer
+}
+
 // newHandler is the pipeline: each request takes these steps in this order.
-func newHandler(c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver,
-	m *limiter.Limiter, u *deduplicator.Deduplicator, t *shifter.Shifter, d *dispatcher.Dispatcher,
-) *handler.Handler {
+func newHandler(s Settings, x Seams, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, p steps) *handler.Handler {
 	n := classifier.NewClassifier(classifier.Config{Clock: c})
 	a := authenticator.NewAuthenticator(authenticator.Config{Fresh: v.Fresh})
+	limit, send := p.Divided.Step(), p.Balancer.Step()
+	if s.Roles {
+		limit, send = p.Limiter.Step(), p.Dispatcher.Step()
+	}
 	return handler.NewHandler(handler.Config{
-		Clock: c, Logger: l, Scope: r.Scope, View: v.View,
+		Clock: c, Logger: l, Scope: r.Scope, View: v.View, Dialect: &x.Dialect,
+		Trace: tracer{logger: l, served: s.LogRequests}.trace,
 		Steps: []handler.Step{
 			n.Step(),
 			a.Step(),
 			n.BodyStep(),
-			m.Step(),
-			u.Step(),
-			t.Step(),
-			d.Step(),
+			limit,
+			p.Deduplicator.Step(),
+			splitter.NewSplitter().Step(),
+			p.Shifter.Step(),
+			send,
 		},
 	})
 }
 
-func newLogger(s Settings) logger.Logger {
-	return starter.NewLogger(s.Name, s.LogLevel)
+func newLogger(s Settings, q *logger.Queue) logger.Logger {
+	return starter.NewLogger(s.Name, s.LogLevel, q)
 }
 
 func newReporter(s Settings, l fx.Lifecycle) *reporter.Reporter {
@@ -122,14 +167,38 @@
 }
 
 func newReceiver(s Settings, c timekeeper.Clock, l logger.Logger, a *asserter.Asserter, r *reporter.Reporter,
-	n *connector.Connector, self *wire.EntryMember, t *shifter.Shifter,
+	n *connector.Connector, self *wire.EntryMember, t *shifter.Shifter, d *dividedSlot,
 ) *receiver.Receiver {
 	return receiver.NewReceiver(receiver.Config{
 		Clock: c, Logger: l, Assert: a, Scope: r.Scope, Connector: n, Controls: s.Controls, Self: self,
-		Evidence: t.Evidence,
+		Evidence: t.Evidence, Rates: d.rates, Zones: s.Zones, Lenient: s.Lenient,
 	})
 }
 
+// dividedSlot breaks the circle between the receiver and the limiter that it tells shares.
+type dividedSlot struct {
+	value *limiter.Divided
+}
+
+func (d *dividedSlot) rates() map[string]float64 {
+	if d.value == nil {
+		return nil
+	}
+	return d.value.Rates()
+}
+
+func newDividedSlot() *dividedSlot {
+	return &dividedSlot{}
+}
+
+func newDivided(s Settings, c timekeeper.Clock, v *receiver.Receiver, d *dividedSlot) *limiter.Divided {
+	m := limiter.NewDivided(limiter.DividedConfig{Clock: c, View: v.View, Share: v.Share})
+	if !s.Roles {
+		d.value = m
+	}
+	return m
+}
+
 func newShifter(s Settings, l logger.Logger, r *reporter.Reporter) *shifter.Shifter {
 	return shifter.NewShifter(shifter.Config{Logger: l, Scope: r.Scope, Region: s.Region})
 }
@@ -159,8 +228,8 @@
 	})
 }
 
-func newForwarder(c timekeeper.Clock, v *receiver.Receiver, l fx.Lifecycle) *forwarder.Forwarder {
-	f := forwarder.NewForwarder(forwarder.Config{Clock: c, Fresh: v.Fresh})
+func newForwarder(x Seams, c timekeeper.Clock, v *receiver.Receiver, l fx.Lifecycle) *forwarder.Forwarder {
+	f := forwarder.NewForwarder(forwarder.Config{Clock: c, Fresh: v.Fresh, Dialect: &x.Dialect})
 	l.Append(fx.StopHook(f.Close))
 	return f
 }
@@ -173,6 +242,33 @@
 	})
 }
 
+func newPicker(s Settings, c timekeeper.Clock, v *receiver.Receiver) *balancer.Picker {
+	return balancer.NewPicker(balancer.PickerConfig{
+		Clock: c, Entry: s.Name, Zone: s.AvailabilityZone, Region: s.Region, Reachable: v.Reachable,
+	})
+}
+
+func newBalancer(s Settings, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, p *balancer.Picker,
+	f *forwarder.Forwarder, v *receiver.Receiver,
+) *balancer.Balancer {
+	s.Repeats.Entries = func() int { return len(v.View().Entries) }
+	return balancer.NewBalancer(balancer.Config{
+		Clock: c, Logger: l, Scope: r.Scope, Picker: p, Send: f.Send, Pass: f.Pass, Repeats: balancer.NewBudget(s.Repeats),
+	})
+}
+
+func newAcceptor(x Seams, l logger.Logger, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver) *acceptor.Acceptor {
+	return acceptor.NewAcceptor(acceptor.Config{
+		Handler: callerHandler(x, h, n), Logger: l,
+		Limits: func() acceptor.Limits {
+			if c := v.View().Configuration; c != nil {
+				return acceptor.Limits{HeaderBytes: c.Limits.HeaderBytes, HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout}
+			}
+			return acceptor.Limits{HeaderBytes: callerHeaderBytes, HeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
+		},
+	})
+}
+
 func newDeduplicator(n *connector.Connector, v *receiver.Receiver, g *supervisor.Group) *deduplicator.Deduplicator {
 	return deduplicator.NewDeduplicator(deduplicator.Config{Connector: n, Group: g, Leader: v.Leader})
 }
@@ -202,7 +298,8 @@
 	Shifter    *shifter.Shifter
 	Prober     *prober.Prober
 	Resolver   *resolver.Resolver
-	Handler    *handler.Handler
+	Acceptor   *acceptor.Acceptor
+	Seams      Seams
 	Lifecycle  fx.Lifecycle
 	Shutdowner fx.Shutdowner
 }
@@ -210,7 +307,14 @@
 // run opens the listeners, starts the loops and arranges the order of a shutdown.
 func run(p parts) error {
 	addDumps(p)
-	callers, err := open(p, "callers", p.Settings.CallerAddress, callerServer(p), nil)
+	callers, err := listener.NewListener(listener.Config{
+		Name: "callers", Address: p.Settings.CallerAddress, Serve: p.Acceptor.Serve, Shutdown: p.Acceptor.Shutdown,
+		Logger: p.Logger, Failed: func(error) { _ = p.Shutdowner.Shutdown(fx.ExitCode(1)) },
+	})
+	if err != nil {
+		return err
+	}
+	surfaces, err := openSurfaces(p)
 	if err != nil {
 		return err
 	}
@@ -224,15 +328,17 @@
 	}
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			for _, l := range []*listener.Listener{callers, peers, reports} {
+			for _, l := range append([]*listener.Listener{callers, peers, reports}, surfaces...) {
 				l.Start()
 			}
 			p.Group.Go("receiver", p.Receiver.Run)
-			p.Group.Go("granter", p.Granter.Run)
-			p.Group.Go("limiter", p.Limiter.Run)
-			p.Group.Go("permits", p.Client.Run)
-			p.Group.Go("prober", p.Prober.Run)
 			p.Group.Go("shifter", p.Shifter.Run)
+			if p.Settings.Roles {
+				p.Group.Go("granter", p.Granter.Run)
+				p.Group.Go("limiter", p.Limiter.Run)
+				p.Group.Go("permits", p.Client.Run)
+				p.Group.Go("prober", p.Prober.Run)
+			}
 			p.Logger.Log(logger.ProcessStarted, logger.F("callers", callers.Address()))
 			return nil
 		},
@@ -242,7 +348,9 @@
 			err := callers.StopWithin(p.Settings.Drain)
 			_ = peers.StopWithin(peerDrain) // other entries ask again elsewhere
 			p.Group.Stop()
-			_ = reports.StopWithin(peerDrain)
+			for _, l := range append(surfaces, reports) {
+				_ = l.StopWithin(peerDrain)
+			}
 			p.Logger.Log(logger.ProcessStopped)
 			return err
 		},
@@ -262,24 +370,43 @@
 // have kept run out.
 func leave(p parts) {
 	p.Receiver.Leave()
+	if !p.Settings.Roles {
+		p.Acceptor.Drain() // callers go elsewhere by themselves, so that few are left at the end
+	}
 	for end := time.Now().Add(leaveWait); !p.Receiver.Left() && time.Now().Before(end); {
 		time.Sleep(leaveCheck)
 	}
 	if c := p.Receiver.View().Configuration; c != nil {
-		time.Sleep(c.Limits.LookupLifetime)
+		time.Sleep(min(c.Limits.LookupLifetime, p.Settings.Leave))
 	}
 }
 
-func callerServer(p parts) *http.Server {
+// callerHandler serves look-ups beside requests, unless a surface does.
+func callerHandler(x Seams, h *handler.Handler, r *resolver.Resolver) http.Handler {
+	if x.Surfaces != nil {
+		return h
+	}
 	m := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	m.Handle(LookupPath, p.Resolver).Methods(http.MethodGet)
-	m.PathPrefix("/").Handler(p.Handler)
-	return &http.Server{
-		Handler:           m,
-		ReadHeaderTimeout: callerHeaderTimeout,
-		IdleTimeout:       callerIdleTimeout,
-		MaxHeaderBytes:    callerHeaderBytes,
+	m.Handle(LookupPath, r).Methods(http.MethodGet)
+	m.PathPrefix("/").Handler(h)
+	return m
+}
+
+// openSurfaces opens the listeners that a build for another platform adds.
+func openSurfaces(p parts) ([]*listener.Listener, error) {
+	if p.Seams.Surfaces == nil {
+		return nil, nil
+	}
+	var out []*listener.Listener
+	for _, c := range p.Seams.Surfaces(Ports{Entries: p.Resolver.Entries, Ready: p.Receiver.Ready}) {
+		c.Logger, c.Failed = p.Logger, func(error) { _ = p.Shutdowner.Shutdown(fx.ExitCode(1)) }
+		l, err := listener.NewListener(c)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, l)
 	}
+	return out, nil
 }
 
 func peerHandler(p parts) http.Handler {
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/filberthoist/filberthoist/core/parser"
@@ -36,6 +37,8 @@
 	Begun    time.Duration
 	Deadline time.Duration
 	Route    *parser.Route
+	// Service is the one of the route's services that the request goes to.
+	Service *parser.Service
 	// Course says which targets the request is for.
 	Course Course
 	// Fallback is taken if the course has no room or an attempt failed; nil means none.
@@ -50,19 +53,44 @@
 	Body []byte
 	// Finish is called with the outcome once the request is over; steps may set it.
 	Finish func(Outcome)
+	// RetryAfter is the time after which a refused request has a chance; 0 means the default.
+	RetryAfter time.Duration
+	// Dialect names the headers.
+	Dialect *Dialect
+	// Trace collects what was decided about the request, for its log line.
+	Trace Trace
 	// AnswerBegun is set once something of an answer went to the caller.
 	AnswerBegun bool
 }
 
 // Course says which targets may serve a request.
 type Course struct {
+	// Version is the only one that serves; empty means every one that is not barred.
 	Version string
+	// Barred lists versions that don't serve, each behind a comma.
+	Barred string
 	// Region is asked first; empty means the entry's own.
 	Region string
 	// Without is a region that is not asked.
 	Without string
 }
 
+// Trace is what was decided about a request.
+type Trace struct {
+	// Object is the key of the object that the request is about.
+	Object string
+	// Targets are the targets that it was sent to, in order, with the reasons and outcomes.
+	Targets []string
+}
+
+// Allows tells whether a version may serve.
+func (c Course) Allows(version string) bool {
+	if c.Version != "" {
+		return version == c.Version
+	}
+	return !strings.Contains(c.Barred+",", ","+version+",")
+}
+
 // TeamName returns the team's name, or the name that open requests share.
 func (e *Exchange) TeamName() string {
 	if e.Team == nil {
--- a/entry/handler/handler.go
+++ b/entry/handler/handler.go
@@ -29,25 +29,32 @@
 	Scope  tally.Scope
 	View   func() *receiver.View
 	Steps  []Step
+	// Dialect names the headers; nil means the product's own.
+	Dialect *Dialect
+	// Trace takes the line of each request; nil means that only failures are logged.
+	Trace func(e *Exchange, o Outcome, step string, took time.Duration)
 }
 
 // Handler serves callers.
 type Handler struct {
-	config  Config
-	latency tally.Histogram
+	config   Config
+	counters *counters
 }
 
 // NewHandler returns a Handler that takes requests through the steps in their order.
 func NewHandler(c Config) *Handler {
-	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
-	return &Handler{config: c, latency: c.Scope.Histogram("requestTime", buckets)}
+	if c.Dialect == nil {
+		own := Own()
+		c.Dialect = &own
+	}
+	return &Handler{config: c, counters: newCounters(c.Scope)}
 }
 
 // ServeHTTP takes one request through the steps and states its outcome.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := &Exchange{
-		Writer: w, Request: r, View: h.config.View(),
-		ID: newID(), Begun: h.config.Clock.Now(),
+		Writer: w, Request: r, View: h.config.View(), Dialect: h.config.Dialect,
+		ID: h.id(r), Begun: h.config.Clock.Now(),
 	}
 	o, step := h.handle(r.Context(), e)
 	if e.Finish != nil {
@@ -59,11 +66,21 @@
 		return
 	case e.AnswerBegun:
 		h.config.Logger.Log(logger.RequestCut, logger.F("request", e.ID), logger.F("reason", string(o.Reason)))
-		panic(http.ErrAbortHandler) // net/http closes the connection, so that the caller sees the cut
+		panic(http.ErrAbortHandler) // the server closes the connection, so that the caller sees the cut
 	}
 	h.refuse(e, o)
 }
 
+// id returns the caller's own id of the request, or a new one.
+func (h *Handler) id(r *http.Request) string {
+	if h.config.Dialect.CallersName {
+		if id := r.Header.Get(h.config.Dialect.Request); id != "" {
+			return id
+		}
+	}
+	return newID()
+}
+
 func (h *Handler) handle(ctx context.Context, e *Exchange) (Outcome, string) {
 	for _, s := range h.config.Steps {
 		if o := s.Handle(ctx, e); o.Over() {
@@ -77,30 +94,42 @@
 	if o.Run == Unknown {
 		h.config.Logger.Log(logger.RequestUnknown, logger.F("request", e.ID), logger.F("reason", string(o.Reason)))
 	}
+	status := o.Status
+	if h.config.Dialect.Status != nil {
+		status = h.config.Dialect.Status(o)
+	}
 	header := e.Writer.Header()
-	header.Set(OutcomeHeader, string(o.Run)+"; reason="+string(o.Reason))
-	header.Set(RequestHeader, e.ID)
+	if h.config.Dialect.Outcome != "" {
+		header.Set(h.config.Dialect.Outcome, string(o.Run)+"; reason="+string(o.Reason))
+	}
+	header.Set(h.config.Dialect.Request, e.ID)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Cache-Control", "no-store")
-	if o.Status == http.StatusTooManyRequests || o.Status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", retryAfter(e.RetryAfter))
 	}
-	e.Writer.WriteHeader(o.Status)
+	e.Writer.WriteHeader(status)
 	_, _ = e.Writer.Write([]byte(string(o.Run) + ": " + string(o.Reason) + "\n")) // the caller has gone
 }
 
 func (h *Handler) count(e *Exchange, o Outcome, step string) {
-	route := "none"
-	if e.Route != nil {
-		route = e.Route.Name
+	took := h.config.Clock.Now() - e.Begun
+	h.counters.count(e, o, step, took)
+	if h.config.Trace != nil {
+		h.config.Trace(e, o, step, took)
 	}
-	tags := map[string]string{"route": route, "team": e.TeamName(), "run": string(o.Run), "reason": string(o.Reason), "step": step}
-	h.config.Scope.Tagged(tags).Counter("requests").Inc(1)
-	h.latency.RecordDuration(h.config.Clock.Now() - e.Begun)
 }
 
-// retryAfterSeconds is what refused callers are asked to wait.
-const retryAfterSeconds = 1
+// defaultRetryAfter is what refused callers are asked to wait where no step knows better.
+const defaultRetryAfter = time.Second
+
+// retryAfter writes a time in seconds, with a fraction where it has one.
+func retryAfter(d time.Duration) string {
+	if d <= 0 {
+		d = defaultRetryAfter
+	}
+	return strconv.FormatFloat(d.Seconds(), 'f', -1, 64)
+}
 
 func newID() string {
 	var b [12]byte
--- /dev/null
+++ b/entry/limiter/divided.go
@@ -0,0 +1,154 @@
+package limiter
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/entry/handler"
+	"github.com/filberthoist/filberthoist/entry/receiver"
+)
+
+const (
+	// rateSpan is the time over which the requests of a team are averaged.
+	rateSpan = time.Second
+	// longestBorrow is the longest that a request waits for the next token of its team.
+	longestBorrow = 100 * time.Millisecond
+)
+
+// DividedConfig sets up a Divided.
+type DividedConfig struct {
+	Clock timekeeper.Clock
+	View  func() *receiver.View
+	// Share is the part of a team's rate and burst that this entry may admit, from 0 to 1.
+	Share func(team string) float64
+}
+
+// Divided is the step that admits each team's requests by this entry's share of the team's
+// rate and burst. It asks nobody, so it goes on while other processes are out of reach.
+type Divided struct {
+	config DividedConfig
+	mutex  sync.Mutex
+	teams  map[string]*dividedBucket
+}
+
+// dividedBucket holds the tokens of one team at this entry.
+type dividedBucket struct {
+	tokens float64
+	filled time.Duration
+	// rate is the averaged number of requests per second, counted at the moment counted.
+	rate    float64
+	counted time.Duration
+	known   bool
+}
+
+// NewDivided returns a Divided.
+func NewDivided(c DividedConfig) *Divided {
+	return &Divided{config: c, teams: map[string]*dividedBucket{}}
+}
+
+// Step returns the pipeline step.
+func (d *Divided) Step() handler.Step {
+	return handler.Step{Name: "limiter", Handle: d.limit}
+}
+
+// Rates tells how often each limited team asked, in requests per second.
+func (d *Divided) Rates() map[string]float64 {
+	c := d.config.View().Configuration
+	if c == nil {
+		return nil
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now, out := d.config.Clock.Now(), map[string]float64{}
+	for name, t := range c.Teams {
+		if t.Unlimited {
+			continue
+		}
+		out[name] = 0
+		if b := d.teams[name]; b != nil {
+			b.decay(now)
+			out[name] = b.rate
+		}
+	}
+	for name := range d.teams {
+		if c.Teams[name] == nil {
+			delete(d.teams, name)
+		}
+	}
+	return out
+}
+
+func (d *Divided) limit(ctx context.Context, e *handler.Exchange) handler.Outcome {
+	if e.Team == nil || e.Team.Unlimited {
+		return handler.Outcome{}
+	}
+	wait, ok := d.take(e.Team)
+	if !ok {
+		e.RetryAfter = wait
+		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonLimit)
+	}
+	if wait <= 0 {
+		return handler.Outcome{}
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return handler.Outcome{}
+	case <-ctx.Done():
+		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonCallerGone)
+	}
+}
+
+// take spends a token, or one that comes within longestBorrow. The wait is until the token
+// is there; without one it is until one may be.
+func (d *Divided) take(t *parser.Team) (wait time.Duration, ok bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.config.Clock.Now()
+	b := d.teams[t.Name]
+	if b == nil {
+		b = &dividedBucket{filled: now, counted: now}
+		d.teams[t.Name] = b
+	}
+	b.decay(now)
+	b.rate += 1 / rateSpan.Seconds()
+	share := d.config.Share(t.Name)
+	b.fill(now, t.Rate*share, t.Burst*share)
+	if b.tokens >= 1 {
+		b.tokens--
+		return 0, true
+	}
+	rate := t.Rate * share
+	if rate <= 0 {
+		return rateSpan, false
+	}
+	wait = time.Duration((1 - b.tokens) / rate * float64(time.Second))
+	if wait > longestBorrow {
+		return wait, false
+	}
+	b.tokens--
+	return wait, true
+}
+
+// fill adds what came since the last time. A share that grows brings no tokens at once,
+// since those that gave it up may have spent theirs.
+func (b *dividedBucket) fill(now time.Duration, rate, burst float64) {
+	if !b.known && burst > 0 {
+		b.tokens, b.known = burst, true
+	}
+	b.tokens = min(burst, b.tokens+rate*(now-b.filled).Seconds())
+	b.filled = now
+}
+
+func (b *dividedBucket) decay(now time.Duration) {
+	if now > b.counted {
+		b.rate *= math.Exp(-(now - b.counted).Seconds() / rateSpan.Seconds())
+		b.counted = now
+	}
+}
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +42,12 @@
 	Self     *wire.EntryMember
 	// Evidence tells what this entry saw of the moves under way; nil means nothing.
 	Evidence func() []*wire.MoveEvidence
+	// Rates tells how often each team asked, in requests per second; nil means nothing.
+	Rates func() map[string]float64
+	// Zones are the regions of the availability zones, for targets that are listed.
+	Zones map[string]string
+	// Lenient lets keyed requests pass with the last known state while control is out of reach.
+	Lenient bool
 }
 
 // Receiver polls control and holds the latest View.
@@ -59,7 +66,11 @@
 	avoided      string
 	avoidedUntil time.Duration
 	// known is the leader's address for other parts; it may be empty.
-	known   atomic.Pointer[string]
+	known atomic.Pointer[string]
+	// learned are the addresses of control members as the last leader told them.
+	learned []string
+	targets targetList
+	shares  shares
 	lapsed  bool
 	silent  bool
 	failing bool
@@ -76,6 +87,7 @@
 		config:  c,
 		client:  c.Connector.Client(),
 		records: records{},
+		targets: newTargetList(c.Zones),
 		lapsed:  true,
 		polls:   c.Scope.Counter("polls"),
 		bytes:   c.Scope.Counter("pollBytes"),
@@ -117,7 +129,17 @@
 
 // Fresh tells whether keyed requests may be served now.
 func (r *Receiver) Fresh() bool {
-	return r.config.Clock.Now() < r.FreshUntil()
+	return r.config.Lenient || r.config.Clock.Now() < r.FreshUntil()
+}
+
+// Share returns the part of a team's rate and burst that this entry may admit, from 0 to 1.
+func (r *Receiver) Share(team string) float64 {
+	return r.shares.of(team, r.config.Clock.Now())
+}
+
+// Reachable tells whether control answered within the lease on this entry's roles.
+func (r *Receiver) Reachable() bool {
+	return r.Acting()
 }
 
 // RoleUntil returns the end of the lease on this entry's roles, on the Clock.
@@ -144,6 +166,11 @@
 	r.leaving.Store(true)
 }
 
+// Ready tells whether this entry takes callers.
+func (r *Receiver) Ready() bool {
+	return !r.leaving.Load() && r.Healthy() == nil
+}
+
 // Left tells whether control has taken this entry out of the look-ups.
 func (r *Receiver) Left() bool {
 	m := r.View().Entries[r.config.Self.GetName()]
@@ -158,10 +185,10 @@
 // Healthy returns an error unless keyed requests may be served.
 func (r *Receiver) Healthy() error {
 	switch {
-	case !r.Fresh():
-		return errors.New("no fresh word from control")
 	case r.View().Configuration == nil:
 		return errors.New("no configuration is in force")
+	case !r.Fresh():
+		return errors.New("no fresh word from control")
 	}
 	return nil
 }
@@ -182,8 +209,9 @@
 	defer cancel()
 	address := r.address()
 	start := r.config.Clock.Now()
+	q := r.request(address, start)
 	c := wireconnect.NewDistributionServiceClient(r.client, r.config.Connector.URL(address))
-	answer, err := c.Poll(ctx, connect.NewRequest(r.request()))
+	answer, err := c.Poll(ctx, connect.NewRequest(q))
 	r.polls.Inc(1)
 	if err != nil {
 		r.unreachable(address, err)
@@ -197,11 +225,16 @@
 	}
 	r.leader = address
 	r.known.Store(&address)
+	if len(answer.Msg.GetControlAddresses()) > 0 {
+		r.learned = answer.Msg.GetControlAddresses()
+	}
+	r.shares.take(answer.Msg, start, q.GetDemands() != nil, address)
 	r.take(answer.Msg, start)
+	r.takeTargets(answer.Msg.GetTargets())
 	return true
 }
 
-func (r *Receiver) request() *wire.PollRequest {
+func (r *Receiver) request(address string, now time.Duration) *wire.PollRequest {
 	self := proto.CloneOf(r.config.Self)
 	if r.leaving.Load() {
 		self.State = wire.EntryState_ENTRY_STATE_LEAVING
@@ -216,9 +249,24 @@
 	if r.config.Evidence != nil {
 		q.Evidence = r.config.Evidence()
 	}
+	q.Targets = r.targets.version
+	q.SharesInUse = r.shares.inUse()
+	if r.config.Rates != nil && r.shares.due(address, now) {
+		q.Demands = r.shares.demands(r.config.Rates())
+	}
 	return q
 }
 
+// takeTargets applies changes of the list of targets.
+func (r *Receiver) takeTargets(c *wire.TargetChanges) {
+	if c == nil || !r.targets.apply(c, r.config.Clock.Now()) {
+		return
+	}
+	n := *r.View()
+	n.Listed = r.targets.byService()
+	r.store(&n)
+}
+
 // take applies an answer to the poll that was sent at start.
 func (r *Receiver) take(p *wire.PollResponse, start time.Duration) {
 	old := r.View()
@@ -232,7 +280,9 @@
 		return // without the change this entry must not count as up to date
 	}
 	if p.GetIndex() > r.View().Index {
-		r.store(&View{Index: p.GetIndex(), Configuration: old.Configuration, Entries: old.Entries, Roles: old.Roles})
+		n := *r.View()
+		n.Index = p.GetIndex()
+		r.store(&n)
 	}
 	if p.GetFresh() {
 		r.asked.Store(int64(start))
@@ -241,7 +291,7 @@
 
 func (r *Receiver) apply(p *wire.PollResponse, old *View) bool {
 	textChanged := r.records.merge(p) || r.failing
-	v, err := r.records.compile(p.GetIndex(), old, textChanged)
+	v, err := r.records.compile(p.GetIndex(), old, textChanged, r.config.Zones)
 	if err != nil {
 		r.config.Logger.Log(logger.ConfigurationBad, logger.F("index", p.GetIndex()), logger.F("error", err))
 		return false
@@ -269,10 +319,23 @@
 	if r.leader != "" {
 		return r.leader
 	}
-	if r.avoids(r.config.Controls[r.target%len(r.config.Controls)]) {
+	list := r.controls()
+	if r.avoids(list[r.target%len(list)]) {
 		r.target++
 	}
-	return r.config.Controls[r.target%len(r.config.Controls)]
+	return list[r.target%len(list)]
+}
+
+// controls are the members that the leader told of, and those of the settings, which may
+// be gone by now.
+func (r *Receiver) controls() []string {
+	out := slices.Clone(r.learned)
+	for _, a := range r.config.Controls {
+		if !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	return out
 }
 
 func (r *Receiver) avoids(address string) bool {
--- /dev/null
+++ b/entry/receiver/shares.go
@@ -0,0 +1,82 @@
+package receiver
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// demandInterval is the pause between reports of what teams ask for.
+const demandInterval = 500 * time.Millisecond
+
+// shares are the parts of teams' rates that this entry may admit.
+type shares struct {
+	mutex  sync.Mutex
+	number uint64
+	byTeam map[string]float64
+	// asked is when the last answered poll was sent; the lease counts from it.
+	asked time.Duration
+	// reportedTo and reportedAt tell the last report of demands.
+	reportedTo string
+	reportedAt time.Duration
+}
+
+// of returns the share of a team; past the lease only a small one is left.
+func (s *shares) of(team string, now time.Duration) float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	share := s.byTeam[team]
+	if now-s.asked > timekeeper.ShareLease {
+		return min(share, timekeeper.SilentShare)
+	}
+	return share
+}
+
+func (s *shares) inUse() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.number
+}
+
+// due tells whether a member is to be told the demands: one that was not told before needs
+// to know the shares that are in use.
+func (s *shares) due(address string, now time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reportedTo != address || now-s.reportedAt >= demandInterval
+}
+
+func (s *shares) demands(rates map[string]float64) []*wire.TeamDemand {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var out []*wire.TeamDemand
+	for _, team := range slices.Sorted(maps.Keys(rates)) {
+		out = append(out, &wire.TeamDemand{Team: team, Rate: rates[team], Share: s.byTeam[team]})
+	}
+	return out
+}
+
+// take uses the shares of an answer from now on.
+func (s *shares) take(p *wire.PollResponse, start time.Duration, reported bool, address string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.asked = start
+	if reported {
+		s.reportedTo, s.reportedAt = address, start
+	}
+	if p.GetSharesNumber() == 0 {
+		return
+	}
+	next := maps.Clone(s.byTeam)
+	if next == nil {
+		next = map[string]float64{}
+	}
+	for _, t := range p.GetShares() {
+		next[t.GetTeam()] = t.GetShare()
+	}
+	s.number, s.byTeam = p.GetSharesNumber(), next
+}
--- /dev/null
+++ b/entry/receiver/targets.go
@@ -0,0 +1,64 @@
+package receiver
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// targetList is the platform's list of targets as the leader told it.
+type targetList struct {
+	zones   map[string]string
+	version *wire.ListVersion
+	targets map[string]*Listed
+}
+
+func newTargetList(zones map[string]string) targetList {
+	return targetList{zones: zones, targets: map[string]*Listed{}}
+}
+
+// apply takes changes in and tells whether there was something to take. A leader of an
+// earlier term tells nothing new.
+func (l *targetList) apply(c *wire.TargetChanges, now time.Duration) bool {
+	if c.GetVersion().GetTerm() < l.version.GetTerm() {
+		return false
+	}
+	if c.GetWhole() {
+		l.targets = map[string]*Listed{}
+	}
+	l.version = c.GetVersion()
+	for _, t := range c.GetTargets() {
+		if t.GetState() == wire.TargetState_TARGET_STATE_GONE {
+			delete(l.targets, t.GetId())
+			continue
+		}
+		l.targets[t.GetId()] = l.listed(t, now)
+	}
+	return true
+}
+
+func (l *targetList) listed(t *wire.ListedTarget, now time.Duration) *Listed {
+	return &Listed{
+		Target: &parser.Target{
+			Name: t.GetId(), Service: t.GetService(), Address: t.GetAddress(),
+			Region: l.zones[t.GetAvailabilityZone()], AvailabilityZone: t.GetAvailabilityZone(),
+			Slots: int(t.GetSlots()), Version: t.GetVersion(),
+		},
+		Leaving:   t.GetState() == wire.TargetState_TARGET_STATE_LEAVING,
+		ColdUntil: now + time.Duration(t.GetColdMilliseconds())*time.Millisecond,
+	}
+}
+
+func (l *targetList) byService() map[string][]*Listed {
+	out := map[string][]*Listed{}
+	for _, t := range l.targets {
+		out[t.Service] = append(out[t.Service], t)
+	}
+	for _, list := range out {
+		slices.SortFunc(list, func(a, b *Listed) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return out
+}
--- a/entry/receiver/view.go
+++ b/entry/receiver/view.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strings"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -20,7 +21,19 @@
 	Roles   map[string]*wire.Role
 	// Shifts are the moves under way or done, by service.
 	Shifts map[string]Shift
-	moves  map[string]*wire.MoveRecord
+	// Listed are the targets that the platform lists, by service and in the order of their names.
+	Listed map[string][]*Listed
+	// Evacuated are the availability zones whose targets are to get no work.
+	Evacuated map[string]bool
+	moves     map[string]*wire.MoveRecord
+}
+
+// Listed is a target as the platform lists it.
+type Listed struct {
+	*parser.Target
+	Leaving bool
+	// ColdUntil is when the target is warm, on the process's Clock.
+	ColdUntil time.Duration
 }
 
 // Shift is a move with how far it is.
@@ -64,7 +77,7 @@
 		textChanged = true
 	}
 	for _, n := range p.GetRecords() {
-		textChanged = textChanged || strings.HasPrefix(n.GetKey(), wire.TextRecords)
+		textChanged = textChanged || strings.HasPrefix(n.GetKey(), wire.TextRecords) || strings.HasPrefix(n.GetKey(), wire.ItemRecords)
 		if n.GetDeleted() {
 			delete(r, n.GetKey())
 			continue
@@ -75,13 +88,15 @@
 }
 
 // compile makes a View; the configuration is taken from old unless the text changed.
-func (r records) compile(index uint64, old *View, textChanged bool) (*View, error) {
+func (r records) compile(index uint64, old *View, textChanged bool, zones map[string]string) (*View, error) {
 	v := &View{
 		Index:         index,
 		Configuration: old.Configuration,
 		Entries:       map[string]*wire.EntryMember{},
 		Roles:         map[string]*wire.Role{},
 		Shifts:        map[string]Shift{},
+		Listed:        old.Listed,
+		Evacuated:     map[string]bool{},
 		moves:         map[string]*wire.MoveRecord{},
 	}
 	for k, n := range r {
@@ -90,7 +105,7 @@
 		}
 	}
 	if textChanged {
-		if err := v.compileText(r); err != nil {
+		if err := v.compileText(r, zones); err != nil {
 			return v, err
 		}
 	}
@@ -105,8 +120,9 @@
 		return
 	}
 	for n, m := range v.Configuration.Moves {
-		if r := wire.FindMove(v.moves, n, m.Course()); r != nil {
-			v.Shifts[m.Service] = Shift{Move: m, Record: r}
+		r := wire.FindMove(v.moves, n, m.Course())
+		if r != nil || v.Configuration.Services[m.Service].Version == "" {
+			v.Shifts[m.Service] = Shift{Move: m, Record: r} // without a record nothing goes the new way
 		}
 	}
 }
@@ -125,6 +141,12 @@
 			return err
 		}
 		v.Roles[m.GetName()] = m
+	case strings.HasPrefix(key, wire.EvacuationRecords):
+		m := &wire.Evacuation{}
+		if err := proto.Unmarshal(r.GetValue(), m); err != nil {
+			return err
+		}
+		v.Evacuated[m.GetAvailabilityZone()] = true
 	case strings.HasPrefix(key, wire.MoveRecords):
 		m := &wire.MoveRecord{}
 		if err := proto.Unmarshal(r.GetValue(), m); err != nil {
@@ -135,11 +157,19 @@
 	return nil
 }
 
-func (v *View) compileText(r records) error {
+func (v *View) compileText(r records, zones map[string]string) error {
 	sections, err := r.sections()
 	if err != nil {
 		return err
 	}
+	items, err := r.items()
+	if err != nil {
+		return err
+	}
+	if len(sections) == 0 && len(items) > 0 {
+		sections = parser.Frame(zones)
+	}
+	sections = append(sections, wire.ItemSections(items)...)
 	if len(sections) == 0 {
 		v.Configuration = nil
 		return nil
@@ -149,6 +179,21 @@
 	return problems.Err()
 }
 
+func (r records) items() (map[string]*wire.Item, error) {
+	out := map[string]*wire.Item{}
+	for k, n := range r {
+		if !strings.HasPrefix(k, wire.ItemRecords) {
+			continue
+		}
+		t := &wire.Item{}
+		if err := proto.Unmarshal(n.GetValue(), t); err != nil {
+			return nil, err
+		}
+		out[t.GetName()] = t
+	}
+	return out, nil
+}
+
 func (r records) sections() ([]loader.Section, error) {
 	var keys []string
 	for k := range r {
--- a/entry/resolver/resolver.go
+++ b/entry/resolver/resolver.go
@@ -74,6 +74,28 @@
 	_ = json.NewEncoder(w).Encode(out) // the caller has gone
 }
 
+// Entries returns the callers' addresses of live entries for a region and availability
+// zone: those of the region, with those of the zone first, or all others if there is none.
+func (r *Resolver) Entries(region, zone string, most int) []string {
+	var near, inRegion, far []string
+	for _, m := range r.config.View().Entries {
+		switch {
+		case m.GetState() != wire.EntryState_ENTRY_STATE_LIVE:
+		case m.GetAvailabilityZone() == zone:
+			near = append(near, m.GetAddress())
+		case m.GetRegion() == region:
+			inRegion = append(inRegion, m.GetAddress())
+		default:
+			far = append(far, m.GetAddress())
+		}
+	}
+	out := append(near, inRegion...)
+	if len(out) == 0 {
+		out = far
+	}
+	return out[:min(len(out), most)]
+}
+
 // Resolve orders live entries for a caller: those of its region first, then the regions
 // by delay; within a region by rendezvous hashing, so that callers spread evenly and an
 // entry's end moves only its own callers.
--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -130,11 +131,16 @@
 }
 
 func (s *Shifter) shift(_ context.Context, e *handler.Exchange) handler.Outcome {
-	m := s.use(e.View).moves[e.Route.Service.Name]
+	service := e.Service
+	if service == nil {
+		service = e.Route.Service
+	}
+	m := s.use(e.View).moves[service.Name]
 	if m == nil || (m.shift.Move.Regional() && m.shift.Move.FromRegion != s.config.Region) {
 		return handler.Outcome{}
 	}
-	old, other := e.Course, courseOf(e.Course, m.shift.Move)
+	old, other := oldCourse(e.Course, m.shift.Move), courseOf(e.Course, m.shift.Move)
+	e.Course = old
 	if m.shift.Done() {
 		e.Course = other
 		return handler.Outcome{}
@@ -153,6 +159,18 @@
 	return handler.Outcome{}
 }
 
+// oldCourse returns the old side of a move: its version, or every version that no move
+// leads or led to in vain.
+func oldCourse(c handler.Course, m *parser.Move) handler.Course {
+	if m.Regional() || c.Version != "" {
+		return c
+	}
+	for _, v := range append(slices.Clone(m.Barred), m.To) {
+		c.Barred += "," + v
+	}
+	return c
+}
+
 // courseOf returns the new side of a move.
 func courseOf(old handler.Course, m *parser.Move) handler.Course {
 	if m.Regional() {
--- /dev/null
+++ b/entry/tracer.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/entry/handler"
+)
+
+// tracer writes the line of each request: refused and failed ones always, served ones as
+// often as the settings say.
+type tracer struct {
+	logger logger.Logger
+	// served is the part of served requests that get a line, from 0 to 1.
+	served float64
+}
+
+func (t tracer) trace(e *handler.Exchange, o handler.Outcome, step string, took time.Duration) {
+	event := logger.RequestServed
+	switch {
+	case o.Run == handler.NotRun:
+		event = logger.RequestRefused
+	case o.Run == handler.Unknown:
+		event = logger.RequestFailed
+	case t.served == 0 || (t.served < 1 && rand.Float64() >= t.served):
+		return
+	}
+	fields := []logger.Field{
+		logger.F("request", e.ID), logger.F("team", e.TeamName()), logger.F("took", took.Round(100*time.Microsecond)),
+		logger.F("index", int(e.View.Index)), logger.F("targets", e.Trace.Targets),
+	}
+	if e.Route != nil {
+		fields = append(fields, logger.F("route", e.Route.Name), logger.F("itemVersion", int(e.Route.Version)),
+			logger.F("service", e.Service.Name), logger.F("object", e.Trace.Object), logger.F("left", e.Deadline-e.Begun-took))
+	}
+	if event != logger.RequestServed {
+		fields = append(fields, logger.F("step", step), logger.F("reason", string(o.Reason)), logger.F("status", o.Status),
+			logger.F("retryAfter", e.RetryAfter))
+	}
+	t.logger.Log(event, fields...)
+}
