Order targets for each object by weighted rendezvous over the region's part of the slots

Cause: entries of one region disagreed on an object's target (each preferred its own zone) and sent what did not fit to any target, so 40 % of the requests met a cold target; delta, with 2 of 20 targets, moved half of its requests between windows (SHIFT). Change: one order of targets for each object that all entries of a region agree on; a region keeps its fair part of the slots' objects at home and the rest has its first target elsewhere. Answers count for the nearer of a warm and a cold time.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -110,6 +110,7 @@
 	d := Demand{
 		Service: e.Service.Name, Work: e.Service.Name + " " + e.Route.Name,
 		Allows: e.Course.Allows, Homes: homesOf(e), ColdRate: e.Service.ColdRate,
+		Aim: e.Route.Aim,
 	}
 	if e.Route.Affinity && e.Dialect.Affinity != "" {
 		if c, err := e.Request.Cookie(e.Dialect.Affinity); err == nil {
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -1,6 +1,8 @@
 package balancer
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -18,15 +20,17 @@
 const (
 	// firstWarm, secondWarm and otherWarm are the chances that an object is warm on the
 	// first, second and any further target of its order, where nothing is known.
-	firstWarm  = 0.7
-	secondWarm = 0.4
+	firstWarm  = 0.9
+	secondWarm = 0.3
 	otherWarm  = 0.05
 	// knownWarm is the chance on a target that answered for the object lately.
 	knownWarm = 0.95
 	// zonePenalty and regionPenalty are what a way to another zone or region costs beyond
 	// its time, since bytes on it are dear and others need its targets.
-	zonePenalty   = 15 * time.Millisecond
+	zonePenalty   = 5 * time.Millisecond
 	regionPenalty = 30 * time.Millisecond
+	// awayWeight is the weight of targets in other regions where those at home suffice.
+	awayWeight = 1e-6
 	// unknownTrip is assumed for a trip to another region before one was measured.
 	unknownTrip = 60 * time.Millisecond
 	tripWeight  = 0.2
@@ -43,6 +47,8 @@
 	Entry  string
 	Zone   string
 	Region string
+	// Regions is the number of regions of the deployment.
+	Regions int
 	// Reachable tells whether control answered lately; without it no cold target is used.
 	Reachable func() bool
 }
@@ -76,6 +82,8 @@
 	Allows func(version string) bool
 	// Homes are the only regions that may serve; empty means all.
 	Homes []string
+	// Aim is the time within which an answer is worth most; 0 if none is stated.
+	Aim time.Duration
 	// Left is the time that is left for the request.
 	Left time.Duration
 	// Excluded are targets that were tried already.
@@ -163,21 +171,19 @@
 }
 
 func (p *Picker) learnAnswer(now time.Duration, k *Pick, d Demand, took time.Duration) {
-	t, w := k.state, p.work(d.Work)
+	t, w := k.state, p.work(d)
 	work := max(took-p.trip(t.listed)-k.Wait, took/4)
-	expected := w.expect(t.isWarm(now, d.Object))
-	w.learn(work, t.isWarm(now, d.Object))
-	t.succeed(now, float64(work)/float64(expected))
+	t.succeed(now, w.learn(work))
 	if d.Object != "" {
 		t.remember(now, d.Object)
 	}
 }
 
-func (p *Picker) work(name string) *work {
-	w := p.works[name]
+func (p *Picker) work(d Demand) *work {
+	w := p.works[d.Work]
 	if w == nil {
-		w = &work{}
-		p.works[name] = w
+		w = newWork(d.Aim)
+		p.works[d.Work] = w
 	}
 	return w
 }
@@ -231,29 +237,20 @@
 	s.targets = next
 }
 
-// candidate is a target that may serve a demand, with its place in the object's order.
+// candidate is a target that may serve a demand.
 type candidate struct {
 	target *target
-	weight uint64
-	// group is 0 in the entry's zone, 1 in its region, 2 beyond.
-	group int
+	// place is smaller the earlier the target comes in the object's order.
+	place float64
 }
 
 // best returns the target with the least cost.
 func (p *Picker) best(now time.Duration, v *receiver.View, d Demand) *Pick {
 	list := p.candidates(now, v, d)
-	slices.SortFunc(list, func(a, b candidate) int {
-		if a.group != b.group {
-			return a.group - b.group
-		}
-		if a.weight > b.weight {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.place, b.place) })
 	var best *Pick
 	for i, c := range list {
-		k := p.price(now, c, i, d)
+		k := p.price(now, c.target, i, d)
 		if i == 0 && !c.target.tried {
 			return k // a target that joined gets its first request
 		}
@@ -264,46 +261,89 @@
 	return best
 }
 
-// candidates returns the targets that may serve a demand now.
+// candidates returns the targets that may serve a demand now. Each object has an order of
+// them that all entries of a region agree on and that changes little as targets come and go
+// (weighted rendezvous hashing).
 func (p *Picker) candidates(now time.Duration, v *receiver.View, d Demand) []candidate {
 	s := p.services[d.Service]
 	if s == nil {
 		return nil
 	}
-	out := make([]candidate, 0, len(s.list))
-	ejected := 0
+	standing := make([]*target, 0, len(s.list))
 	for _, t := range s.list {
-		if !p.serves(now, v, d, t) {
-			continue
+		if p.stands(now, v, d, t) {
+			standing = append(standing, t)
 		}
-		if t.isEjected(now) {
+	}
+	w := p.weights(standing)
+	out := make([]candidate, 0, len(standing))
+	ejected := 0
+	for _, t := range standing {
+		switch {
+		case slices.Contains(d.Excluded, t.listed.Name):
+		case t.isCold(now) && d.ColdRate > 0 && !(p.warms(v, t.listed) && t.hasCold(now, d.ColdRate)):
+		case t.isEjected(now):
 			ejected++
-			continue
+		default:
+			out = append(out, candidate{t, w.place(d.Object, t.listed)})
 		}
-		out = append(out, candidate{t, hash(d.Object, t.listed.Name), p.group(t.listed)})
 	}
-	if ejected == 0 || float64(ejected) <= ejectedPart*float64(ejected+len(out)) {
+	if float64(ejected) <= ejectedPart*float64(ejected+len(out)) {
 		return out
 	}
-	for _, t := range s.list { // too many to do without: those that can be reached serve
-		if p.serves(now, v, d, t) && t.isEjected(now) && t.failures < 1 {
-			out = append(out, candidate{t, hash(d.Object, t.listed.Name), p.group(t.listed)})
+	for _, t := range standing { // too many to do without
+		if t.isEjected(now) && !slices.Contains(d.Excluded, t.listed.Name) {
+			out = append(out, candidate{t, w.place(d.Object, t.listed)})
 		}
 	}
 	return out
 }
 
-func (p *Picker) serves(now time.Duration, v *receiver.View, d Demand, t *target) bool {
+// weights say how the objects of this region are shared out.
+type weights struct {
+	region string
+	// home and away are the weights of one slot in the entry's region and beyond.
+	home, away float64
+}
+
+// weights keeps objects at home as far as the slots there are the region's fair part of all,
+// and shares the rest out over all other slots.
+func (p *Picker) weights(standing []*target) weights {
+	home, away := 0.0, 0.0
+	for _, t := range standing {
+		if t.listed.Region == p.config.Region {
+			home += float64(t.listed.Slots)
+		} else {
+			away += float64(t.listed.Slots)
+		}
+	}
+	w := weights{region: p.config.Region, home: 1, away: awayWeight}
+	fair := (home + away) / float64(max(1, p.config.Regions))
+	if home > 0 && away > 0 && home < fair {
+		stay := home / fair
+		w.home, w.away = stay/home, (1-stay)/away
+	}
+	return w
+}
+
+// place returns the place of a target in an object's order; smaller comes first.
+func (w weights) place(object string, l *receiver.Listed) float64 {
+	u := (float64(hash(object, l.Name)>>11) + 0.5) / (1 << 53)
+	weight := w.away
+	if l.Region == w.region {
+		weight = w.home
+	}
+	return -math.Log(u) / (weight * float64(l.Slots))
+}
+
+// stands tells whether a target takes work at all.
+func (p *Picker) stands(now time.Duration, v *receiver.View, d Demand, t *target) bool {
 	l := t.listed
 	switch {
 	case t.isLeaving(now), v.Evacuated[l.AvailabilityZone], !d.Allows(l.Version):
 		return false
 	case len(d.Homes) > 0 && !slices.Contains(d.Homes, l.Region):
 		return false
-	case slices.Contains(d.Excluded, l.Name):
-		return false
-	case t.isCold(now) && d.ColdRate > 0:
-		return p.warms(v, l) && t.hasCold(now, d.ColdRate)
 	}
 	return true
 }
@@ -327,20 +367,9 @@
 	return best == p.config.Entry
 }
 
-func (p *Picker) group(l *receiver.Listed) int {
-	switch {
-	case l.AvailabilityZone == p.config.Zone:
-		return 0
-	case l.Region == p.config.Region:
-		return 1
-	}
-	return 2
-}
-
 // price returns what a candidate is expected to take.
-func (p *Picker) price(now time.Duration, c candidate, rank int, d Demand) *Pick {
-	t := c.target
-	w := p.work(d.Work)
+func (p *Picker) price(now time.Duration, t *target, rank int, d Demand) *Pick {
+	w := p.work(d)
 	chance := warmChance(rank)
 	warm := t.isWarm(now, d.Object)
 	if warm {
@@ -354,14 +383,14 @@
 	k := &Pick{Target: t.listed, Warm: warm, Load: t.load(now), Rank: rank, state: t, base: time.Duration(work)}
 	slots := max(1, t.listed.Slots)
 	if queue := k.Load + 1 - float64(slots); queue > 0 {
-		k.Wait = time.Duration(queue / float64(slots) * float64(w.average()) * t.pace(now))
+		k.Wait = time.Duration(queue / float64(slots) * float64(w.mean) * t.pace(now))
 	}
 	k.Cost = k.Wait + k.base + p.trip(t.listed)
-	switch c.group {
-	case 1:
-		k.Cost += zonePenalty
-	case 2:
+	switch {
+	case t.listed.Region != p.config.Region:
 		k.Cost += regionPenalty
+	case t.listed.AvailabilityZone != p.config.Zone:
+		k.Cost += zonePenalty
 	}
 	return k
 }
--- a/entry/balancer/work.go
+++ b/entry/balancer/work.go
@@ -1,59 +1,60 @@
 package balancer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Parameters of the expected work.
 const (
-	// startWork is assumed before anything was measured.
-	startWork = 200 * time.Millisecond
-	// startGain is the part of the work that a warm object is assumed to save.
-	startGain  = 0.6
+	// startAim is the aim that is assumed where a route states none.
+	startAim = 300 * time.Millisecond
+	// startWarm and startCold are the parts of the aim that warm and cold objects are
+	// assumed to take before anything was measured.
+	startWarm  = 0.45
+	startCold  = 1.5
 	workWeight = 0.1
+	// leastGap is the least ratio of the cold to the warm time.
+	leastGap = 1.3
 )
 
-// work is how long requests of one kind take at a target, without waits.
+// work is how long requests of one kind take at a target, without waits: a time for objects
+// that are warm there and one for all others. An answer counts for the nearer of the two.
 type work struct {
-	cold, warm time.Duration
+	warm, cold time.Duration
 	mean       time.Duration
 }
 
-// expect returns the expected time for a warm or a cold object.
-func (w *work) expect(warm bool) time.Duration {
-	switch {
-	case warm && w.warm > 0:
-		return w.warm
-	case warm && w.cold > 0:
-		return time.Duration((1 - startGain) * float64(w.cold))
-	case warm:
-		return time.Duration((1 - startGain) * float64(startWork))
-	case w.cold > 0:
-		return w.cold
-	case w.warm > 0:
-		return time.Duration(float64(w.warm) / (1 - startGain))
+func newWork(aim time.Duration) *work {
+	if aim <= 0 {
+		aim = startAim
 	}
-	return startWork
+	w := &work{warm: time.Duration(startWarm * float64(aim)), cold: time.Duration(startCold * float64(aim))}
+	w.mean = w.warm
+	return w
 }
 
-// average returns the mean over all requests.
-func (w *work) average() time.Duration {
-	if w.mean > 0 {
-		return w.mean
+// expect returns the expected time for a warm or a cold object.
+func (w *work) expect(warm bool) time.Duration {
+	if warm {
+		return w.warm
 	}
-	return w.expect(true)
+	return w.cold
 }
 
-func (w *work) learn(took time.Duration, warm bool) {
-	learn(&w.mean, took)
-	if warm {
-		learn(&w.warm, took)
-		return
+// learn takes in an answer and returns its time against the expected one.
+func (w *work) learn(took time.Duration) (ratio float64) {
+	step(&w.mean, took)
+	near := &w.warm
+	if float64(took) > math.Sqrt(float64(w.warm)*float64(w.cold)) {
+		near = &w.cold
 	}
-	learn(&w.cold, took)
+	ratio = float64(took) / float64(*near)
+	step(near, took)
+	w.cold = max(w.cold, time.Duration(leastGap*float64(w.warm)))
+	return ratio
 }
 
-func learn(mean *time.Duration, took time.Duration) {
-	if *mean == 0 {
-		*mean = took
-	}
+func step(mean *time.Duration, took time.Duration) {
 	*mean += time.Duration(workWeight * float64(took-*mean))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -244,10 +244,18 @@
 
 func newPicker(s Settings, c timekeeper.Clock, v *receiver.Receiver) *balancer.Picker {
 	return balancer.NewPicker(balancer.PickerConfig{
-		Clock: c, Entry: s.Name, Zone: s.AvailabilityZone, Region: s.Region, Reachable: v.Reachable,
+		Clock: c, Entry: s.Name, Zone: s.AvailabilityZone, Region: s.Region, Regions: regionsOf(s.Zones), Reachable: v.Reachable,
 	})
 }
 
+func regionsOf(zones map[string]string) int {
+	regions := map[string]bool{}
+	for _, r := range zones {
+		regions[r] = true
+	}
+	return len(regions)
+}
+
 func newBalancer(s Settings, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, p *balancer.Picker,
 	f *forwarder.Forwarder, v *receiver.Receiver,
 ) *balancer.Balancer {
