Reload settings on SIGHUP and on a silent change

Change: starter's watcher reads the file again on SIGHUP and every 2 s; addresses of control members change at once, a faulty file leaves what is in force and is logged.

--- a/control/cmd/filberthoist-control/main.go
+++ b/control/cmd/filberthoist-control/main.go
@@ -4,8 +4,6 @@
 import (
 	"os"
 
-	"go.uber.org/fx"
-
 	"github.com/filberthoist/filberthoist/control"
 	"github.com/filberthoist/filberthoist/core/starter"
 )
@@ -14,9 +12,9 @@
 	os.Exit(starter.Main(starter.Config{
 		Use:   "filberthoist-control",
 		Short: "Keeps the state of a filberthoist deployment",
-		Read: func(s starter.Source) (func() *fx.App, error) {
+		Read: func(s starter.Source) (func() starter.Program, error) {
 			settings, err := control.ReadSettings(s)
-			return func() *fx.App { return control.New(settings, control.Seams{}) }, err
+			return func() starter.Program { return control.New(settings, control.Seams{}) }, err
 		},
 	}))
 }
--- a/control/control.go
+++ b/control/control.go
@@ -38,6 +38,9 @@
 type Seams struct {
 	// List reads the platform's list of targets.
 	List func(ctx context.Context) (targets []surveyor.Target, skipped int, err error)
+	// Skip reads the sections of the settings that are not the product's own, when they are
+	// read again.
+	Skip func(starter.Source)
 	// Surfaces returns further listeners that serve operators.
 	Surfaces func(a *administrator.Administrator, l logger.Logger) []listener.Config
 }
@@ -50,8 +53,11 @@
 )
 
 // New composes a control process from its settings.
-func New(s Settings, x Seams) *fx.App {
-	return fx.New(
+func New(s Settings, x Seams) starter.Program {
+	var l logger.Logger
+	var f *founder.Founder
+	app := fx.New(
+		fx.Populate(&l, &f),
 		fx.NopLogger,
 		fx.StopTimeout(stopTimeout),
 		fx.Supply(s, x),
@@ -78,6 +84,19 @@
 		),
 		fx.Invoke(run),
 	)
+	return starter.Program{
+		App: app, Logger: func() logger.Logger { return l },
+		Reload: func(r starter.Source) error {
+			if x.Skip != nil {
+				x.Skip(r)
+			}
+			n, err := ReadSettings(r)
+			if err == nil {
+				f.SetFounders(n.Founders)
+			}
+			return err
+		},
+	}
 }
 
 func newLogger(s Settings, q *logger.Queue) logger.Logger {
--- a/control/founder/founder.go
+++ b/control/founder/founder.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -44,6 +45,7 @@
 
 // Founder watches whether its member belongs to the quorum.
 type Founder struct {
+	mutex  sync.Mutex
 	config Config
 	client *http.Client
 	next   int
@@ -55,6 +57,19 @@
 	return &Founder{config: c, client: c.Connector.Client()}
 }
 
+// SetFounders changes the addresses that this member offers itself at.
+func (f *Founder) SetFounders(addresses []string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.config.Founders = addresses
+}
+
+func (f *Founder) founders() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.config.Founders
+}
+
 // Run forms or joins as needed, until the context ends.
 func (f *Founder) Run(ctx context.Context) error {
 	return f.run(ctx)
@@ -96,12 +111,13 @@
 // forms tells whether this member is the one that forms the quorum. Only one may, since two
 // memberships could both reach a majority of their own.
 func (f *Founder) forms() bool {
-	return len(f.config.Founders) > 0 && slices.Min(f.config.Founders) == f.config.Address
+	list := f.founders()
+	return len(list) > 0 && slices.Min(list) == f.config.Address
 }
 
 // join offers this member to one of the addresses that are known, each in its turn.
 func (f *Founder) join(ctx context.Context, v *sequencer.View) error {
-	list := slices.Clone(f.config.Founders)
+	list := slices.Clone(f.founders())
 	for _, m := range v.Members.GetMembers() {
 		list = append(list, m.GetAddress())
 	}
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -21,6 +21,8 @@
 	AcceptFailed       = Event{106, "acceptFailed", log.WarnLevel, "A connection could not be accepted; the listener goes on."}
 	HandlerPanicked    = Event{107, "handlerPanicked", log.ErrorLevel, "A request ended in a panic; its connection was cut."}
 	LinesDropped       = Event{108, "linesDropped", log.WarnLevel, "Log lines found no room, since their reader is slow."}
+	SettingsReloaded   = Event{109, "settingsReloaded", log.InfoLevel, "The settings were read again; what can change while the process runs is in force."}
+	ReloadRefused      = Event{110, "reloadRefused", log.WarnLevel, "Changed settings are not usable; those in force stay."}
 	LeaderElected      = Event{201, "leaderElected", log.InfoLevel, "This control member became leader of a term."}
 	LeaderLost         = Event{202, "leaderLost", log.WarnLevel, "This control member is leader no more."}
 	StorageFailed      = Event{203, "storageFailed", log.ErrorLevel, "The data folder refused a write; nothing is acknowledged until it takes one."}
@@ -71,6 +73,7 @@
 // Catalogue lists every event in the order of its number.
 var Catalogue = []Event{
 	ProcessStarted, ProcessStopping, ProcessStopped, ListenerFailed, LoopFailed, AcceptFailed, HandlerPanicked, LinesDropped,
+	SettingsReloaded, ReloadRefused,
 	LeaderElected, LeaderLost, StorageFailed, TornTailCut, SnapshotSaved,
 	MembershipChanged, PeerUnreachable, PeerReachable, SnapshotInstalled,
 	MemberJoins, OutsideQuorum,
--- a/core/starter/starter.go
+++ b/core/starter/starter.go
@@ -11,6 +11,7 @@
 	"go.uber.org/fx"
 
 	"github.com/filberthoist/filberthoist/core/loader"
+	"github.com/filberthoist/filberthoist/core/logger"
 )
 
 // Exit statuses of a server program.
@@ -30,7 +31,16 @@
 	// command line does not say; empty for none.
 	Variable string
 	// Read checks the settings and returns what composes the program from them.
-	Read func(Source) (compose func() *fx.App, err error)
+	Read func(Source) (compose func() Program, err error)
+}
+
+// Program is a composed program.
+type Program struct {
+	App *fx.App
+	// Reload checks changed settings and puts in force what can change while the program
+	// runs. Its error lists every fault; the settings in force then stay.
+	Reload func(Source) error
+	Logger func() logger.Logger
 }
 
 // SettingsError tells that a settings file can't be used, and every reason.
@@ -97,11 +107,12 @@
 	if check {
 		return nil
 	}
-	return serve(compose())
+	return serve(compose(), path)
 }
 
 // serve runs the app until a signal or a failure of its own.
-func serve(app *fx.App) error {
+func serve(p Program, path string) error {
+	app := p.App
 	if err := app.Err(); err != nil {
 		return err
 	}
@@ -110,7 +121,10 @@
 	if err := app.Start(start); err != nil {
 		return err
 	}
+	w := newWatcher(p, path)
+	go w.run()
 	signal := <-app.Wait()
+	w.stop()
 	stop, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	if err := app.Stop(stop); err != nil {
--- a/entry/cmd/filberthoist-entry/main.go
+++ b/entry/cmd/filberthoist-entry/main.go
@@ -4,8 +4,6 @@
 import (
 	"os"
 
-	"go.uber.org/fx"
-
 	"github.com/filberthoist/filberthoist/core/starter"
 	"github.com/filberthoist/filberthoist/entry"
 )
@@ -14,9 +12,9 @@
 	os.Exit(starter.Main(starter.Config{
 		Use:   "filberthoist-entry",
 		Short: "Serves callers: look-ups and requests",
-		Read: func(s starter.Source) (func() *fx.App, error) {
+		Read: func(s starter.Source) (func() starter.Program, error) {
 			settings, err := entry.ReadSettings(s)
-			return func() *fx.App { return entry.New(settings, entry.Seams{}) }, err
+			return func() starter.Program { return entry.New(settings, entry.Seams{}) }, err
 		},
 	}))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,6 +54,9 @@
 // value is the product itself.
 type Seams struct {
 	Dialect handler.Dialect
+	// Skip reads the sections of the settings that are not the product's own, when they are
+	// read again.
+	Skip func(starter.Source)
 	// Surfaces returns further listeners.
 	Surfaces func(p Ports) []listener.Config
 }
@@ -68,11 +71,14 @@
 }
 
 // New composes an entry process from its settings.
-func New(s Settings, x Seams) *fx.App {
+func New(s Settings, x Seams) starter.Program {
 	if x.Dialect.Key == "" {
 		x.Dialect = handler.Own()
 	}
-	return fx.New(
+	var l logger.Logger
+	var v *receiver.Receiver
+	app := fx.New(
+		fx.Populate(&l, &v),
 		fx.NopLogger,
 		fx.StopTimeout(s.Drain+stopMargin),
 		fx.Supply(s, x),
@@ -105,6 +111,19 @@
 		),
 		fx.Invoke(run),
 	)
+	return starter.Program{
+		App: app, Logger: func() logger.Logger { return l },
+		Reload: func(r starter.Source) error {
+			if x.Skip != nil {
+				x.Skip(r)
+			}
+			n, err := ReadSettings(r)
+			if err == nil {
+				v.SetControls(n.Controls)
+			}
+			return err
+		},
+	}
 }
 
 // steps are the parts of the pipeline. Of limiters and of the last step there are two
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -69,6 +69,8 @@
 	known atomic.Pointer[string]
 	// learned are the addresses of control members as the last leader told them.
 	learned []string
+	// settled are the addresses of the settings, which may be read again.
+	settled atomic.Pointer[[]string]
 	targets targetList
 	shares  shares
 	lapsed  bool
@@ -93,6 +95,7 @@
 		bytes:   c.Scope.Counter("pollBytes"),
 	}
 	r.asked.Store(neverAsked)
+	r.settled.Store(&c.Controls)
 	r.view.Store(&View{})
 	wake := make(chan struct{})
 	r.changed.Store(&wake)
@@ -104,6 +107,11 @@
 	return r.run(ctx)
 }
 
+// SetControls changes the addresses of the settings.
+func (r *Receiver) SetControls(addresses []string) {
+	r.settled.Store(&addresses)
+}
+
 // View returns the latest View.
 func (r *Receiver) View() *View {
 	return r.view.Load()
@@ -330,7 +338,7 @@
 // be gone by now.
 func (r *Receiver) controls() []string {
 	out := slices.Clone(r.learned)
-	for _, a := range r.config.Controls {
+	for _, a := range *r.settled.Load() {
 		if !slices.Contains(out, a) {
 			out = append(out, a)
 		}
