Bound the targets that serve an object to two, and the wait in a target's queue

Ruled out: cut links and lost targets (launceston at load 2 answered in 95 ms all along). Change: only the first two targets of an object's order serve it; a request waits at most 0.6 of its aim in a queue (the whole aim if most urgent), else it is refused at once.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -29,6 +29,8 @@
 	// leastRetryAfter and mostRetryAfter bound what refused callers are asked to wait.
 	leastRetryAfter = 100 * time.Millisecond
 	mostRetryAfter  = time.Second
+	// ordinaryPatience is the part of the aim that requests wait that are not most urgent.
+	ordinaryPatience = 0.6
 )
 
 // Config sets up a Balancer.
@@ -110,7 +112,7 @@
 	d := Demand{
 		Service: e.Service.Name, Work: e.Service.Name + " " + e.Route.Name,
 		Allows: e.Course.Allows, Homes: homesOf(e), ColdRate: e.Service.ColdRate,
-		Aim: e.Route.Aim,
+		Aim: e.Route.Aim, Patience: patience(e),
 	}
 	if e.Route.Affinity && e.Dialect.Affinity != "" {
 		if c, err := e.Request.Cookie(e.Dialect.Affinity); err == nil {
@@ -124,6 +126,22 @@
 	return d
 }
 
+// patience returns how long a request may wait in a target's queue. Longer queues would
+// make every answer late, so that it is better to serve fewer; the more urgent wait longer.
+func patience(e *handler.Exchange) time.Duration {
+	aim, rank := e.Route.Aim, e.Route.Priority
+	if aim == 0 {
+		aim = e.Route.Timeout
+	}
+	if e.Team != nil && e.Team.Priority != nil {
+		rank = *e.Team.Priority
+	}
+	if rank == 0 {
+		return aim
+	}
+	return time.Duration(ordinaryPatience * float64(aim))
+}
+
 // homesOf returns the regions that may serve a request: those of its route and those of
 // its team, where both say.
 func homesOf(e *handler.Exchange) []string {
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -36,6 +36,9 @@
 	tripWeight  = 0.2
 	// coldSlowdown is how much longer a target takes while it is cold.
 	coldSlowdown = 2
+	// spread is the number of targets in an object's order that may serve it. More would
+	// push the objects out that targets keep warm, and then nothing is warm anywhere.
+	spread = 2
 	// ejectedPart is the part of a service's targets that may be ejected at once.
 	ejectedPart = 0.5
 )
@@ -84,6 +87,8 @@
 	Homes []string
 	// Aim is the time within which an answer is worth most; 0 if none is stated.
 	Aim time.Duration
+	// Patience is the longest time in a target's queue.
+	Patience time.Duration
 	// Left is the time that is left for the request.
 	Left time.Duration
 	// Excluded are targets that were tried already.
@@ -123,7 +128,7 @@
 	switch {
 	case best == nil:
 		return nil, 0
-	case best.Cost > d.Left:
+	case best.Cost > d.Left, best.Wait > d.Patience:
 		return nil, best.Cost
 	}
 	if best.state.isCold(now) {
@@ -249,7 +254,7 @@
 	list := p.candidates(now, v, d)
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.place, b.place) })
 	var best *Pick
-	for i, c := range list {
+	for i, c := range list[:min(len(list), spread)] {
 		k := p.price(now, c.target, i, d)
 		if i == 0 && !c.target.tried {
 			return k // a target that joined gets its first request
