Let the leader say which regions serve each region's requests, by measured load

Change: entries report the slots that their requests keep busy; the leader's allocator keeps a region's requests at home unless its slots are strained (1.15 x the average and over 0.3), and moves parts by at most 4 % a second.

--- a/control/control.go
+++ b/control/control.go
@@ -6,11 +6,13 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/fx"
 
 	"github.com/filberthoist/filberthoist/control/administrator"
+	"github.com/filberthoist/filberthoist/control/allocator"
 	"github.com/filberthoist/filberthoist/control/applier"
 	"github.com/filberthoist/filberthoist/control/apportioner"
 	"github.com/filberthoist/filberthoist/control/coordinator"
@@ -75,6 +77,7 @@
 			newSequencer,
 			newSurveyor,
 			newApportioner,
+			newAllocator,
 			newDistributor,
 			newCoordinator,
 			newMover,
@@ -167,9 +170,33 @@
 }
 
 func newDistributor(c timekeeper.Clock, s *sequencer.Sequencer, t *applier.State, v *surveyor.Surveyor,
-	a *apportioner.Apportioner,
+	a *apportioner.Apportioner, o *allocator.Allocator,
 ) *distributor.Distributor {
-	return distributor.NewDistributor(distributor.Config{Clock: c, Sequencer: s, State: t, Surveyor: v, Apportioner: a})
+	return distributor.NewDistributor(distributor.Config{Clock: c, Sequencer: s, State: t, Surveyor: v, Apportioner: a, Allocator: o})
+}
+
+// newAllocator returns nil where dispatchers of pools decide.
+func newAllocator(s Settings, c timekeeper.Clock, t *applier.State, v *surveyor.Surveyor) *allocator.Allocator {
+	if s.Roles {
+		return nil
+	}
+	return allocator.NewAllocator(allocator.Config{Clock: c, Slots: func() map[string]map[string]float64 {
+		return slotsByRegion(v.Slots(), s.Zones, t.Evacuated())
+	}})
+}
+
+// slotsByRegion sums up the slots of availability zones that are not under evacuation.
+func slotsByRegion(byZone map[string]map[string]float64, zones map[string]string, evacuated []string) map[string]map[string]float64 {
+	out := map[string]map[string]float64{}
+	for service, slots := range byZone {
+		out[service] = map[string]float64{}
+		for zone, n := range slots {
+			if !slices.Contains(evacuated, zone) {
+				out[service][zones[zone]] += n
+			}
+		}
+	}
+	return out
 }
 
 func newFounder(s Settings, l logger.Logger, n *connector.Connector, q *sequencer.Sequencer, a *administrator.Administrator) *founder.Founder {
--- a/control/distributor/distributor.go
+++ b/control/distributor/distributor.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/filberthoist/filberthoist/control/allocator"
 	"github.com/filberthoist/filberthoist/control/applier"
 	"github.com/filberthoist/filberthoist/control/apportioner"
 	"github.com/filberthoist/filberthoist/control/replicator"
@@ -38,6 +39,9 @@
 	State     *applier.State
 	// Surveyor knows the list of targets; nil means that there is none.
 	Surveyor *surveyor.Surveyor
+	// Allocator says which regions serve each region's requests; nil means that entries
+	// decide by themselves.
+	Allocator *allocator.Allocator
 	// Apportioner divides teams' rates; nil means that owners grant them.
 	Apportioner *apportioner.Apportioner
 }
@@ -162,6 +166,9 @@
 		caller := apportioner.Caller{Name: r.GetMember().GetName(), Incarnation: r.GetMember().GetIncarnation()}
 		out.Shares, out.SharesNumber = d.config.Apportioner.Answer(v.Term, v.LeaderSince, caller, r)
 	}
+	if d.config.Allocator != nil && v.Serving() {
+		out.Allocation = d.config.Allocator.Answer(v.Term, r)
+	}
 	out.ControlAddresses = d.addresses(v, r)
 	return out
 }
--- a/control/surveyor/surveyor.go
+++ b/control/surveyor/surveyor.go
@@ -113,6 +113,23 @@
 	return out
 }
 
+// Slots returns the slots of the targets that take work, by service and availability zone.
+func (s *Surveyor) Slots() map[string]map[string]float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	out := map[string]map[string]float64{}
+	for _, k := range s.targets {
+		if k.gone != 0 || k.target.Leaving {
+			continue
+		}
+		if out[k.target.Service] == nil {
+			out[k.target.Service] = map[string]float64{}
+		}
+		out[k.target.Service][k.target.AvailabilityZone] += float64(k.target.Slots)
+	}
+	return out
+}
+
 func (s *Surveyor) run(ctx context.Context) error {
 	if s.config.List == nil {
 		<-ctx.Done()
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -44,6 +44,7 @@
 	Pass func(ctx context.Context, e *handler.Exchange, s *forwarder.Sending) (handler.Outcome, dispatcher.Result)
 	// Repeats is the budget of requests that are sent to a further target.
 	Repeats *Budget
+	Meter   *Meter
 }
 
 // Balancer is the step that finds a target and has the request sent to it.
@@ -83,6 +84,7 @@
 func (b *Balancer) balance(ctx context.Context, e *handler.Exchange) handler.Outcome {
 	b.config.Repeats.Earn(e.Service.Name)
 	w := &way{demand: b.demand(e)}
+	b.config.Meter.Count(e.Service.Name, b.config.Picker.Expect(w.demand))
 	for w.sent < maxSends {
 		w.demand.Left = e.Deadline - b.config.Clock.Now()
 		if w.sent > 0 && !b.mayRepeat(e, w) {
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -142,6 +142,13 @@
 	return best, best.Cost
 }
 
+// Expect returns the time that a demand's work takes where its object is warm.
+func (p *Picker) Expect(d Demand) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.work(d).expect(true)
+}
+
 // Done takes in what came of a picked request.
 func (p *Picker) Done(k *Pick, d Demand, s *forwarder.Sending, dialed time.Duration) (ejected bool) {
 	p.mutex.Lock()
@@ -280,7 +287,7 @@
 			standing = append(standing, t)
 		}
 	}
-	w := p.weights(standing)
+	w := p.weights(standing, v.Parts[d.Service])
 	out := make([]candidate, 0, len(standing))
 	ejected := 0
 	for _, t := range standing {
@@ -304,41 +311,44 @@
 	return out
 }
 
-// weights say how the objects of this region are shared out.
-type weights struct {
-	region string
-	// home and away are the weights of one slot in the entry's region and beyond.
-	home, away float64
-}
+// weights are the weights of one slot by region.
+type weights map[string]float64
 
-// weights keeps objects at home as far as the slots there are the region's fair part of all,
-// and shares the rest out over all other slots.
-func (p *Picker) weights(standing []*target) weights {
-	home, away := 0.0, 0.0
+// weights shares the objects of this entry's region out over the regions: by the parts that
+// control gives, or so that the region keeps its fair part of all slots at home.
+func (p *Picker) weights(standing []*target, parts map[string]float64) weights {
+	slots, total := map[string]float64{}, 0.0
 	for _, t := range standing {
-		if t.listed.Region == p.config.Region {
-			home += float64(t.listed.Slots)
-		} else {
-			away += float64(t.listed.Slots)
-		}
+		slots[t.listed.Region] += float64(t.listed.Slots)
+		total += float64(t.listed.Slots)
 	}
-	w := weights{region: p.config.Region, home: 1, away: awayWeight}
-	fair := (home + away) / float64(max(1, p.config.Regions))
-	if home > 0 && away > 0 && home < fair {
-		stay := home / fair
-		w.home, w.away = stay/home, (1-stay)/away
+	if len(parts) == 0 {
+		parts = p.fairParts(slots, total)
 	}
-	return w
+	out := weights{}
+	for region, n := range slots {
+		out[region] = max(parts[region], awayWeight) / n
+	}
+	return out
+}
+
+// fairParts keeps a region's requests at home as far as its slots are its part of all.
+func (p *Picker) fairParts(slots map[string]float64, total float64) map[string]float64 {
+	home := slots[p.config.Region]
+	stay := min(1, home*float64(max(1, p.config.Regions))/max(1, total))
+	out := map[string]float64{p.config.Region: stay}
+	for region, n := range slots {
+		if region != p.config.Region {
+			out[region] = (1 - stay) * n / (total - home)
+		}
+	}
+	return out
 }
 
 // place returns the place of a target in an object's order; smaller comes first.
 func (w weights) place(object string, l *receiver.Listed) float64 {
 	u := (float64(hash(object, l.Name)>>11) + 0.5) / (1 << 53)
-	weight := w.away
-	if l.Region == w.region {
-		weight = w.home
-	}
-	return -math.Log(u) / (weight * float64(l.Slots))
+	return -math.Log(u) / (w[l.Region] * float64(l.Slots))
 }
 
 // stands tells whether a target takes work at all.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,6 +93,7 @@
 			newSelf,
 			newShifter,
 			newDividedSlot,
+			balancer.NewMeter,
 			newReceiver,
 			newOwner,
 			newLimiter,
@@ -186,11 +187,11 @@
 }
 
 func newReceiver(s Settings, c timekeeper.Clock, l logger.Logger, a *asserter.Asserter, r *reporter.Reporter,
-	n *connector.Connector, self *wire.EntryMember, t *shifter.Shifter, d *dividedSlot,
+	n *connector.Connector, self *wire.EntryMember, t *shifter.Shifter, d *dividedSlot, m *balancer.Meter,
 ) *receiver.Receiver {
 	return receiver.NewReceiver(receiver.Config{
 		Clock: c, Logger: l, Assert: a, Scope: r.Scope, Connector: n, Controls: s.Controls, Self: self,
-		Evidence: t.Evidence, Rates: d.rates, Zones: s.Zones, Lenient: s.Lenient,
+		Evidence: t.Evidence, Rates: d.rates, Demands: m.Loads, Zones: s.Zones, Lenient: s.Lenient,
 	})
 }
 
@@ -276,11 +277,11 @@
 }
 
 func newBalancer(s Settings, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, p *balancer.Picker,
-	f *forwarder.Forwarder, v *receiver.Receiver,
+	f *forwarder.Forwarder, v *receiver.Receiver, m *balancer.Meter,
 ) *balancer.Balancer {
 	s.Repeats.Entries = func() int { return len(v.View().Entries) }
 	return balancer.NewBalancer(balancer.Config{
-		Clock: c, Logger: l, Scope: r.Scope, Picker: p, Send: f.Send, Pass: f.Pass, Repeats: balancer.NewBudget(s.Repeats),
+		Clock: c, Logger: l, Scope: r.Scope, Picker: p, Send: f.Send, Pass: f.Pass, Repeats: balancer.NewBudget(s.Repeats), Meter: m,
 	})
 }
 
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -44,6 +44,8 @@
 	Evidence func() []*wire.MoveEvidence
 	// Rates tells how often each team asked, in requests per second; nil means nothing.
 	Rates func() map[string]float64
+	// Demands tells how many slots the requests for each service keep busy; nil means nothing.
+	Demands func() map[string]float64
 	// Zones are the regions of the availability zones, for targets that are listed.
 	Zones map[string]string
 	// Lenient lets keyed requests pass with the last known state while control is out of reach.
@@ -73,11 +75,13 @@
 	settled atomic.Pointer[[]string]
 	targets targetList
 	shares  shares
-	lapsed  bool
-	silent  bool
-	failing bool
-	polls   tally.Counter
-	bytes   tally.Counter
+	// allocation is the number of the allocation in use.
+	allocation uint64
+	lapsed     bool
+	silent     bool
+	failing    bool
+	polls      tally.Counter
+	bytes      tally.Counter
 }
 
 // neverAsked is the value of asked before the first fresh answer.
@@ -239,6 +243,7 @@
 	r.shares.take(answer.Msg, start, q.GetDemands() != nil, address)
 	r.take(answer.Msg, start)
 	r.takeTargets(answer.Msg.GetTargets())
+	r.takeAllocation(answer.Msg.GetAllocation())
 	return true
 }
 
@@ -261,10 +266,40 @@
 	q.SharesInUse = r.shares.inUse()
 	if r.config.Rates != nil && r.shares.due(address, now) {
 		q.Demands = r.shares.demands(r.config.Rates())
+		q.Services = servicesOf(r.config.Demands)
 	}
+	q.Allocation = r.allocation
 	return q
 }
 
+func servicesOf(demands func() map[string]float64) []*wire.ServiceDemand {
+	if demands == nil {
+		return nil
+	}
+	var out []*wire.ServiceDemand
+	for name, load := range demands() {
+		out = append(out, &wire.ServiceDemand{Service: name, Load: load})
+	}
+	return out
+}
+
+// takeAllocation uses another allocation.
+func (r *Receiver) takeAllocation(a *wire.Allocation) {
+	if a == nil {
+		return
+	}
+	r.allocation = a.GetNumber()
+	n := *r.View()
+	n.Parts = map[string]map[string]float64{}
+	for _, p := range a.GetParts() {
+		if n.Parts[p.GetService()] == nil {
+			n.Parts[p.GetService()] = map[string]float64{}
+		}
+		n.Parts[p.GetService()][p.GetRegion()] = p.GetPart()
+	}
+	r.store(&n)
+}
+
 // takeTargets applies changes of the list of targets.
 func (r *Receiver) takeTargets(c *wire.TargetChanges) {
 	if c == nil || !r.targets.apply(c, r.config.Clock.Now()) {
--- a/entry/receiver/view.go
+++ b/entry/receiver/view.go
@@ -25,7 +25,10 @@
 	Listed map[string][]*Listed
 	// Evacuated are the availability zones whose targets are to get no work.
 	Evacuated map[string]bool
-	moves     map[string]*wire.MoveRecord
+	// Parts are the parts of the requests of this entry's region that each region is to
+	// serve, by service; empty where control has not said.
+	Parts map[string]map[string]float64
+	moves map[string]*wire.MoveRecord
 }
 
 // Listed is a target as the platform lists it.
@@ -96,6 +99,7 @@
 		Roles:         map[string]*wire.Role{},
 		Shifts:        map[string]Shift{},
 		Listed:        old.Listed,
+		Parts:         old.Parts,
 		Evacuated:     map[string]bool{},
 		moves:         map[string]*wire.MoveRecord{},
 	}
