--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -413,7 +413,7 @@
 }
 
 func (r *Receiver) noteLease() {
-	lapsed := !r.Fresh()
+	lapsed := r.config.Clock.Now() >= r.FreshUntil()
 	if lapsed == r.lapsed {
 		return
 	}
