--- a/control/mover/schedule.go
+++ b/control/mover/schedule.go
@@ -17,6 +17,16 @@
 	latestPart = 0.95
 	// bakePart bounds the bake time when the deadline is near.
 	bakePart = 1.0 / 3
+	// trialShare is the share of a guarded move's new side before all traffic moves; the
+	// rest is there to compare with.
+	trialShare = 0.7
+	// trialPlanned and trialForced are the parts of the time to the deadline after which a
+	// guarded move goes on to its trial with and without evidence on each route.
+	trialPlanned = 0.5
+	trialForced  = 0.62
+	// donePart is the part of the time to the deadline at which a guarded move must be
+	// done, since requests on the old side need time to end.
+	donePart = 0.8
 	// forcedPart is the part of the ramp's time that a step may wait for evidence.
 	forcedPart = 0.25
 )
@@ -34,6 +44,9 @@
 // Schedule works the steps of a move out backwards from its deadline. Requests that run
 // at most once join after the others, since their failures can't be repaired.
 func Schedule(m *parser.Move, routes []*parser.Route, begun time.Time) []Stage {
+	if m.Exposure > 0 {
+		return guarded(m, begun)
+	}
 	ramp := shares(m.Cap)
 	var out []Stage
 	for _, s := range ramp {
@@ -47,6 +60,18 @@
 	return out
 }
 
+// guarded keeps the new side at its exposure until it is proven, then gives it most of the
+// traffic for a short time, since some faults show only under load, and then all.
+func guarded(m *parser.Move, begun time.Time) []Stage {
+	span := max(0, m.Deadline.Sub(begun))
+	at := func(part float64) time.Duration { return time.Duration(part * float64(span)) }
+	return []Stage{
+		{Share: m.Exposure, OnceShare: m.Exposure},
+		{Share: trialShare, OnceShare: trialShare, Planned: at(trialPlanned), Forced: at(trialForced)},
+		{Share: 1, OnceShare: 1, Planned: at(trialPlanned), Forced: at(donePart)},
+	}
+}
+
 // inTurn lets the requests that run at most once follow the others.
 func inTurn(ramp []float64) []Stage {
 	var out []Stage
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -116,11 +116,7 @@
 		Allows: e.Course.Allows, Homes: homesOf(e), ColdRate: e.Service.ColdRate,
 		Aim: e.Route.Aim, Patience: patience(e),
 	}
-	if e.Route.Affinity && e.Dialect.Affinity != "" {
-		if c, err := e.Request.Cookie(e.Dialect.Affinity); err == nil {
-			d.Object = e.Route.Name + "/" + c.Value
-		}
-	}
+	d.Object = e.Object()
 	if d.Object == "" {
 		d.Object = e.ID // spread evenly
 	}
@@ -202,7 +198,7 @@
 	w.demand.Excluded = append(w.demand.Excluded, k.Target.Name)
 	e.Trace.Targets = append(e.Trace.Targets, describe(k, s, b.config.Clock.Now()-begun))
 	if e.Observe != nil && (s.Result.Failed || s.Result.Latency > 0) && !s.Refused {
-		e.Observe(handler.Course{Version: k.Target.Version}, s.Result.Latency, s.Result.Failed)
+		e.Observe(handler.Course{Version: k.Target.Version}, b.config.Picker.Normal(k, w.demand, s.Result.Latency), s.Result.Failed)
 	}
 	if !s.Refused && !s.Unreachable {
 		w.ran++
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -149,6 +149,22 @@
 	return p.work(d).expect(true)
 }
 
+// Normal returns the time that an answer would have taken on a warm target for a warm
+// object, so that versions can be compared although one of them has just been started.
+func (p *Picker) Normal(k *Pick, d Demand, took time.Duration) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	took = max(0, took-p.trip(k.Target))
+	if !k.Warm {
+		w := p.work(d)
+		took = time.Duration(float64(took) * float64(w.warm) / float64(w.cold))
+	}
+	if k.state.isCold(p.config.Clock.Now()) {
+		took /= coldSlowdown
+	}
+	return took
+}
+
 // Done takes in what came of a picked request.
 func (p *Picker) Done(k *Pick, d Demand, s *forwarder.Sending, dialed time.Duration) (ejected bool) {
 	p.mutex.Lock()
@@ -287,6 +303,7 @@
 			standing = append(standing, t)
 		}
 	}
+	standing = narrow(v, d.Service, standing)
 	w := p.weights(standing, v.Parts[d.Service])
 	out := make([]candidate, 0, len(standing))
 	ejected := 0
@@ -311,6 +328,28 @@
 	return out
 }
 
+// narrow keeps few targets of the new side of a move whose share is small, so that these
+// see the load of a whole move.
+func narrow(v *receiver.View, service string, standing []*target) []*target {
+	m, ok := v.Shifts[service]
+	if !ok || m.Done() {
+		return standing
+	}
+	var moved, others []*target
+	for _, t := range standing {
+		if t.listed.Version == m.Move.To {
+			moved = append(moved, t)
+		} else {
+			others = append(others, t)
+		}
+	}
+	slices.SortFunc(moved, func(a, b *target) int {
+		return cmp.Compare(hash(service, a.listed.Name), hash(service, b.listed.Name))
+	})
+	share := max(m.Record.GetShare(), m.Record.GetOnceShare())
+	return append(others, moved[:int(math.Ceil(share*float64(len(moved))))]...)
+}
+
 // weights are the weights of one slot by region.
 type weights map[string]float64
 
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -91,6 +91,19 @@
 	return !strings.Contains(c.Barred+",", ","+version+",")
 }
 
+// Object names what the request is about, where the route's targets answer sooner for an
+// object that they handled lately; empty if nothing does.
+func (e *Exchange) Object() string {
+	if !e.Route.Affinity || e.Dialect == nil || e.Dialect.Affinity == "" {
+		return ""
+	}
+	c, err := e.Request.Cookie(e.Dialect.Affinity)
+	if err != nil {
+		return ""
+	}
+	return e.Route.Name + "/" + c.Value
+}
+
 // TeamName returns the team's name, or the name that open requests share.
 func (e *Exchange) TeamName() string {
 	if e.Team == nil {
--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -182,6 +182,10 @@
 // position places a caller and what it asks for between 0 and 1, always at the same place.
 func position(e *handler.Exchange) float64 {
 	h := xxhash.New()
+	if object := e.Object(); object != "" {
+		_, _ = h.WriteString(object) // a hash takes every write
+		return float64(h.Sum64()>>11) / (1 << 53)
+	}
 	host, _, err := net.SplitHostPort(e.Request.RemoteAddr)
 	if err == nil {
 		_, _ = h.WriteString(host) // a hash takes every write
