--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -36,9 +36,11 @@
 	tripWeight  = 0.2
 	// coldSlowdown is how much longer a target takes while it is cold.
 	coldSlowdown = 2
-	// spread is the number of targets in an object's order that may serve it. More would
-	// push the objects out that targets keep warm, and then nothing is warm anywhere.
+	// spread is the number of sound targets in an object's order that may serve it. More
+	// would push the objects out that targets keep warm, and then nothing is warm anywhere.
 	spread = 2
+	// slowPace is the slowness from which a target does not count as sound.
+	slowPace = 2.5
 	// ejectedPart is the part of a service's targets that may be ejected at once.
 	ejectedPart = 0.5
 )
@@ -201,7 +203,10 @@
 func (p *Picker) learnAnswer(now time.Duration, k *Pick, d Demand, took time.Duration) {
 	t, w := k.state, p.work(d)
 	work := max(took-p.trip(t.listed)-k.Wait, took/4)
-	t.succeed(now, w.learn(work))
+	t.succeed(now, w.compare(work, k.Warm))
+	if t.pace(now) < slowPace {
+		w.learn(work)
+	}
 	if d.Object != "" {
 		t.remember(now, d.Object)
 	}
@@ -277,7 +282,14 @@
 	list := p.candidates(now, v, d)
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.place, b.place) })
 	var best *Pick
-	for i, c := range list[:min(len(list), spread)] {
+	sound := 0
+	for i, c := range list {
+		if sound == spread {
+			break
+		}
+		if c.target.pace(now) < slowPace {
+			sound++
+		}
 		k := p.price(now, c.target, i, d)
 		if i == 0 && !c.target.tried {
 			return k // a target that joined gets its first request
--- a/entry/balancer/work.go
+++ b/entry/balancer/work.go
@@ -42,17 +42,27 @@
 	return w.cold
 }
 
-// learn takes in an answer and returns its time against the expected one.
-func (w *work) learn(took time.Duration) (ratio float64) {
+// compare returns the time of an answer against the expected one; warm tells that the
+// object was surely warm.
+func (w *work) compare(took time.Duration, warm bool) float64 {
+	if warm {
+		return float64(took) / float64(w.warm)
+	}
+	return float64(took) / float64(*w.nearest(took))
+}
+
+// learn takes in an answer of a target that is as fast as others.
+func (w *work) learn(took time.Duration) {
 	step(&w.mean, took)
-	near := &w.warm
+	step(w.nearest(took), took)
+	w.cold = max(w.cold, time.Duration(leastGap*float64(w.warm)))
+}
+
+func (w *work) nearest(took time.Duration) *time.Duration {
 	if float64(took) > math.Sqrt(float64(w.warm)*float64(w.cold)) {
-		near = &w.cold
+		return &w.cold
 	}
-	ratio = float64(took) / float64(*near)
-	step(near, took)
-	w.cold = max(w.cold, time.Duration(leastGap*float64(w.warm)))
-	return ratio
+	return &w.warm
 }
 
 func step(mean *time.Duration, took time.Duration) {
