--- /dev/null
+++ b/control/allocator/allocator_test.go
@@ -0,0 +1,91 @@
+package allocator
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+func checkWhole(t *testing.T, row map[string]float64) {
+	t.Helper()
+	sum := 0.0
+	for _, p := range row {
+		sum += p
+		is.New(t).True(p >= 0)
+	}
+	is.New(t).True(math.Abs(sum-1) < 1e-9)
+}
+
+func TestBest(t *testing.T) {
+	slots := map[string]float64{"south": 48, "north": 60, "west": 12}
+	cases := []struct {
+		name   string
+		demand map[string]float64
+		check  func(best map[string]map[string]float64) bool
+	}{
+		{"a small region keeps its part", map[string]float64{"south": 20, "north": 20, "west": 20}, func(b map[string]map[string]float64) bool {
+			return b["south"]["south"] == 1 && b["north"]["north"] == 1 && b["west"]["west"] > 0.3 && b["west"]["west"] < 0.4
+		}},
+		{"what does not fit goes where there is room", map[string]float64{"south": 30, "north": 10, "west": 20}, func(b map[string]map[string]float64) bool {
+			return b["west"]["north"] > 0.6 && b["west"]["south"] == 0 && b["south"]["north"] > 0
+		}},
+		{"a region without slots", map[string]float64{"south": 20, "north": 20, "west": 20, "east": 5}, func(b map[string]map[string]float64) bool {
+			return b["east"]["east"] == 0
+		}},
+		{"no demand", map[string]float64{"south": 0, "north": 0, "west": 0}, func(b map[string]map[string]float64) bool { return b["west"]["west"] == 1 }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			best := Best(c.demand, slots)
+			for _, row := range best {
+				checkWhole(t, row)
+			}
+			is.New(t).True(c.check(best))
+		})
+	}
+}
+
+// TestWave plays a wave that moves between regions: parts move, by at most 4 % a second, and
+// not at all while no region is strained.
+func TestWave(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	slots := map[string]map[string]float64{"drafts": {"south": 48, "north": 60, "west": 12}}
+	a := NewAllocator(Config{Clock: timekeeper.Clock{Now: func() time.Duration { return now }}, Slots: func() map[string]map[string]float64 { return slots }})
+	poll := func(region string, load float64) *wire.Allocation {
+		return a.Answer(1, &wire.PollRequest{
+			Member: &wire.EntryMember{Name: region, Region: region}, Services: []*wire.ServiceDemand{{Service: "drafts", Load: load}},
+		})
+	}
+	home := func(n *wire.Allocation) float64 {
+		for _, p := range n.GetParts() {
+			if p.GetRegion() == "south" {
+				return p.GetPart()
+			}
+		}
+		return -1
+	}
+	last, lowest := 1.0, 1.0
+	for i := range 80 {
+		now += 500 * time.Millisecond
+		load := 12.0
+		if i > 20 && i < 60 {
+			load = 70 // beyond the slots of its own region
+		}
+		poll("north", 15)
+		poll("west", 4)
+		n := poll("south", load)
+		got := home(n)
+		is.True(math.Abs(got-last) <= longestStep+1e-9)
+		if i <= 20 {
+			is.Equal(got, 1.0)
+		}
+		last, lowest = got, min(lowest, got)
+	}
+	is.True(lowest < 0.9)
+}
--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -85,16 +85,19 @@
 		return nil, 0 // it may hold shares that it has not told yet
 	}
 	n := a.account(c, r)
+	n.lapse(now)
 	n.asked = now
 	n.inUse = r.GetSharesInUse()
 	n.settle(n.inUse)
+	reported := map[string]float64{}
 	for _, d := range r.GetDemands() {
 		n.demands[d.GetTeam()] = d.GetRate()
+		reported[d.GetTeam()] = d.GetShare()
 	}
 	a.forget(now)
 	var out []*wire.TeamShare
 	for _, team := range slices.Sorted(maps.Keys(n.demands)) {
-		if s, changes := a.next(now, n, team); changes {
+		if s, changes := a.next(now, n, team, reported); changes {
 			out = append(out, &wire.TeamShare{Team: team, Share: s})
 		}
 	}
@@ -120,7 +123,7 @@
 			delete(a.callers, o)
 		}
 	}
-	n := &account{demands: map[string]float64{}, held: map[string][]told{}, brought: map[string]float64{}}
+	n := &account{asked: a.config.Clock.Now(), demands: map[string]float64{}, held: map[string][]told{}, brought: map[string]float64{}}
 	for _, d := range r.GetDemands() {
 		n.brought[d.GetTeam()] = d.GetShare()
 		n.held[d.GetTeam()] = []told{{0, d.GetShare()}}
@@ -130,7 +133,7 @@
 }
 
 // next returns the share that an entry should have now, and whether that is worth telling.
-func (a *Apportioner) next(now time.Duration, n *account, team string) (float64, bool) {
+func (a *Apportioner) next(now time.Duration, n *account, team string, reported map[string]float64) (float64, bool) {
 	total, others := 0.0, 0.0
 	for _, o := range a.callers {
 		total += o.demands[team]
@@ -144,7 +147,10 @@
 	} else {
 		want = 1 / float64(len(a.callers))
 	}
-	present := n.newest(team)
+	present, told := reported[team]
+	if !told {
+		present = n.newest(team)
+	}
 	others += a.reserved(now, team)
 	want = min(want, max(0, 1-others))
 	if d := want - present; d > -leastChange && d < leastChange && n.has(team) {
@@ -187,6 +193,16 @@
 	}
 }
 
+// lapse notes that an entry that was silent past its lease fell back to the silent share.
+func (n *account) lapse(now time.Duration) {
+	if now-n.asked <= timekeeper.ShareLease+timekeeper.DriftMargin {
+		return
+	}
+	for team, h := range n.held {
+		n.held[team] = []told{{h[len(h)-1].number, n.mayUse(now, team)}}
+	}
+}
+
 // mayUse is the largest share that an entry may be using.
 func (n *account) mayUse(now time.Duration, team string) float64 {
 	most := 0.0
--- /dev/null
+++ b/control/apportioner/apportioner_test.go
@@ -0,0 +1,118 @@
+package apportioner
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/filberthoist/filberthoist/core/seeder"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(seeder.Run(m, 300))
+}
+
+// entry is an entry as it is: what it uses, and when it was last answered.
+type entry struct {
+	member *wire.EntryMember
+	share  float64
+	number uint64
+	asked  time.Duration
+}
+
+// use is the share that an entry admits by; one whose lease ran out gives it up for good.
+func (e *entry) use(now time.Duration) float64 {
+	if now-e.asked > timekeeper.ShareLease {
+		e.share = min(e.share, timekeeper.SilentShare)
+	}
+	return e.share
+}
+
+// TestSharesNeverExceedTheWhole: whatever answers are lost, entries fall silent or leaders
+// change, what the entries use together never exceeds the rate by more than what silent
+// ones are left with.
+func TestSharesNeverExceedTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, term, since := time.Hour, uint64(1), time.Hour
+		clock := timekeeper.Clock{Now: func() time.Duration { return now }}
+		members := map[string]*wire.EntryMember{}
+		newLeader := func() *Apportioner {
+			return NewApportioner(Config{Clock: clock, Entries: func() map[string]*wire.EntryMember { return members }})
+		}
+		a := newLeader()
+		var entries []*entry
+		for i := range rapid.IntRange(1, 8).Draw(t, "entries") {
+			m := &wire.EntryMember{Name: fmt.Sprint("entry", i), Incarnation: 1}
+			members[m.GetName()] = m
+			entries = append(entries, &entry{member: m, asked: now})
+		}
+		for range 150 {
+			e := rapid.SampledFrom(entries).Draw(t, "entry")
+			switch rapid.IntRange(0, 30).Draw(t, "action") {
+			case 0: // another leader, which knows nothing
+				term, since = term+1, now
+				a = newLeader()
+			case 1:
+				now += time.Duration(rapid.IntRange(0, 15).Draw(t, "pause")) * time.Second
+			case 2: // the entry starts again
+				e.member = &wire.EntryMember{Name: e.member.GetName(), Incarnation: e.member.GetIncarnation() + 1}
+				members[e.member.GetName()] = e.member
+				e.share, e.number = 0, 0
+			default:
+				now += time.Duration(rapid.IntRange(1, 300).Draw(t, "step")) * time.Millisecond
+				r := &wire.PollRequest{Member: e.member, SharesInUse: e.number, Demands: []*wire.TeamDemand{{
+					Team: "lamps", Rate: rapid.Float64Range(0, 100).Draw(t, "rate"), Share: e.use(now),
+				}}}
+				asked := now
+				shares, number := a.Answer(term, since, Caller{e.member.GetName(), e.member.GetIncarnation()}, r)
+				if rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
+					break
+				}
+				e.asked = asked
+				if number > 0 {
+					e.share, e.number = shares[0].GetShare(), number
+				}
+			}
+			total := 0.0
+			for _, o := range entries {
+				total += o.use(now)
+			}
+			if total > 1+float64(len(entries))*timekeeper.SilentShare+1e-9 {
+				t.Fatalf("the entries use %v of the rate", total)
+			}
+		}
+	})
+}
+
+// TestSharesFollowDemand: an entry that is asked for more gets more within a few polls.
+func TestSharesFollowDemand(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	members := map[string]*wire.EntryMember{"a": {Name: "a", Incarnation: 1}, "b": {Name: "b", Incarnation: 1}}
+	n := NewApportioner(Config{Clock: timekeeper.Clock{Now: func() time.Duration { return now }}, Entries: func() map[string]*wire.EntryMember { return members }})
+	share, number := map[string]float64{}, map[string]uint64{}
+	poll := func(rates map[string]float64) {
+		for _, e := range []string{"a", "b"} {
+			now += 125 * time.Millisecond
+			r := &wire.PollRequest{Member: members[e], SharesInUse: number[e], Demands: []*wire.TeamDemand{{Team: "t", Rate: rates[e], Share: share[e]}}}
+			if s, k := n.Answer(1, time.Hour, Caller{e, 1}, r); k > 0 {
+				share[e], number[e] = s[0].GetShare(), k
+			}
+		}
+	}
+	for range 4 {
+		poll(map[string]float64{"a": 50, "b": 50})
+	}
+	is.True(share["a"] > 0.45 && share["b"] > 0.45)
+	for range 4 {
+		poll(map[string]float64{"a": 90, "b": 10})
+	}
+	is.True(share["a"] > 0.75)
+	is.True(share["a"]+share["b"] <= 1+1e-9)
+}
--- a/entry/acceptor/head.go
+++ b/entry/acceptor/head.go
@@ -59,12 +59,15 @@
 // read otherwise (RFC 9112, section 6.3).
 func ambiguous(head []byte) bool {
 	lengths, encodings := 0, 0
-	for line := range bytes.Lines(head) {
+	_, fields, _ := bytes.Cut(head, []byte("\n"))
+	for line := range bytes.Lines(fields) {
 		name, value, ok := bytes.Cut(line, []byte(":"))
 		if !ok {
 			continue
 		}
 		switch {
+		case len(bytes.TrimSpace(name)) != len(name):
+			return true // a folded line, or a space before the colon
 		case bytes.EqualFold(name, []byte("Content-Length")):
 			lengths++
 		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
--- /dev/null
+++ b/entry/carrier/carrier_test.go
@@ -0,0 +1,237 @@
+package carrier
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+)
+
+// newTarget serves each connection with a script and counts connections and requests.
+func newTarget(t *testing.T, serve func(b *bufio.Reader, c net.Conn, n int64)) (address string, connections *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	connections = &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := connections.Add(1)
+			go func() {
+				defer c.Close()
+				serve(bufio.NewReader(c), c, n)
+			}()
+		}
+	}()
+	return l.Addr().String(), connections
+}
+
+func newCarrier(t *testing.T) *Carrier {
+	t.Helper()
+	c := NewCarrier(Config{Clock: timekeeper.NewClock(), RequestHeader: "X-Id"})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func request(id string) *Request {
+	return &Request{Method: http.MethodGet, URI: "/a?b", Host: "x", Header: http.Header{"X-Id": {id}}, ID: id}
+}
+
+// answer writes an answer with a request's id.
+func answer(c net.Conn, id, more, body string) {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\n"+more+"\r\n"+body)
+}
+
+// TestConnections: which connections are used again.
+func TestConnections(t *testing.T) {
+	cases := []struct {
+		name string
+		// head and body are of every answer.
+		head, body  string
+		wait        time.Duration
+		once        bool
+		connections int64
+	}{
+		{"kept", "Content-Length: 2\r\n", "ab", 0, false, 1},
+		{"kept, once", "Content-Length: 2\r\n", "ab", 0, true, 1},
+		{"chunked", "Transfer-Encoding: chunked\r\n", "2\r\nab\r\n0\r\n\r\n", 0, false, 1},
+		{"closing", "Connection: close\r\nContent-Length: 2\r\n", "ab", 0, false, 2},
+		{"extra bytes", "Content-Length: 2\r\n", "abHTTP/1.1 200 OK\r\n\r\n", 20 * time.Millisecond, false, 2},
+		{"idle too long", "Keep-Alive: timeout=1\r\nContent-Length: 2\r\n", "ab", 700 * time.Millisecond, false, 2},
+		{"idle too long, once", "Keep-Alive: timeout=1\r\nContent-Length: 2\r\n", "ab", 400 * time.Millisecond, true, 2},
+		{"idle, not too long", "Keep-Alive: timeout=1\r\nContent-Length: 2\r\n", "ab", 400 * time.Millisecond, false, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			address, connections := newTarget(t, func(b *bufio.Reader, conn net.Conn, _ int64) {
+				for {
+					r, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					answer(conn, r.Header.Get("X-Id"), c.head, c.body)
+				}
+			})
+			n := newCarrier(t)
+			for range 2 {
+				r := request("one")
+				r.Once = c.once
+				a, failure := n.Exchange(context.Background(), address, r)
+				is.True(failure == nil)
+				is.Equal(string(a.Body), "ab")
+				time.Sleep(c.wait)
+			}
+			is.Equal(connections.Load(), c.connections)
+		})
+	}
+}
+
+// TestStrays: an answer to an earlier request that comes late is skipped on a kept
+// connection, and is no answer on a new one.
+func TestStrays(t *testing.T) {
+	is := is.New(t)
+	address, _ := newTarget(t, func(b *bufio.Reader, c net.Conn, n int64) {
+		for i := 0; ; i++ {
+			r, err := http.ReadRequest(b)
+			if err != nil {
+				return
+			}
+			if i == 1 || n == 2 {
+				answer(c, "earlier", "Content-Length: 5\r\n", "wrong")
+			}
+			answer(c, r.Header.Get("X-Id"), "Content-Length: 5\r\n", "right")
+		}
+	})
+	n := newCarrier(t)
+	for _, id := range []string{"one", "two"} {
+		a, failure := n.Exchange(context.Background(), address, request(id))
+		is.True(failure == nil)
+		is.Equal(string(a.Body), "right")
+	}
+	n.Drop(address)
+	_, failure := n.Exchange(context.Background(), address, request("three"))
+	is.Equal(failure.Err, ErrStray)
+	is.True(failure.Sent)
+}
+
+// TestBroken: what is no whole answer is a failure, and the request counts as sent.
+func TestBroken(t *testing.T) {
+	cases := map[string]string{
+		"nothing":         "",
+		"half a head":     "HTTP/1.1 200 O",
+		"no answer":       "garbage garbage\r\n\r\n",
+		"short body":      "HTTP/1.1 200 OK\r\nX-Id: one\r\nContent-Length: 9\r\n\r\nabc",
+		"cut chunks":      "HTTP/1.1 200 OK\r\nX-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"another's":       "HTTP/1.1 200 OK\r\nX-Id: two\r\nContent-Length: 0\r\n\r\n",
+		"interim forever": strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20),
+		"endless head":    "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 1<<17),
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, connections := newTarget(t, func(b *bufio.Reader, c net.Conn, _ int64) {
+				_, _ = http.ReadRequest(b)
+				_, _ = io.WriteString(c, text)
+			})
+			a, failure := newCarrier(t).Exchange(context.Background(), address, request("one"))
+			is.True(a == nil)
+			is.True(failure.Sent)
+			is.Equal(connections.Load(), int64(1)) // never sent again
+		})
+	}
+	t.Run("ended by close", func(t *testing.T) {
+		is := is.New(t)
+		address, _ := newTarget(t, func(b *bufio.Reader, c net.Conn, _ int64) {
+			_, _ = http.ReadRequest(b)
+			answer(c, "one", "", "whole")
+		})
+		a, failure := newCarrier(t).Exchange(context.Background(), address, request("one"))
+		is.True(failure == nil)
+		is.Equal(string(a.Body), "whole")
+	})
+	t.Run("ended by reset", func(t *testing.T) {
+		is := is.New(t)
+		address, _ := newTarget(t, func(b *bufio.Reader, c net.Conn, _ int64) {
+			_, _ = http.ReadRequest(b)
+			answer(c, "one", "", "half")
+			time.Sleep(50 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		})
+		_, failure := newCarrier(t).Exchange(context.Background(), address, request("one"))
+		is.True(failure != nil && failure.Sent)
+	})
+}
+
+// TestEarlyAnswer: a target that answers before it has read a long body gets no other bytes
+// in the body's place.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	got := make(chan int64, 2)
+	address, connections := newTarget(t, func(b *bufio.Reader, c net.Conn, n int64) {
+		r, err := http.ReadRequest(b)
+		if err != nil {
+			return
+		}
+		if n == 1 {
+			answer(c, "one", "Content-Length: 0\r\n", "")
+			time.Sleep(200 * time.Millisecond)
+		}
+		read, _ := io.Copy(io.Discard, r.Body)
+		got <- read
+		answer(c, "two", "Content-Length: 0\r\n", "")
+	})
+	n := newCarrier(t)
+	for _, id := range []string{"one", "two"} {
+		r := request(id)
+		r.Method, r.Body = http.MethodPost, make([]byte, 32<<20)
+		_, failure := n.Exchange(context.Background(), address, r)
+		is.True(failure == nil)
+	}
+	is.Equal(connections.Load(), int64(2))
+	is.True(<-got <= 32<<20)
+}
+
+// TestEnds: what ends an exchange, and whether something was sent.
+func TestEnds(t *testing.T) {
+	silent := func(b *bufio.Reader, c net.Conn, _ int64) {
+		_, _ = http.ReadRequest(b)
+		_, _ = io.Copy(io.Discard, c)
+	}
+	t.Run("the context", func(t *testing.T) {
+		is := is.New(t)
+		address, _ := newTarget(t, silent)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, failure := newCarrier(t).Exchange(ctx, address, request("one"))
+		is.True(failure.Sent && !failure.Refused)
+	})
+	t.Run("nobody listens", func(t *testing.T) {
+		is := is.New(t)
+		_, failure := newCarrier(t).Exchange(context.Background(), "127.0.0.1:1", request("one"))
+		is.True(failure.Refused && !failure.Sent)
+	})
+	t.Run("stopped before the first byte", func(t *testing.T) {
+		is := is.New(t)
+		address, _ := newTarget(t, silent)
+		r := request("one")
+		r.Before = func() bool { return false }
+		_, failure := newCarrier(t).Exchange(context.Background(), address, r)
+		is.True(failure.Stopped && !failure.Sent)
+	})
+}
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -265,7 +265,7 @@
 	q.Targets = r.targets.version
 	q.SharesInUse = r.shares.inUse()
 	if r.config.Rates != nil && r.shares.due(address, now) {
-		q.Demands = r.shares.demands(r.config.Rates())
+		q.Demands = r.shares.demands(r.config.Rates(), now)
 		q.Services = servicesOf(r.config.Demands)
 	}
 	q.Allocation = r.allocation
--- a/entry/receiver/shares.go
+++ b/entry/receiver/shares.go
@@ -29,11 +29,21 @@
 func (s *shares) of(team string, now time.Duration) float64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	share := s.byTeam[team]
-	if now-s.asked > timekeeper.ShareLease {
-		return min(share, timekeeper.SilentShare)
+	s.lapse(now)
+	return s.byTeam[team]
+}
+
+// lapse gives up shares whose lease has run out, since control may have given them to
+// others meanwhile. They don't come back with the next answer.
+func (s *shares) lapse(now time.Duration) {
+	if now-s.asked <= timekeeper.ShareLease {
+		return
+	}
+	next := make(map[string]float64, len(s.byTeam))
+	for team, share := range s.byTeam {
+		next[team] = min(share, timekeeper.SilentShare)
 	}
-	return share
+	s.byTeam = next
 }
 
 func (s *shares) inUse() uint64 {
@@ -50,9 +60,10 @@
 	return s.reportedTo != address || now-s.reportedAt >= demandInterval
 }
 
-func (s *shares) demands(rates map[string]float64) []*wire.TeamDemand {
+func (s *shares) demands(rates map[string]float64, now time.Duration) []*wire.TeamDemand {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.lapse(now)
 	var out []*wire.TeamDemand
 	for _, team := range slices.Sorted(maps.Keys(rates)) {
 		out = append(out, &wire.TeamDemand{Team: team, Rate: rates[team], Share: s.byTeam[team]})
@@ -64,6 +75,7 @@
 func (s *shares) take(p *wire.PollResponse, start time.Duration, reported bool, address string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.lapse(start)
 	s.asked = start
 	if reported {
 		s.reportedTo, s.reportedAt = address, start
