--- a/control/administrator/joining.go
+++ b/control/administrator/joining.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -25,7 +26,7 @@
 		}
 		return leader.Join(ctx, connect.NewRequest(&wire.JoinRequest{Member: q.Msg.GetMember(), Forwarded: true}))
 	}
-	learner := a.place(q.Msg.GetMember())
+	learner := placeOf(a.config.Sequencer.View().Members.GetMembers(), q.Msg.GetMember(), a.config.Voters, a.config.Sequencer.Silence)
 	if learner == nil {
 		return connect.NewResponse(&wire.JoinResponse{Member: a.knows(q.Msg.GetMember().GetId())}), nil
 	}
@@ -46,33 +47,28 @@
 	return false
 }
 
-// place returns the learner to add for an offered member, or nil if it has no place.
-func (a *Administrator) place(m *wire.ControlMember) *wire.ControlMember {
-	members := a.config.Sequencer.View().Members.GetMembers()
+// placeOf returns the learner to add for an offered member, or nil if it has no place.
+func placeOf(members []*wire.ControlMember, m *wire.ControlMember, voters int, silence func(id uint64) time.Duration) *wire.ControlMember {
 	out := &wire.ControlMember{Id: m.GetId(), Name: m.GetName(), Address: m.GetAddress(), Learner: true}
-	taken := map[uint64]bool{}
+	replaced := map[uint64]bool{}
 	for _, o := range members {
 		if o.GetId() == m.GetId() {
 			return nil
 		}
-		taken[o.GetReplaces()] = true
+		replaced[o.GetReplaces()] = true
 	}
-	places := 0
-	for _, o := range members {
-		if taken[o.GetId()] {
-			continue
-		}
+	staying := slices.DeleteFunc(slices.Clone(members), func(o *wire.ControlMember) bool { return replaced[o.GetId()] })
+	for _, o := range staying {
 		if o.GetAddress() == m.GetAddress() {
 			out.Replaces = o.GetId() // its disk was lost
 			return out
 		}
-		places++
 	}
-	if places < a.config.Voters {
+	if len(staying) < voters {
 		return out
 	}
-	for _, o := range members {
-		if !taken[o.GetId()] && a.config.Sequencer.Silence(o.GetId()) > silentSpan {
+	for _, o := range staying {
+		if silence(o.GetId()) > silentSpan {
 			out.Replaces = o.GetId()
 			return out
 		}
--- /dev/null
+++ b/control/surveyor/surveyor_test.go
@@ -0,0 +1,65 @@
+package surveyor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// TestChanges: entries are told just what changed since the state that they hold.
+func TestChanges(t *testing.T) {
+	ready := Target{ID: "a", Service: "lamps", Address: "10.0.0.1:1", AvailabilityZone: "z1", Version: "v1", Slots: 6}
+	other := Target{ID: "b", Service: "lamps", Address: "10.0.0.2:1", AvailabilityZone: "z1", Version: "v1", Slots: 6}
+	leaving, cold, warming := ready, ready, ready
+	leaving.Leaving, cold.ColdFor, warming.ColdFor = true, 3*time.Second, 2500*time.Millisecond
+	cases := []struct {
+		name          string
+		before, after []Target
+		// told are the ids and states after the second reading.
+		told map[string]wire.TargetState
+	}{
+		{"nothing", []Target{ready, other}, []Target{ready, other}, nil},
+		{"leaving", []Target{ready, other}, []Target{leaving, other}, map[string]wire.TargetState{"a": wire.TargetState_TARGET_STATE_LEAVING}},
+		{"gone", []Target{ready, other}, []Target{other}, map[string]wire.TargetState{"a": wire.TargetState_TARGET_STATE_GONE}},
+		{"joined", []Target{ready}, []Target{ready, other}, map[string]wire.TargetState{"b": wire.TargetState_TARGET_STATE_READY}},
+		{"cold again", []Target{ready}, []Target{cold}, map[string]wire.TargetState{"a": wire.TargetState_TARGET_STATE_READY}},
+		{"warming up as told", []Target{cold}, []Target{warming}, nil},
+		{"nothing can be read", []Target{ready}, nil, map[string]wire.TargetState{"a": wire.TargetState_TARGET_STATE_GONE}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Hour
+			s := NewSurveyor(Config{Clock: timekeeper.Clock{Now: func() time.Duration { return now }}, Scope: tally.NoopScope})
+			is.True(s.Since(nil) == nil) // nothing is known
+			s.take(7, c.before)
+			first := s.Since(nil)
+			is.True(first.GetWhole())
+			is.Equal(len(first.GetTargets()), len(c.before))
+			woken := s.Changed()
+			now += 500 * time.Millisecond
+			s.take(7, c.after)
+			got := map[string]wire.TargetState{}
+			for _, n := range s.Since(first.GetVersion()).GetTargets() {
+				got[n.GetId()] = n.GetState()
+			}
+			is.Equal(len(got), len(c.told))
+			for id, state := range c.told {
+				is.Equal(got[id], state)
+			}
+			select {
+			case <-woken:
+				is.True(c.told != nil)
+			default:
+				is.True(c.told == nil)
+			}
+			s.take(8, c.after)
+			is.True(s.Since(first.GetVersion()) == nil || s.Since(first.GetVersion()).GetWhole()) // another leader tells all
+		})
+	}
+}
--- a/core/logger/logger_test.go
+++ b/core/logger/logger_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -42,3 +44,37 @@
 		Logger{}.Log(EntryJoined)
 	})
 }
+
+// stuck is a reader that stops reading.
+type stuck struct {
+	release chan struct{}
+	bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.release
+	return s.Buffer.Write(b)
+}
+
+// TestQueue: a reader that stops reading delays nobody, memory stays bounded, warnings keep
+// room of their own, and what was dropped is told.
+func TestQueue(t *testing.T) {
+	is := is.New(t)
+	s := &stuck{release: make(chan struct{})}
+	q := NewQueue(s)
+	l := NewLogger(Config{Queue: q, Process: "entry1", Level: "info"})
+	const lines = 20_000
+	for range lines {
+		l.Log(EntryJoined, F("entry", strings.Repeat("x", 100))) // would hang here
+	}
+	l.Log(LeaseLapsed)
+	is.True(q.Dropped() > 0)
+	is.True(len(q.ordinary) <= queueBytes && len(q.urgent) <= queueBytes)
+	close(s.release)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	q.Close(ctx)
+	is.True(strings.Contains(s.String(), `"event":305`))
+	is.True(strings.Contains(s.String(), `"event":108`))
+	is.Equal(int64(strings.Count(s.String(), `"event":401`))+q.Dropped(), int64(lines))
+}
--- a/core/logger/queue.go
+++ b/core/logger/queue.go
@@ -115,7 +115,7 @@
 	q.told = q.dropped
 	q.mutex.Unlock()
 	if dropped > 0 {
-		l := Logger{urgent: newOutput(Config{Writer: q.out})}
+		l := Logger{urgent: newOutput(Config{Writer: q.out, Level: "warn"})}
 		l.Log(LinesDropped, F("lines", dropped))
 	}
 	_, _ = q.out.Write(lines) // there is nowhere else to tell of a failure
--- /dev/null
+++ b/core/starter/watcher_test.go
@@ -0,0 +1,56 @@
+package starter
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/filberthoist/filberthoist/core/logger"
+)
+
+// TestWatcher: SIGHUP and a silent change both bring changed settings in; a file that is not
+// usable leaves those in force.
+func TestWatcher(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	write := func(text string) { is.NoErr(os.WriteFile(path, []byte(text), 0o600)) }
+	write("[a]\nb = 1\n")
+	got := make(chan string, 10)
+	w := newWatcher(Program{
+		Logger: func() logger.Logger { return logger.Logger{} },
+		Reload: func(s Source) error {
+			r := s.Section("a")
+			v := r.Int("b", 0, 1, 100)
+			r.Finish()
+			if err := s.Err(); err != nil {
+				got <- "refused"
+				return errors.Wrap(err, "test")
+			}
+			got <- map[bool]string{true: "two", false: "other"}[v == 2]
+			return nil
+		},
+	}, path)
+	go w.run()
+	defer w.stop()
+	await := func(want string) {
+		t.Helper()
+		select {
+		case v := <-got:
+			is.Equal(v, want)
+		case <-time.After(10 * time.Second):
+			t.Fatal("nothing was read")
+		}
+	}
+	write("[a]\nb = 2\n")
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	await("two")
+	write("[a]\nb = x\n")
+	await("refused") // without a signal
+	write("[a]\nb = 3\n")
+	await("other")
+}
--- /dev/null
+++ b/entry/splitter/splitter_test.go
@@ -0,0 +1,42 @@
+package splitter
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/entry/handler"
+)
+
+// TestShares: over any span the share of each service is within one request of its weight,
+// and goes on through changes of other parts of the configuration.
+func TestShares(t *testing.T) {
+	a, b, c := &parser.Service{Name: "a"}, &parser.Service{Name: "b"}, &parser.Service{Name: "c"}
+	for name, parts := range map[string][]parser.Part{
+		"90 and 10":  {{Service: a, Weight: 90}, {Service: b, Weight: 10}},
+		"thirds":     {{Service: a, Weight: 1}, {Service: b, Weight: 1}, {Service: c, Weight: 1}},
+		"none for b": {{Service: a, Weight: 1}, {Service: b, Weight: 0}},
+		"odd":        {{Service: a, Weight: 0.7}, {Service: b, Weight: 12.3}, {Service: c, Weight: 5}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewSplitter()
+			count, total := map[string]int{}, 0.0
+			for _, p := range parts {
+				total += p.Weight
+			}
+			for i := range 1000 {
+				r := &parser.Route{Name: "r", Service: a, Parts: parts} // a new one, as after a change
+				e := &handler.Exchange{Route: r, Service: a}
+				is.True(!s.split(context.Background(), e).Over())
+				count[e.Service.Name]++
+				for _, p := range parts {
+					due := float64(i+1) * p.Weight / total
+					is.True(float64(count[p.Service.Name]) <= due+2 && float64(count[p.Service.Name]) >= due-2)
+				}
+			}
+		})
+	}
+}
