--- a/entry/acceptor/acceptor_test.go
+++ b/entry/acceptor/acceptor_test.go
@@ -209,6 +209,12 @@
 	_, _ = io.WriteString(c, "GET /late HTTP/1.1\r\nHost: x\r\n\r\n")
 	<-began
 	a.Drain()
+	late, err := net.Dial("tcp", c.RemoteAddr().String())
+	is.NoErr(err)
+	defer late.Close()
+	time.Sleep(50 * time.Millisecond)
+	_, _ = io.WriteString(late, "GET /new HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-began // a connection that is opened now still gets an answer
 	_ = idle.SetReadDeadline(time.Now().Add(waitLimit))
 	_, err = idle.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -129,8 +129,12 @@
 	if c.running > 0 {
 		return
 	}
-	wait := c.acceptor.config.Limits().IdleTimeout
-	if c.acceptor.draining.Load() {
+	limits := c.acceptor.config.Limits()
+	wait := limits.IdleTimeout
+	switch {
+	case c.acceptor.draining.Load() && c.last == nil:
+		wait = limits.HeaderTimeout // a new connection gets its one answer
+	case c.acceptor.draining.Load():
 		wait = 0
 	}
 	_ = c.socket.SetReadDeadline(time.Now().Add(wait)) // fails only when closed
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -229,12 +229,12 @@
 		r.unreachable(address, err)
 		return false
 	}
-	r.silent = false
 	r.bytes.Inc(int64(proto.Size(answer.Msg)))
 	if answer.Msg.GetNotLeader() {
 		r.follow(answer.Msg.GetLeaderAddress())
 		return r.leader != ""
 	}
+	r.silent = false
 	r.leader = address
 	r.known.Store(&address)
 	if len(answer.Msg.GetControlAddresses()) > 0 {
