--- a/entry/entry.go
+++ b/entry/entry.go
@@ -212,7 +212,9 @@
 }
 
 func newDivided(s Settings, c timekeeper.Clock, v *receiver.Receiver, d *dividedSlot) *limiter.Divided {
-	m := limiter.NewDivided(limiter.DividedConfig{Clock: c, View: v.View, Share: v.Share})
+	m := limiter.NewDivided(limiter.DividedConfig{
+		Clock: c, View: v.View, Share: v.Share, Overdraft: s.Overdraft, Entries: func() int { return len(v.View().Entries) },
+	})
 	if !s.Roles {
 		d.value = m
 	}
--- a/entry/limiter/divided.go
+++ b/entry/limiter/divided.go
@@ -26,6 +26,20 @@
 	View  func() *receiver.View
 	// Share is the part of a team's rate and burst that this entry may admit, from 0 to 1.
 	Share func(team string) float64
+	// Overdraft is what all entries together may admit beyond a team's limit.
+	Overdraft Overdraft
+	// Entries is the number of entries that share the overdraft; nil means one.
+	Entries func() int
+}
+
+// Overdraft bounds what may be admitted beyond rate and burst in any span of a window. It
+// lets an entry with a small share admit a request that comes alone.
+type Overdraft struct {
+	// Part is a part of what the limit allows in a window.
+	Part   float64
+	Window time.Duration
+	// Tokens is a number of requests beyond that.
+	Tokens float64
 }
 
 // Divided is the step that admits each team's requests by this entry's share of the team's
@@ -119,7 +133,7 @@
 	b.decay(now)
 	b.rate += 1 / rateSpan.Seconds()
 	share := d.config.Share(t.Name)
-	b.fill(now, t.Rate*share, t.Burst*share)
+	b.fill(now, t.Rate*share, t.Burst*share+d.overdraft(t, share))
 	if b.tokens >= 1 {
 		b.tokens--
 		return 0, true
@@ -136,6 +150,18 @@
 	return wait, true
 }
 
+// overdraft is this entry's part of the overdraft of a team.
+func (d *Divided) overdraft(t *parser.Team, share float64) float64 {
+	o, n := d.config.Overdraft, 1
+	if share <= 0 {
+		return 0
+	}
+	if d.config.Entries != nil {
+		n = max(1, d.config.Entries())
+	}
+	return (o.Part*(t.Burst+t.Rate*o.Window.Seconds()) + o.Tokens) / float64(n)
+}
+
 // fill adds what came since the last time. A share that grows brings no tokens at once,
 // since those that gave it up may have spent theirs.
 func (b *dividedBucket) fill(now time.Duration, rate, burst float64) {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -7,6 +7,7 @@
 	"github.com/filberthoist/filberthoist/core/loader"
 	"github.com/filberthoist/filberthoist/core/starter"
 	"github.com/filberthoist/filberthoist/entry/balancer"
+	"github.com/filberthoist/filberthoist/entry/limiter"
 )
 
 // defaultDrain bounds the wait for requests under way at shutdown.
@@ -43,6 +44,8 @@
 	Lenient bool
 	// Repeats bound the requests that are sent to a further target.
 	Repeats balancer.BudgetConfig
+	// Overdraft bounds what entries without owners of accounts admit beyond teams' limits.
+	Overdraft limiter.Overdraft
 	// LogRequests is the part of the served requests that get a line, from 0 to 1; all others do.
 	LogRequests float64
 	TLS         connector.Config
