--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -90,13 +89,13 @@
 		if w.sent > 0 && !b.mayRepeat(e, w) {
 			break
 		}
-		pick, soonest := b.config.Picker.Pick(e.View, w.demand)
+		pick, busy := b.config.Picker.Pick(e.View, w.demand)
 		if pick == nil && e.Fallback != nil {
 			w.demand.Allows, e.Fallback = e.Fallback.Allows, nil
 			continue
 		}
 		if pick == nil {
-			b.noTarget(e, w, soonest)
+			b.noTarget(e, w, busy)
 			break
 		}
 		if o, over := b.send(ctx, e, w, pick); over {
@@ -196,7 +195,7 @@
 		w.arrived++
 	}
 	w.demand.Excluded = append(w.demand.Excluded, k.Target.Name)
-	e.Trace.Targets = append(e.Trace.Targets, describe(k, s, b.config.Clock.Now()-begun))
+	e.Trace.Visits = append(e.Trace.Visits, visit(k, s, b.config.Clock.Now()-begun))
 	if e.Observe != nil && (s.Result.Failed || s.Result.Latency > 0) && !s.Refused {
 		e.Observe(handler.Course{Version: k.Target.Version}, b.config.Picker.Normal(k, w.demand, s.Result.Latency), s.Result.Failed)
 	}
@@ -232,30 +231,32 @@
 }
 
 // noTarget is the outcome of a request for which no target would answer in time.
-func (b *Balancer) noTarget(e *handler.Exchange, w *way, soonest time.Duration) {
+func (b *Balancer) noTarget(e *handler.Exchange, w *way, busy time.Duration) {
 	b.refused.Inc(1)
-	e.Trace.Targets = append(e.Trace.Targets, fmt.Sprintf("none: soonest %v, left %v", soonest.Round(time.Millisecond), w.demand.Left.Round(time.Millisecond)))
+	e.Trace.Visits = append(e.Trace.Visits, handler.Visit{Wait: busy, Result: "noTarget"})
 	if w.ran > 0 {
 		return
 	}
-	wait := min(mostRetryAfter, max(leastRetryAfter, soonest-w.demand.Left))
+	wait := min(mostRetryAfter, max(leastRetryAfter, busy))
 	e.RetryAfter = (wait + time.Duration(rand.Int64N(int64(wait)))).Round(time.Millisecond)
 	w.last = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoRoom)
 }
 
-// describe tells a choice and what came of it, for the request's log line.
-func describe(k *Pick, s *forwarder.Sending, took time.Duration) string {
-	result := "answered"
+// visit tells a choice and what came of it, for the request's log line.
+func visit(k *Pick, s *forwarder.Sending, took time.Duration) handler.Visit {
+	v := handler.Visit{
+		Target: k.Target.Name, AvailabilityZone: k.Target.AvailabilityZone, Load: k.Load, Wait: k.Wait, Expected: k.Cost,
+		Rank: k.Rank, Warm: k.Warm, Took: took, Result: "answered",
+	}
 	switch {
 	case s.Misdirected:
-		result = "misdirected"
+		v.Result = "misdirected"
 	case s.Refused:
-		result = "refused"
+		v.Result = "refused"
 	case s.Unreachable:
-		result = "unreachable"
+		v.Result = "unreachable"
 	case s.Answer == nil:
-		result = string(s.Outcome.Reason)
+		v.Result = string(s.Outcome.Reason)
 	}
-	return fmt.Sprintf("%s %s: load %.1f wait %v expected %v rank %d warm %t, %s after %v", k.Target.Name, k.Target.AvailabilityZone,
-		k.Load, k.Wait.Round(time.Millisecond), k.Cost.Round(time.Millisecond), k.Rank, k.Warm, result, took.Round(time.Millisecond))
+	return v
 }
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -120,8 +120,9 @@
 }
 
 // Pick chooses a target and counts the request on it, until Done. It returns nil if there
-// is none that would answer in time; soonest is then the time of the best that there is.
-func (p *Picker) Pick(v *receiver.View, d Demand) (pick *Pick, soonest time.Duration) {
+// is none that would answer in time; busy is then how long the best that there is needs to
+// have room, or 0 if there is none at all.
+func (p *Picker) Pick(v *receiver.View, d Demand) (pick *Pick, busy time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.use(v)
@@ -130,8 +131,10 @@
 	switch {
 	case best == nil:
 		return nil, 0
-	case best.Cost > d.Left, best.Wait > d.Patience:
-		return nil, best.Cost
+	case best.Cost > d.Left:
+		return nil, max(best.Wait, best.Cost-d.Left)
+	case best.Wait > d.Patience:
+		return nil, best.Wait
 	}
 	if best.state.isCold(now) {
 		best.state.coldTokens--
@@ -141,7 +144,7 @@
 	if best.state.ejectedUntil > 0 {
 		best.state.probing = true
 	}
-	return best, best.Cost
+	return best, 0
 }
 
 // Expect returns the time that a demand's work takes where its object is warm.
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -1,6 +1,7 @@
 package handler
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -79,8 +80,34 @@
 type Trace struct {
 	// Object is the key of the object that the request is about.
 	Object string
-	// Targets are the targets that it was sent to, in order, with the reasons and outcomes.
-	Targets []string
+	// Visits are the targets that it was sent to, in order.
+	Visits []Visit
+}
+
+// Visit is one choice of a target with what decided it and what came of it.
+type Visit struct {
+	Target           string
+	AvailabilityZone string
+	// Load is the number of requests that ran or waited there, Wait the expected time in the
+	// queue, Expected that until the answer.
+	Load     float64
+	Wait     time.Duration
+	Expected time.Duration
+	// Rank is the target's place in the object's order; Warm tells that it had lately
+	// answered for the object.
+	Rank   int
+	Warm   bool
+	Result string
+	Took   time.Duration
+}
+
+// String writes a visit for a log line.
+func (v Visit) String() string {
+	if v.Target == "" {
+		return fmt.Sprintf("%s: the best has room in %v", v.Result, v.Wait.Round(time.Millisecond))
+	}
+	return fmt.Sprintf("%s %s: load %.1f wait %v expected %v rank %d warm %t, %s after %v", v.Target, v.AvailabilityZone,
+		v.Load, v.Wait.Round(time.Millisecond), v.Expected.Round(time.Millisecond), v.Rank, v.Warm, v.Result, v.Took.Round(time.Millisecond))
 }
 
 // Allows tells whether a version may serve.
--- a/entry/tracer.go
+++ b/entry/tracer.go
@@ -26,9 +26,13 @@
 	case t.served == 0 || (t.served < 1 && rand.Float64() >= t.served):
 		return
 	}
+	visits := make([]string, len(e.Trace.Visits))
+	for i, v := range e.Trace.Visits {
+		visits[i] = v.String()
+	}
 	fields := []logger.Field{
 		logger.F("request", e.ID), logger.F("team", e.TeamName()), logger.F("took", took.Round(100*time.Microsecond)),
-		logger.F("index", int(e.View.Index)), logger.F("targets", e.Trace.Targets),
+		logger.F("index", int(e.View.Index)), logger.F("targets", visits),
 	}
 	if e.Route != nil {
 		fields = append(fields, logger.F("route", e.Route.Name), logger.F("itemVersion", int(e.Route.Version)),
