--- /dev/null
+++ b/entry/balanced_test.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/entry/authenticator"
+	"github.com/filberthoist/filberthoist/entry/balancer"
+	"github.com/filberthoist/filberthoist/entry/classifier"
+	"github.com/filberthoist/filberthoist/entry/forwarder"
+	"github.com/filberthoist/filberthoist/entry/handler"
+	"github.com/filberthoist/filberthoist/entry/limiter"
+	"github.com/filberthoist/filberthoist/entry/receiver"
+	"github.com/filberthoist/filberthoist/entry/splitter"
+)
+
+// newBalanced returns the pipeline of an entry that decides by itself, with a number of
+// targets at one address.
+func newBalanced(t testing.TB, upstream string, targets int, trace func(*handler.Exchange, handler.Outcome, string, time.Duration)) http.Handler {
+	t.Helper()
+	base := newView(t, upstream)
+	base.Listed = map[string][]*receiver.Listed{}
+	for i := range targets {
+		base.Listed["lamps"] = append(base.Listed["lamps"], &receiver.Listed{Target: &parser.Target{
+			Name: string(rune('a'+i%26)) + string(rune('a'+i/26)), Service: "lamps", Address: upstream, Region: "north", AvailabilityZone: "north1", Slots: 6, Version: "v1",
+		}})
+	}
+	clock := timekeeper.NewClock()
+	fresh := func() bool { return true }
+	look := func() *receiver.View { return base }
+	f := forwarder.NewForwarder(forwarder.Config{Clock: clock, Fresh: fresh})
+	t.Cleanup(f.Close)
+	p := balancer.NewPicker(balancer.PickerConfig{Clock: clock, Entry: "entry1", Zone: "north1", Region: "north", Regions: 1, Reachable: fresh})
+	b := balancer.NewBalancer(balancer.Config{
+		Clock: clock, Scope: tally.NoopScope, Picker: p, Send: f.Send, Pass: f.Pass,
+		Repeats: balancer.NewBudget(balancer.BudgetConfig{Share: 0.1, Reserve: 10}), Meter: balancer.NewMeter(clock),
+	})
+	d := limiter.NewDivided(limiter.DividedConfig{Clock: clock, View: look, Share: func(string) float64 { return 1 }})
+	k := classifier.NewClassifier(classifier.Config{Clock: clock})
+	a := authenticator.NewAuthenticator(authenticator.Config{Fresh: fresh})
+	return handler.NewHandler(handler.Config{
+		Clock: clock, Scope: tally.NoopScope, View: look, Trace: trace,
+		Steps: []handler.Step{k.Step(), a.Step(), k.BodyStep(), d.Step(), splitter.NewSplitter().Step(), b.Step()},
+	})
+}
+
+// newView compiles the tests' text.
+func newView(t testing.TB, upstream string) *receiver.View {
+	t.Helper()
+	c, problems := parser.Parse(testConfiguration(upstream))
+	if c == nil {
+		t.Fatal(problems)
+	}
+	return &receiver.View{Configuration: c, Entries: map[string]*wire.EntryMember{"entry1": {Name: "entry1", Region: "north"}}}
+}
+
+// BenchmarkBalanced is the cost of a request at an entry that decides by itself, without
+// the network: with 20 and 320 targets, and with every request logged.
+func BenchmarkBalanced(b *testing.B) {
+	upstream := newUpstream(b)
+	queue := logger.NewQueue(io.Discard)
+	defer queue.Close(context.Background())
+	logged := tracer{logger: logger.NewLogger(logger.Config{Queue: queue, Process: "entry1", Level: "info"}), served: 1}
+	sampled := tracer{logger: logged.logger, served: 0.1}
+	for _, c := range []struct {
+		name    string
+		targets int
+		trace   func(*handler.Exchange, handler.Outcome, string, time.Duration)
+	}{
+		{"20 targets", 20, nil},
+		{"320 targets", 320, nil},
+		{"20 targets, a tenth logged", 20, sampled.trace},
+		{"20 targets, all logged", 20, logged.trace},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			h := newBalanced(b, upstream, c.targets, c.trace)
+			b.ReportAllocs()
+			for b.Loop() {
+				q := httptest.NewRequest(http.MethodGet, "/lamps/7", nil)
+				q.Header.Set(handler.KeyHeader, testKey)
+				w := httptest.NewRecorder()
+				h.ServeHTTP(w, q)
+				if w.Code != http.StatusOK {
+					b.Fatal(w.Header().Get(handler.OutcomeHeader))
+				}
+			}
+		})
+	}
+}
--- a/entry/pipeline_test.go
+++ b/entry/pipeline_test.go
@@ -79,10 +79,14 @@
 digest = %s
 `
 
+func testConfiguration(upstream string) string {
+	return fmt.Sprintf(testText, upstream, digester.Key(testKey), digester.Key("small-key"))
+}
+
 // newPipeline returns the pipeline of one entry that owns every role.
 func newPipeline(t testing.TB, upstream string) http.Handler {
 	t.Helper()
-	c, problems := parser.Parse(fmt.Sprintf(testText, upstream, digester.Key(testKey), digester.Key("small-key")))
+	c, problems := parser.Parse(testConfiguration(upstream))
 	if c == nil {
 		t.Fatal(problems)
 	}
