--- a/control/distributor/distributor.go
+++ b/control/distributor/distributor.go
@@ -92,6 +92,9 @@
 	d.note(r)
 	round := d.config.Sequencer.PendingRound()
 	hold := min(time.Duration(r.GetHoldMilliseconds())*time.Millisecond, maxHold)
+	if len(r.GetDemands()) > 0 && r.GetSharesInUse() == 0 {
+		hold = 0 // it can't admit anything yet
+	}
 	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	limit := time.NewTimer(hold + confirmWait)
--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -25,7 +25,7 @@
 // Bounds of connections to targets.
 const (
 	// dialTimeout is over three trips between the farthest regions.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// silence is how long sent bytes may stay without a word from the target's system.
 	silence = 1500 * time.Millisecond
 	// keepAlive is the pause between probes of a target that works on a request.
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -119,6 +119,8 @@
 	switch {
 	case n.Stopped:
 		s.Outcome, s.Result = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonStale), dispatcher.Result{}
+	case !n.Sent && ctx.Err() != nil && !late:
+		s.Outcome = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonCallerGone)
 	case !n.Sent && late:
 		s.Outcome = handler.Refuse(http.StatusGatewayTimeout, handler.ReasonDeadline)
 	case !n.Sent:
