--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -183,10 +183,7 @@
 func (b *Balancer) send(ctx context.Context, e *handler.Exchange, w *way, k *Pick) (o handler.Outcome, over bool) {
 	s := &forwarder.Sending{Result: dispatcher.Result{Failed: true}} // if Send ends in a panic
 	defer func() {
-		if b.config.Picker.Done(k, w.demand, s, s.Dialed) {
-			b.config.Logger.Log(logger.TargetEjected, logger.F("target", k.Target.Name), logger.F("service", e.Service.Name),
-				logger.F("unreachable", s.Unreachable))
-		}
+		b.note(k, s, b.config.Picker.Done(k, w.demand, s, s.Dialed))
 	}()
 	begun := b.config.Clock.Now()
 	s = b.config.Send(ctx, e, k.Target.Target)
@@ -210,6 +207,19 @@
 	return s.Outcome, !again || ctx.Err() != nil || w.keepsPromise(s)
 }
 
+// note logs what a result changed about a target.
+func (b *Balancer) note(k *Pick, s *forwarder.Sending, c Change) {
+	event := logger.TargetEjected
+	switch c {
+	case NoChange:
+		return
+	case Readmitted:
+		event = logger.TargetReadmitted
+	}
+	b.config.Logger.Log(event, logger.F("target", k.Target.Name), logger.F("service", k.Target.Service),
+		logger.F("unreachable", s.Unreachable))
+}
+
 // keepsPromise notes the outcome of a request that may have run before: a later refusal
 // does not make that undone.
 func (w *way) keepsPromise(s *forwarder.Sending) bool {
--- /dev/null
+++ b/entry/balancer/balancer_test.go
@@ -0,0 +1,167 @@
+package balancer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/entry/carrier"
+	"github.com/filberthoist/filberthoist/entry/dispatcher"
+	"github.com/filberthoist/filberthoist/entry/forwarder"
+	"github.com/filberthoist/filberthoist/entry/handler"
+	"github.com/filberthoist/filberthoist/entry/receiver"
+)
+
+// Outcomes of one sending in these tests.
+var (
+	answers     = func() *forwarder.Sending { return answered(http.StatusOK) }
+	fails       = func() *forwarder.Sending { return answered(http.StatusInternalServerError) }
+	refuses     = func() *forwarder.Sending { return &forwarder.Sending{Refused: true, Outcome: refusal, Result: failure} }
+	unreachable = func() *forwarder.Sending {
+		return &forwarder.Sending{Unreachable: true, Outcome: refusal, Result: failure}
+	}
+	misdirected = func() *forwarder.Sending {
+		return &forwarder.Sending{Refused: true, Misdirected: true, Outcome: refusal}
+	}
+	breaks  = func() *forwarder.Sending { return &forwarder.Sending{Outcome: unknown, Result: failure} }
+	refusal = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoRoom)
+	unknown = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUpstream)
+	failure = dispatcher.Result{Failed: true}
+)
+
+func answered(status int) *forwarder.Sending {
+	return &forwarder.Sending{
+		Answer: &carrier.Answer{Status: status}, Result: dispatcher.Result{Latency: time.Millisecond, Failed: status >= 500},
+	}
+}
+
+// newBalancer returns a Balancer whose sendings come out as scripted, and the ids sent to.
+func newBalancer(reserve float64, script []func() *forwarder.Sending) (*Balancer, *receiver.View, *[]string) {
+	m := newModel(map[string]int{"south": 6})
+	sent := &[]string{}
+	clock := timekeeper.NewClock()
+	b := NewBalancer(Config{
+		Clock: clock, Scope: tally.NoopScope, Meter: NewMeter(clock), Repeats: NewBudget(BudgetConfig{Share: 0, Reserve: reserve}),
+		Picker: NewPicker(PickerConfig{Clock: clock, Entry: "e", Zone: "south1", Region: "south", Regions: 1, Reachable: func() bool { return true }}),
+		Send: func(_ context.Context, _ *handler.Exchange, t *parser.Target) *forwarder.Sending {
+			*sent = append(*sent, t.Name)
+			return script[min(len(*sent), len(script))-1]()
+		},
+		Pass: func(_ context.Context, _ *handler.Exchange, s *forwarder.Sending) (handler.Outcome, dispatcher.Result) {
+			o := handler.Answered()
+			o.Status = s.Answer.Status
+			return o, s.Result
+		},
+	})
+	return b, m.view, sent
+}
+
+// TestRepeats: when a request goes to a further target, and what its caller is told.
+func TestRepeats(t *testing.T) {
+	const safe, unsafe = parser.ClassIdempotent, parser.ClassAtMostOnce
+	type script = []func() *forwarder.Sending
+	cases := []struct {
+		name     string
+		class    parser.Class
+		attempts int
+		reserve  float64
+		script   script
+		sent     int
+		run      handler.Run
+		status   int
+	}{
+		{"answered", safe, 2, 10, script{answers}, 1, handler.Done, 200},
+		{"broken, safe", safe, 2, 10, script{breaks, answers}, 2, handler.Done, 200},
+		{"broken, unsafe", unsafe, 2, 10, script{breaks, answers}, 1, handler.Unknown, 502},
+		{"refused, unsafe", unsafe, 2, 10, script{refuses, answers}, 2, handler.Done, 200},
+		{"refused by all", unsafe, 2, 10, script{refuses}, maxSends, handler.NotRun, 503},
+		{"unreachable, unsafe", unsafe, 1, 0, script{unreachable, answers}, 2, handler.Done, 200},
+		{"misdirected, unsafe", unsafe, 1, 10, script{misdirected, answers}, 2, handler.Done, 200},
+		{"failed, safe", safe, 2, 10, script{fails, answers}, 2, handler.Done, 200},
+		{"failed twice, safe", safe, 2, 10, script{fails}, 2, handler.Done, 500},
+		{"failed, unsafe", unsafe, 2, 10, script{fails, answers}, 1, handler.Done, 500},
+		{"one attempt", safe, 1, 10, script{breaks, answers}, 1, handler.Unknown, 502},
+		{"no budget", safe, 3, 0, script{breaks, answers}, 1, handler.Unknown, 502},
+		{"no budget after a refusal", unsafe, 3, 0, script{refuses, answers}, 1, handler.NotRun, 503},
+		{"broken, then refused: it may have run", safe, 3, 10, script{breaks, refuses}, maxSends, handler.Unknown, 502},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b, view, sent := newBalancer(c.reserve, c.script)
+			s := &parser.Service{Name: "drafts"}
+			own := handler.Own()
+			e := &handler.Exchange{
+				View: view, Request: httptest.NewRequest(http.MethodGet, "/", nil), Dialect: &own, ID: "r", Service: s,
+				Route: &parser.Route{Name: "r", Service: s, Class: c.class, Attempts: c.attempts, Timeout: time.Second}, Deadline: b.config.Clock.Now() + time.Second,
+			}
+			o := b.balance(context.Background(), e)
+			is.Equal(len(*sent), c.sent)
+			is.Equal(len(slices.Compact(slices.Sorted(slices.Values(*sent)))), c.sent) // never one target twice
+			is.Equal(o.Run, c.run)
+			is.Equal(o.Status, c.status)
+			is.Equal(len(e.Trace.Visits), c.sent)
+		})
+	}
+}
+
+// TestStanding: which targets take work.
+func TestStanding(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(v *receiver.View, d *Demand)
+		// regions are those that may serve; none means that the request is refused.
+		regions []string
+	}{
+		{"all", func(*receiver.View, *Demand) {}, []string{"north", "south"}},
+		{"homes", func(_ *receiver.View, d *Demand) { d.Homes = []string{"north"} }, []string{"north"}},
+		{"no home has targets", func(_ *receiver.View, d *Demand) { d.Homes = []string{"moon"} }, nil},
+		{"an evacuated zone", func(v *receiver.View, _ *Demand) { v.Evacuated = map[string]bool{"south1": true} }, []string{"north"}},
+		{"leaving", func(v *receiver.View, _ *Demand) {
+			for _, l := range v.Listed["drafts"] {
+				l.Leaving = l.Region == "south"
+			}
+		}, []string{"north"}},
+		{"another version", func(_ *receiver.View, d *Demand) { d.Allows = func(v string) bool { return v == "v2" } }, nil},
+		{"the small share of a new version", func(v *receiver.View, _ *Demand) {
+			for _, l := range v.Listed["drafts"] {
+				if l.Region == "north" {
+					l.Version = "v2"
+				}
+			}
+			v.Shifts = map[string]receiver.Shift{"drafts": {Move: &parser.Move{To: "v2"}, Record: &wire.MoveRecord{}}}
+		}, []string{"south"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newModel(map[string]int{"south": 3, "north": 3})
+			d := Demand{Service: "drafts", Work: "w", Allows: func(string) bool { return true }, Left: time.Second, Patience: time.Second}
+			c.change(m.view, &d)
+			seen := map[string]bool{}
+			for i := range 300 {
+				d.Object = string(rune('a' + i%100))
+				for _, e := range m.entries {
+					if k, _ := e.picker.Pick(m.view, d); k != nil {
+						seen[k.Target.Region] = true
+					}
+				}
+			}
+			var got []string
+			for r := range seen {
+				got = append(got, r)
+			}
+			slices.Sort(got)
+			is.Equal(got, c.regions)
+		})
+	}
+}
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -170,8 +170,18 @@
 	return took
 }
 
+// Change is what a result changed about a target.
+type Change int
+
+// Changes of a target.
+const (
+	NoChange Change = iota
+	Ejected
+	Readmitted
+)
+
 // Done takes in what came of a picked request.
-func (p *Picker) Done(k *Pick, d Demand, s *forwarder.Sending, dialed time.Duration) (ejected bool) {
+func (p *Picker) Done(k *Pick, d Demand, s *forwarder.Sending, dialed time.Duration) Change {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now, t := p.config.Clock.Now(), k.state
@@ -188,11 +198,15 @@
 	case s.Misdirected:
 		t.gone = true
 	case s.Result.Failed:
-		return t.fail(now, s.Unreachable)
+		if t.fail(now, s.Unreachable) {
+			return Ejected
+		}
 	case s.Result.Latency > 0:
-		p.learnAnswer(now, k, d, s.Result.Latency)
+		if p.learnAnswer(now, k, d, s.Result.Latency) {
+			return Readmitted
+		}
 	}
-	return false
+	return NoChange
 }
 
 func (p *Picker) learnTrip(region string, d time.Duration) {
@@ -203,16 +217,17 @@
 	p.trips[region] = old + time.Duration(tripWeight*float64(d-old))
 }
 
-func (p *Picker) learnAnswer(now time.Duration, k *Pick, d Demand, took time.Duration) {
+func (p *Picker) learnAnswer(now time.Duration, k *Pick, d Demand, took time.Duration) (readmitted bool) {
 	t, w := k.state, p.work(d)
 	work := max(took-p.trip(t.listed)-k.Wait, took/4)
-	t.succeed(now, w.compare(work, k.Warm))
+	readmitted = t.succeed(now, w.compare(work, k.Warm))
 	if t.pace(now) < slowPace {
 		w.learn(work)
 	}
 	if d.Object != "" {
 		t.remember(now, d.Object)
 	}
+	return readmitted
 }
 
 func (p *Picker) work(d Demand) *work {
--- a/entry/balancer/target.go
+++ b/entry/balancer/target.go
@@ -134,15 +134,18 @@
 	t.others, t.told = max(0, float64(l.Running+l.Waiting-t.running)), now
 }
 
-// succeed takes in an answer that took as long as expected, times ratio.
-func (t *target) succeed(now time.Duration, ratio float64) {
+// succeed takes in an answer that took as long as expected, times ratio; it tells whether
+// the target is readmitted.
+func (t *target) succeed(now time.Duration, ratio float64) bool {
 	t.failures *= 1 - failureWeight
 	slow := t.pace(now)
 	t.slowness = min(mostSlowness, max(leastSlowness, slow+slownessWeight*(ratio-slow)))
 	t.slowSince = now
-	if t.ejectedUntil > 0 && now >= t.ejectedUntil {
-		t.ejectedUntil, t.failures = 0, 0
+	if t.ejectedUntil == 0 || now < t.ejectedUntil {
+		return false
 	}
+	t.ejectedUntil, t.failures = 0, 0
+	return true
 }
 
 // fail takes in a failure; it tells whether the target is ejected now.
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -82,6 +82,8 @@
 	Object string
 	// Visits are the targets that it was sent to, in order.
 	Visits []Visit
+	// Share is the part of its team's rate that this entry might admit, where that decided.
+	Share float64
 }
 
 // Visit is one choice of a target with what decided it and what came of it.
--- a/entry/limiter/divided.go
+++ b/entry/limiter/divided.go
@@ -103,7 +103,7 @@
 	}
 	wait, ok := d.take(e.Team)
 	if !ok {
-		e.RetryAfter = wait
+		e.RetryAfter, e.Trace.Share = wait, d.config.Share(e.Team.Name)
 		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonLimit)
 	}
 	if wait <= 0 {
--- a/entry/tracer.go
+++ b/entry/tracer.go
@@ -8,7 +8,7 @@
 	"github.com/filberthoist/filberthoist/entry/handler"
 )
 
-// tracer writes the line of each request: refused and failed ones always, served ones as
+// tracer writes the line of each request: refused, failed and late ones always, others as
 // often as the settings say.
 type tracer struct {
 	logger logger.Logger
@@ -23,6 +23,8 @@
 		event = logger.RequestRefused
 	case o.Run == handler.Unknown:
 		event = logger.RequestFailed
+	case isLate(e, took):
+		// always told
 	case t.served == 0 || (t.served < 1 && rand.Float64() >= t.served):
 		return
 	}
@@ -42,5 +44,13 @@
 		fields = append(fields, logger.F("step", step), logger.F("reason", string(o.Reason)), logger.F("status", o.Status),
 			logger.F("retryAfter", e.RetryAfter))
 	}
+	if o.Reason == handler.ReasonLimit {
+		fields = append(fields, logger.F("share", e.Trace.Share))
+	}
 	t.logger.Log(event, fields...)
 }
+
+// isLate tells whether an answer took longer than its route aims at.
+func isLate(e *handler.Exchange, took time.Duration) bool {
+	return e.Route != nil && e.Route.Aim > 0 && took > e.Route.Aim
+}
