--- a/control/applier/items.go
+++ b/control/applier/items.go
@@ -1,7 +1,6 @@
 package applier
 
 import (
-	"fmt"
 	"sort"
 	"strings"
 	"time"
@@ -192,7 +191,3 @@
 func CompileItems(zones map[string]string, items map[string]*wire.Item) (*parser.Configuration, loader.Problems) {
 	return parser.Compile(append(parser.Frame(zones), wire.ItemSections(items)...))
 }
-
-func itemsVersion(index uint64, revision uint64) string {
-	return fmt.Sprintf("%d/%d", revision, index)
-}
--- a/control/applier/state.go
+++ b/control/applier/state.go
@@ -5,6 +5,7 @@
 package applier
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sort"
@@ -195,7 +196,7 @@
 func (s *State) version() string {
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
-	return itemsVersion(s.itemsIndex, s.revision(HeadKey).GetRevision())
+	return fmt.Sprintf("%d/%d", s.revision(HeadKey).GetRevision(), s.itemsIndex)
 }
 
 // Entries returns the entries by name.
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -508,17 +507,31 @@
 	return d.Sum64()
 }
 
-// Names lists the targets of a service that are known, for dumps.
-func (p *Picker) Names(service string) string {
+// TargetDump describes a target as this entry sees it.
+type TargetDump struct {
+	Name     string
+	Region   string
+	Load     float64
+	Failures float64
+	Pace     float64
+	Ejected  bool
+	Leaving  bool
+	Cold     bool
+	Objects  int
+}
+
+// Dump describes the targets by service.
+func (p *Picker) Dump() any {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	s := p.services[service]
-	if s == nil {
-		return ""
-	}
-	var out []string
-	for _, t := range s.list {
-		out = append(out, t.listed.Name)
+	now, out := p.config.Clock.Now(), map[string][]TargetDump{}
+	for name, s := range p.services {
+		for _, t := range s.list {
+			out[name] = append(out[name], TargetDump{
+				Name: t.listed.Name, Region: t.listed.Region, Load: t.load(now), Failures: t.failures, Pace: t.pace(now),
+				Ejected: t.isEjected(now), Leaving: t.isLeaving(now), Cold: t.isCold(now), Objects: len(t.objects),
+			})
+		}
 	}
-	return strings.Join(out, ", ")
+	return out
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -266,7 +266,7 @@
 
 func newPicker(s Settings, c timekeeper.Clock, v *receiver.Receiver) *balancer.Picker {
 	return balancer.NewPicker(balancer.PickerConfig{
-		Clock: c, Entry: s.Name, Zone: s.AvailabilityZone, Region: s.Region, Regions: regionsOf(s.Zones), Reachable: v.Reachable,
+		Clock: c, Entry: s.Name, Zone: s.AvailabilityZone, Region: s.Region, Regions: regionsOf(s.Zones), Reachable: v.Acting,
 	})
 }
 
@@ -326,6 +326,7 @@
 	Client     *dispatcher.Client
 	Dispatcher *dispatcher.Dispatcher
 	Shifter    *shifter.Shifter
+	Picker     *balancer.Picker
 	Prober     *prober.Prober
 	Resolver   *resolver.Resolver
 	Acceptor   *acceptor.Acceptor
@@ -459,5 +460,6 @@
 	p.Reporter.Add("buckets", p.Owner.Dump)
 	p.Reporter.Add("pools", p.Granter.Dump)
 	p.Reporter.Add("moves", p.Shifter.Dump)
+	p.Reporter.Add("targets", p.Picker.Dump)
 	p.Reporter.SetHealth(p.Receiver.Healthy)
 }
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -149,11 +149,6 @@
 	return r.shares.of(team, r.config.Clock.Now())
 }
 
-// Reachable tells whether control answered within the lease on this entry's roles.
-func (r *Receiver) Reachable() bool {
-	return r.Acting()
-}
-
 // RoleUntil returns the end of the lease on this entry's roles, on the Clock.
 func (r *Receiver) RoleUntil() time.Duration {
 	return time.Duration(r.asked.Load()) + timekeeper.RoleLease
