--- a/control/applier/items.go
+++ b/control/applier/items.go
@@ -89,7 +89,7 @@
 const (
 	// orderedExposure is the share that the new side of an ordered move gets until it is
 	// proven.
-	orderedExposure = "6%"
+	orderedExposure = "5%"
 	// orderedBake is the time that the last step of an ordered move waits for late faults.
 	orderedBake = "2500ms"
 )
--- a/control/applier/items_test.go
+++ b/control/applier/items_test.go
@@ -127,5 +127,5 @@
 	is.Equal(value(s, "barred"), "v2")
 	c, err := applyAll(t, changeItems("", item("service lamps", 1)), move("v2", 1000)).Configuration()
 	is.NoErr(err)
-	is.Equal(c.Moves["lamps"].Exposure, 0.06)
+	is.Equal(c.Moves["lamps"].Exposure, 0.05)
 }
--- a/control/mover/mover_test.go
+++ b/control/mover/mover_test.go
@@ -346,7 +346,7 @@
 			for seed := range seeds {
 				g := rand.New(rand.NewPCG(20261204, uint64(seed)))
 				m := newMove(1, due, 2500*time.Millisecond)
-				m.Exposure = 0.06
+				m.Exposure = 0.05
 				all, exposed := 0, 0
 				r, at := run(m, allRoutes[2], due, 0, func(w int, route *parser.Route, share float64) pair {
 					bad := c.old
--- a/control/mover/schedule.go
+++ b/control/mover/schedule.go
@@ -27,7 +27,7 @@
 	// trialPart bounds the length of the trial when the deadline is near.
 	trialPart = 0.18
 	// trialLimit is the evidence at which a guarded move is taken back in its trial.
-	trialLimit = 12
+	trialLimit = 8
 	// trialDoubt is the evidence at which a guarded move does not go on when its time has come.
 	trialDoubt = 3
 	// donePart is the part of the time to the deadline at which a guarded move must be
