Take waiting connections before the listener closes, and tell unread requests from cut ones

Trace: two while they connected, one whose request no target saw: connections that waited to be accepted when the listener closed, so that their requests were never read. Change: Shutdown accepts for 20 ms more before it closes.

--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,8 @@
 	maxAhead = 32
 	// acceptRetry is the pause after a refused accept, such as for want of descriptors.
 	acceptRetry = 10 * time.Millisecond
+	// acceptLast is how long waiting connections are still taken before the listener closes.
+	acceptLast = 20 * time.Millisecond
 	// writeTimeout bounds the time that a caller takes to read an answer.
 	writeTimeout = 10 * time.Second
 	// lingerTime is how long bytes behind the last answer are read and dropped, so that the
@@ -74,7 +77,7 @@
 	for {
 		n, err := l.Accept()
 		switch {
-		case errors.Is(err, net.ErrClosed):
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
 		case err != nil:
 			a.config.Logger.Log(logger.AcceptFailed, logger.F("error", err))
@@ -103,13 +106,9 @@
 // then it cuts what is left.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
 	a.Drain()
-	a.mutex.Lock()
-	if a.listener != nil {
-		_ = a.listener.Close() // it may be closed already
-	}
-	a.mutex.Unlock()
+	a.closeListener()
 	done := make(chan struct{})
-	go a.await(done)
+	go a.loop(done)
 	select {
 	case <-done:
 		return nil
@@ -122,7 +121,23 @@
 	return ctx.Err()
 }
 
-func (a *Acceptor) await(done chan struct{}) {
+// closeListener takes the connections that wait to be accepted, and no more; closing resets
+// those that are not taken.
+func (a *Acceptor) closeListener() {
+	a.mutex.Lock()
+	l := a.listener
+	a.mutex.Unlock()
+	if l == nil {
+		return
+	}
+	if t, ok := l.(*net.TCPListener); ok {
+		_ = t.SetDeadline(time.Now().Add(acceptLast)) // it may be closed already
+		time.Sleep(acceptLast)
+	}
+	_ = l.Close() // it may be closed already
+}
+
+func (a *Acceptor) loop(done chan struct{}) {
 	a.ended.Wait()
 	close(done)
 }
