--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -165,3 +165,46 @@
 		})
 	}
 }
+
+// TestAdmission: while queues are long, the most urgent requests still wait and all others
+// are refused at once, with a time to come back; a team's priority goes before its route's.
+func TestAdmission(t *testing.T) {
+	urgent, ordinary := 0, 2
+	cases := []struct {
+		name     string
+		route    int
+		team     *int
+		admitted bool
+	}{
+		{"urgent route", urgent, nil, true},
+		{"ordinary route", ordinary, nil, false},
+		{"urgent team on an ordinary route", ordinary, &urgent, true},
+		{"ordinary team on an urgent route", urgent, &ordinary, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b, view, sent := newBalancer(10, []func() *forwarder.Sending{answers})
+			s := &parser.Service{Name: "drafts"}
+			own := handler.Own()
+			e := &handler.Exchange{
+				View: view, Request: httptest.NewRequest(http.MethodGet, "/", nil), Dialect: &own, ID: "r", Service: s,
+				Route:    &parser.Route{Name: "r", Service: s, Class: parser.ClassIdempotent, Priority: c.route, Aim: 300 * time.Millisecond, Timeout: 2 * time.Second},
+				Team:     &parser.Team{Name: "t", Priority: c.team},
+				Deadline: b.config.Clock.Now() + 2*time.Second,
+			}
+			// Each target has 14 requests on 6 slots: a wait of about 0.7 of the aim.
+			d := b.demand(e)
+			d.Patience, d.Left = time.Hour, time.Hour
+			for _, l := range view.Listed["drafts"] {
+				_, _ = b.config.Picker.Pick(view, d)
+				b.config.Picker.services["drafts"].targets[l.Name].running = 14
+				b.config.Picker.services["drafts"].targets[l.Name].tried = true
+			}
+			o := b.balance(context.Background(), e)
+			is.Equal(o.Run == handler.Done, c.admitted)
+			is.Equal(len(*sent) == 1, c.admitted)
+			is.Equal(e.RetryAfter > 0, !c.admitted)
+		})
+	}
+}
--- /dev/null
+++ b/entry/receiver/receiver_test.go
@@ -0,0 +1,76 @@
+package receiver
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/filberthoist/filberthoist/core/connector"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// TestOutOfTouch: without word from control a strict entry stops keyed requests, a lenient
+// one goes on; neither acts in roles or warms targets.
+func TestOutOfTouch(t *testing.T) {
+	for _, lenient := range []bool{false, true} {
+		t.Run(map[bool]string{false: "strict", true: "lenient"}[lenient], func(t *testing.T) {
+			is := is.New(t)
+			now := time.Hour
+			n, err := connector.NewConnector(connector.Config{})
+			is.NoErr(err)
+			r := NewReceiver(Config{
+				Clock: timekeeper.Clock{Now: func() time.Duration { return now }}, Scope: tally.NoopScope, Connector: n,
+				Self: &wire.EntryMember{Name: "e"}, Lenient: lenient,
+			})
+			r.asked.Store(int64(now))
+			is.True(r.Fresh() && r.Acting())
+			now += timekeeper.FreshnessLease
+			is.Equal(r.Fresh(), lenient)
+			is.True(!r.Acting())
+		})
+	}
+}
+
+// TestTargetList: changes are applied one by one; a leader of an earlier term tells nothing.
+func TestTargetList(t *testing.T) {
+	is := is.New(t)
+	l := newTargetList(map[string]string{"z1": "north"})
+	change := func(term, number uint64, whole bool, list ...*wire.ListedTarget) *wire.TargetChanges {
+		return &wire.TargetChanges{Version: &wire.ListVersion{Term: term, Change: number}, Whole: whole, Targets: list}
+	}
+	a := &wire.ListedTarget{Id: "a", Service: "s", AvailabilityZone: "z1", Slots: 6, ColdMilliseconds: 500}
+	b := &wire.ListedTarget{Id: "b", Service: "s", AvailabilityZone: "z1", State: wire.TargetState_TARGET_STATE_LEAVING}
+	is.True(l.apply(change(2, 1, true, a), time.Second))
+	is.True(l.apply(change(2, 2, false, b), time.Second))
+	got := l.byService()["s"]
+	is.Equal(len(got), 2)
+	is.Equal(got[0].Region, "north")
+	is.Equal(got[0].ColdUntil, 1500*time.Millisecond)
+	is.True(got[1].Leaving)
+	is.True(l.apply(change(2, 3, false, &wire.ListedTarget{Id: "a", State: wire.TargetState_TARGET_STATE_GONE}), time.Second))
+	is.Equal(len(l.byService()["s"]), 1)
+	is.True(!l.apply(change(1, 9, true, a), time.Second))
+	is.Equal(l.byService()["s"][0].Name, "b")
+}
+
+// TestShares: shares are used once told, lapse without word from control, and don't come
+// back with the next answer.
+func TestShares(t *testing.T) {
+	is := is.New(t)
+	var s shares
+	now := time.Hour
+	told := &wire.PollResponse{SharesNumber: 7, Shares: []*wire.TeamShare{{Team: "t", Share: 0.4}}}
+	is.Equal(s.of("t", now), 0.0)
+	s.take(told, now, true, "leader")
+	is.Equal(s.of("t", now), 0.4)
+	is.Equal(s.inUse(), uint64(7))
+	is.True(!s.due("leader", now) && s.due("another", now) && s.due("leader", now+demandInterval))
+	now += timekeeper.ShareLease + 1
+	is.Equal(s.of("t", now), timekeeper.SilentShare)
+	s.take(&wire.PollResponse{}, now, false, "leader")
+	is.Equal(s.of("t", now), timekeeper.SilentShare)
+	is.Equal(s.demands(map[string]float64{"t": 5}, now)[0].GetShare(), timekeeper.SilentShare)
+}
