Lend tokens of teams whose rate is too thin to be divided among the entries

Cause: on the grown sites 80 entries divide 82 teams' rates, half a request per second and entry on average.

Ruled out: larger overdrafts (44 tokens in 5 s over 80 entries); the product's owners of accounts (a call a team and entry, 82 flush timers an entry); a call a request (the entries of two regions would wait 40 ms each time).

Change: control/lender holds one bucket a team with rate below 4/s and entry. An entry borrows for all teams in one call at a time (Borrow), keeps a few tokens in hand by habit, gives them back when idle, drops them past the lease. Bucket and tokens in hand share the burst, so no window is over the limit by design; a new leader begins with empty buckets.

--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -30,6 +30,8 @@
 	Clock timekeeper.Clock
 	// Entries are the entries of the deployment, by name.
 	Entries func() map[string]*wire.EntryMember
+	// Lends tells whether a team's tokens are lent instead; nil means that none are.
+	Lends func(team string) bool
 }
 
 // Caller names one run of an entry.
@@ -90,14 +92,20 @@
 	n.inUse = r.GetSharesInUse()
 	n.settle(n.inUse)
 	reported := map[string]float64{}
+	var out []*wire.TeamShare
 	for _, d := range r.GetDemands() {
-		n.demands[d.GetTeam()] = d.GetRate()
 		reported[d.GetTeam()] = d.GetShare()
+		if a.config.Lends != nil && a.config.Lends(d.GetTeam()) {
+			delete(n.demands, d.GetTeam())
+			out = append(out, &wire.TeamShare{Team: d.GetTeam(), Lent: true})
+			continue
+		}
+		n.demands[d.GetTeam()] = d.GetRate()
 	}
 	a.forget(now)
-	var out []*wire.TeamShare
+	awaits := a.awaits(now)
 	for _, team := range slices.Sorted(maps.Keys(n.demands)) {
-		if s, changes := a.next(now, n, team, reported); changes {
+		if s, changes := a.next(now, n, team, reported, awaits); changes {
 			out = append(out, &wire.TeamShare{Team: team, Share: s})
 		}
 	}
@@ -133,7 +141,7 @@
 }
 
 // next returns the share that an entry should have now, and whether that is worth telling.
-func (a *Apportioner) next(now time.Duration, n *account, team string, reported map[string]float64) (float64, bool) {
+func (a *Apportioner) next(now time.Duration, n *account, team string, reported map[string]float64, awaits bool) (float64, bool) {
 	total, others := 0.0, 0.0
 	for _, o := range a.callers {
 		total += o.demands[team]
@@ -151,7 +159,9 @@
 	if !told {
 		present = n.newest(team)
 	}
-	others += a.reserved(now, team)
+	if awaits {
+		others += a.reserved(team)
+	}
 	want = min(want, max(0, 1-others))
 	if d := want - present; d > -leastChange && d < leastChange && n.has(team) {
 		return present, false
@@ -160,10 +170,7 @@
 }
 
 // reserved is what entries that have not asked this leader yet may hold of an earlier one.
-func (a *Apportioner) reserved(now time.Duration, team string) float64 {
-	if now-a.since > timekeeper.ShareLease+timekeeper.DriftMargin || !a.awaits() {
-		return 0
-	}
+func (a *Apportioner) reserved(team string) float64 {
 	brought := 0.0
 	for _, n := range a.callers {
 		brought += n.brought[team]
@@ -171,8 +178,12 @@
 	return max(0, 1-brought)
 }
 
-// awaits tells whether an entry of the deployment has not asked this leader yet.
-func (a *Apportioner) awaits() bool {
+// awaits tells whether an entry of the deployment that has not asked this leader yet may
+// hold shares.
+func (a *Apportioner) awaits(now time.Duration) bool {
+	if now-a.since > timekeeper.ShareLease+timekeeper.DriftMargin {
+		return false
+	}
 	asked := map[string]bool{}
 	for c := range a.callers {
 		asked[c.Name] = true
--- a/control/control.go
+++ b/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/filberthoist/filberthoist/control/coordinator"
 	"github.com/filberthoist/filberthoist/control/distributor"
 	"github.com/filberthoist/filberthoist/control/founder"
+	"github.com/filberthoist/filberthoist/control/lender"
 	"github.com/filberthoist/filberthoist/control/messenger"
 	"github.com/filberthoist/filberthoist/control/mover"
 	"github.com/filberthoist/filberthoist/control/recorder"
@@ -29,6 +30,7 @@
 	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/listener"
 	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/reporter"
 	"github.com/filberthoist/filberthoist/core/starter"
 	"github.com/filberthoist/filberthoist/core/supervisor"
@@ -80,6 +82,7 @@
 			newMessenger,
 			newSequencer,
 			newSurveyor,
+			newLender,
 			newApportioner,
 			newAllocator,
 			newDistributor,
@@ -166,17 +169,39 @@
 }
 
 // newApportioner returns nil where entries own the accounts of teams.
-func newApportioner(s Settings, c timekeeper.Clock, t *applier.State) *apportioner.Apportioner {
+func newApportioner(s Settings, c timekeeper.Clock, t *applier.State, l *lender.Lender) *apportioner.Apportioner {
 	if s.Roles {
 		return nil
 	}
-	return apportioner.NewApportioner(apportioner.Config{Clock: c, Entries: t.Entries})
+	return apportioner.NewApportioner(apportioner.Config{Clock: c, Entries: t.Entries, Lends: l.Lends})
+}
+
+// newLender returns nil where entries own the accounts of teams.
+func newLender(s Settings, c timekeeper.Clock, l logger.Logger, t *applier.State) *lender.Lender {
+	if s.Roles {
+		return nil
+	}
+	return lender.NewLender(lender.Config{
+		Clock: c, Entries: func() int { return len(t.Entries()) },
+		Teams: func() map[string]*parser.Team {
+			n, err := t.Configuration()
+			if err != nil {
+				l.Log(logger.ConfigurationBad, logger.F("error", err))
+			}
+			if n == nil {
+				return nil
+			}
+			return n.Teams
+		},
+	})
 }
 
 func newDistributor(c timekeeper.Clock, s *sequencer.Sequencer, t *applier.State, v *surveyor.Surveyor,
-	a *apportioner.Apportioner, o *allocator.Allocator,
+	a *apportioner.Apportioner, o *allocator.Allocator, n *lender.Lender,
 ) *distributor.Distributor {
-	return distributor.NewDistributor(distributor.Config{Clock: c, Sequencer: s, State: t, Surveyor: v, Apportioner: a, Allocator: o})
+	return distributor.NewDistributor(distributor.Config{
+		Clock: c, Sequencer: s, State: t, Surveyor: v, Apportioner: a, Allocator: o, Lender: n,
+	})
 }
 
 // newAllocator returns nil where dispatchers of pools decide.
--- a/control/distributor/distributor.go
+++ b/control/distributor/distributor.go
@@ -13,6 +13,7 @@
 	"github.com/filberthoist/filberthoist/control/allocator"
 	"github.com/filberthoist/filberthoist/control/applier"
 	"github.com/filberthoist/filberthoist/control/apportioner"
+	"github.com/filberthoist/filberthoist/control/lender"
 	"github.com/filberthoist/filberthoist/control/replicator"
 	"github.com/filberthoist/filberthoist/control/sequencer"
 	"github.com/filberthoist/filberthoist/control/surveyor"
@@ -47,6 +48,8 @@
 	Allocator *allocator.Allocator
 	// Apportioner divides teams' rates; nil means that owners grant them.
 	Apportioner *apportioner.Apportioner
+	// Lender lends the tokens of teams with small rates; nil means that none are lent.
+	Lender *lender.Lender
 }
 
 // Caller is what is known of one incarnation of an entry or relay.
@@ -133,6 +136,15 @@
 	}
 }
 
+// Borrow lends tokens of teams' rates.
+func (d *Distributor) Borrow(_ context.Context, q *connect.Request[wire.BorrowRequest]) (*connect.Response[wire.BorrowResponse], error) {
+	v := d.config.Sequencer.View()
+	if d.config.Lender == nil || !v.Serving() {
+		return connect.NewResponse(&wire.BorrowResponse{NotLeader: true}), nil
+	}
+	return connect.NewResponse(d.config.Lender.Answer(v.Term, v.LeaderSince, q.Msg)), nil
+}
+
 // Callers returns what is known of each caller.
 func (d *Distributor) Callers() map[CallerName]Caller {
 	d.mutex.Lock()
--- /dev/null
+++ b/control/lender/lender.go
@@ -0,0 +1,202 @@
+// Package lender lends tokens of teams' rates to entries, for teams whose rate is so small
+// against the number of entries that a share of it would hold less than a request. One
+// bucket a team lies with the control leader.
+package lender
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// Parameters of the loans.
+const (
+	// dividedRate is the rate in requests per second and entry from which a team's rate is
+	// divided: below, an entry's share often lacks the token that another holds unused.
+	dividedRate = 4
+	// heldPart is the part of a team's burst that may lie unspent in entries' hands; the
+	// bucket holds the rest, so that both together never exceed the burst.
+	heldPart = 0.5
+	// sparedPart is the part of a full bucket that is kept for requests that wait.
+	sparedPart = 0.25
+	// refusalSpan is the time over which refusals are averaged.
+	refusalSpan = time.Second
+	// leastWait and mostWait bound what refused callers are asked to wait.
+	leastWait = 100 * time.Millisecond
+	mostWait  = 2 * time.Second
+	// lookInterval is the pause between looks at the configuration and the entries.
+	lookInterval = 250 * time.Millisecond
+	// forgetAfter is the silence after which an entry has given up its tokens.
+	forgetAfter = timekeeper.ShareLease + timekeeper.DriftMargin
+)
+
+// Config sets up a Lender.
+type Config struct {
+	Clock timekeeper.Clock
+	// Teams are the teams of the configuration in force.
+	Teams func() map[string]*parser.Team
+	// Entries is the number of entries of the deployment.
+	Entries func() int
+}
+
+// Lender holds the buckets of this leader's term. It is safe for concurrent use.
+type Lender struct {
+	config Config
+	mutex  sync.Mutex
+	term   uint64
+	since  time.Duration
+	pots   map[string]*pot
+	asked  map[caller]time.Duration
+	// teams and entries are as they were at the last look.
+	looked  time.Duration
+	teams   map[string]*parser.Team
+	entries int
+}
+
+// caller names one run of an entry.
+type caller struct {
+	name        string
+	incarnation uint64
+}
+
+// pot is the bucket of one team.
+type pot struct {
+	rate   float64
+	burst  float64
+	tokens float64
+	filled time.Duration
+	held   map[caller]float64
+	// refused is the averaged number of refusals, counted at the moment counted.
+	refused float64
+	counted time.Duration
+}
+
+// NewLender returns a Lender whose buckets are empty.
+func NewLender(c Config) *Lender {
+	return &Lender{config: c, pots: map[string]*pot{}, asked: map[caller]time.Duration{}, looked: -lookInterval}
+}
+
+// Lends tells whether a team's tokens are lent.
+func (l *Lender) Lends(team string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.look(l.config.Clock.Now())
+	return l.lends(team)
+}
+
+// Answer lends what a request asks for, as far as there is. term and since tell since when
+// this member leads; its buckets begin empty, since the leader before may have emptied them.
+func (l *Lender) Answer(term uint64, since time.Duration, r *wire.BorrowRequest) *wire.BorrowResponse {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := l.config.Clock.Now()
+	if term != l.term {
+		l.term, l.since, l.pots, l.asked = term, since, map[string]*pot{}, map[caller]time.Duration{}
+	}
+	c := caller{r.GetEntry(), r.GetIncarnation()}
+	l.look(now)
+	l.note(now, c)
+	out := &wire.BorrowResponse{}
+	for _, d := range r.GetDemands() {
+		out.Loans = append(out.Loans, l.lend(now, c, d))
+	}
+	return out
+}
+
+func (l *Lender) lend(now time.Duration, c caller, d *wire.TokenDemand) *wire.TokenLoan {
+	out := &wire.TokenLoan{Team: d.GetTeam()}
+	if !l.lends(d.GetTeam()) {
+		delete(l.pots, d.GetTeam())
+		out.Divided = true
+		return out
+	}
+	p := l.pot(now, d.GetTeam())
+	p.held[c] = float64(d.GetHeld())
+	p.tokens = min(p.tokens+float64(d.GetReturned()), p.room())
+	needed := min(float64(d.GetNeeded()), math.Floor(p.tokens))
+	p.tokens -= needed
+	out.Tokens = uint32(needed)
+	if missing := float64(d.GetNeeded()) - needed; missing > 0 {
+		out.WaitMilliseconds = uint32(p.refuse(now, missing) / time.Millisecond)
+		return out
+	}
+	if now-l.since < forgetAfter {
+		return out // entries may hold tokens of the leader before
+	}
+	spare := math.Floor(min(p.tokens-sparedPart*p.room(), heldPart*p.burst-p.lent()))
+	extra := max(0, min(float64(d.GetWanted()), spare))
+	p.tokens -= extra
+	p.held[c] += extra
+	out.Tokens += uint32(extra)
+	return out
+}
+
+func (l *Lender) look(now time.Duration) {
+	if now-l.looked >= lookInterval {
+		l.looked, l.teams, l.entries = now, l.config.Teams(), l.config.Entries()
+	}
+}
+
+func (l *Lender) lends(team string) bool {
+	t := l.teams[team]
+	return t != nil && !t.Unlimited && t.Rate < dividedRate*float64(l.entries)
+}
+
+func (l *Lender) pot(now time.Duration, team string) *pot {
+	t, p := l.teams[team], l.pots[team]
+	if p == nil {
+		p = &pot{rate: t.Rate, filled: l.since, held: map[caller]float64{}}
+		l.pots[team] = p
+	}
+	p.fill(now, t.Rate, t.Burst)
+	return p
+}
+
+// note keeps account of who asks; an entry that was silent for long has given up its tokens,
+// and so has an earlier run of one.
+func (l *Lender) note(now time.Duration, c caller) {
+	l.asked[c] = now
+	for o, at := range l.asked {
+		if now-at <= forgetAfter && (o.name != c.name || o == c) {
+			continue
+		}
+		delete(l.asked, o)
+		for _, p := range l.pots {
+			delete(p.held, o)
+		}
+	}
+}
+
+// fill adds what came since the last time. A changed limit holds at once for the bucket.
+func (p *pot) fill(now time.Duration, rate, burst float64) {
+	p.tokens += min(p.rate, rate) * (now - p.filled).Seconds()
+	p.rate, p.burst, p.filled = rate, burst, now
+	p.tokens = min(p.tokens, p.room())
+}
+
+// room is the size of the bucket.
+func (p *pot) room() float64 {
+	return max(1, (1-heldPart)*p.burst)
+}
+
+// lent is the number of tokens in entries' hands.
+func (p *pot) lent() float64 {
+	sum := 0.0
+	for _, n := range p.held {
+		sum += n
+	}
+	return sum
+}
+
+// refuse counts requests that got no token and returns when they have a chance: once those
+// refused before them have been served.
+func (p *pot) refuse(now time.Duration, n float64) time.Duration {
+	p.refused = n + p.refused*math.Exp(-(now-p.counted).Seconds()/refusalSpan.Seconds())
+	p.counted = now
+	wait := time.Duration(p.refused / max(p.rate, 1) * float64(time.Second))
+	return min(mostWait, max(leastWait, wait))
+}
--- a/core/wire/wireconnect/wire.connect.go
+++ b/core/wire/wireconnect/wire.connect.go
@@ -53,6 +53,9 @@
 	// DistributionServicePollProcedure is the fully-qualified name of the DistributionService's Poll
 	// RPC.
 	DistributionServicePollProcedure = "/filberthoist.wire.v1.DistributionService/Poll"
+	// DistributionServiceBorrowProcedure is the fully-qualified name of the DistributionService's
+	// Borrow RPC.
+	DistributionServiceBorrowProcedure = "/filberthoist.wire.v1.DistributionService/Borrow"
 	// AdministrationServiceSubmitProcedure is the fully-qualified name of the AdministrationService's
 	// Submit RPC.
 	AdministrationServiceSubmitProcedure = "/filberthoist.wire.v1.AdministrationService/Submit"
@@ -194,6 +197,8 @@
 type DistributionServiceClient interface {
 	// Poll waits for a change after the given index, or for the hold time.
 	Poll(context.Context, *connect.Request[wire.PollRequest]) (*connect.Response[wire.PollResponse], error)
+	// Borrow asks for tokens of teams whose rates are lent, not divided.
+	Borrow(context.Context, *connect.Request[wire.BorrowRequest]) (*connect.Response[wire.BorrowResponse], error)
 }
 
 // NewDistributionServiceClient constructs a client for the filberthoist.wire.v1.DistributionService
@@ -213,12 +218,19 @@
 			connect.WithSchema(distributionServiceMethods.ByName("Poll")),
 			connect.WithClientOptions(opts...),
 		),
+		borrow: connect.NewClient[wire.BorrowRequest, wire.BorrowResponse](
+			httpClient,
+			baseURL+DistributionServiceBorrowProcedure,
+			connect.WithSchema(distributionServiceMethods.ByName("Borrow")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // distributionServiceClient implements DistributionServiceClient.
 type distributionServiceClient struct {
-	poll *connect.Client[wire.PollRequest, wire.PollResponse]
+	poll   *connect.Client[wire.PollRequest, wire.PollResponse]
+	borrow *connect.Client[wire.BorrowRequest, wire.BorrowResponse]
 }
 
 // Poll calls filberthoist.wire.v1.DistributionService.Poll.
@@ -226,11 +238,18 @@
 	return c.poll.CallUnary(ctx, req)
 }
 
+// Borrow calls filberthoist.wire.v1.DistributionService.Borrow.
+func (c *distributionServiceClient) Borrow(ctx context.Context, req *connect.Request[wire.BorrowRequest]) (*connect.Response[wire.BorrowResponse], error) {
+	return c.borrow.CallUnary(ctx, req)
+}
+
 // DistributionServiceHandler is an implementation of the filberthoist.wire.v1.DistributionService
 // service.
 type DistributionServiceHandler interface {
 	// Poll waits for a change after the given index, or for the hold time.
 	Poll(context.Context, *connect.Request[wire.PollRequest]) (*connect.Response[wire.PollResponse], error)
+	// Borrow asks for tokens of teams whose rates are lent, not divided.
+	Borrow(context.Context, *connect.Request[wire.BorrowRequest]) (*connect.Response[wire.BorrowResponse], error)
 }
 
 // NewDistributionServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -246,10 +265,18 @@
 		connect.WithSchema(distributionServiceMethods.ByName("Poll")),
 		connect.WithHandlerOptions(opts...),
 	)
+	distributionServiceBorrowHandler := connect.NewUnaryHandler(
+		DistributionServiceBorrowProcedure,
+		svc.Borrow,
+		connect.WithSchema(distributionServiceMethods.ByName("Borrow")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/filberthoist.wire.v1.DistributionService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case DistributionServicePollProcedure:
 			distributionServicePollHandler.ServeHTTP(w, r)
+		case DistributionServiceBorrowProcedure:
+			distributionServiceBorrowHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -263,6 +290,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("filberthoist.wire.v1.DistributionService.Poll is not implemented"))
 }
 
+func (UnimplementedDistributionServiceHandler) Borrow(context.Context, *connect.Request[wire.BorrowRequest]) (*connect.Response[wire.BorrowResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("filberthoist.wire.v1.DistributionService.Borrow is not implemented"))
+}
+
 // AdministrationServiceClient is a client for the filberthoist.wire.v1.AdministrationService
 // service.
 type AdministrationServiceClient interface {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,6 +97,7 @@
 			newReceiver,
 			newOwner,
 			newLimiter,
+			newBorrower,
 			newDivided,
 			newGranter,
 			newClient,
@@ -211,9 +212,13 @@
 	return &dividedSlot{}
 }
 
-func newDivided(s Settings, c timekeeper.Clock, v *receiver.Receiver, d *dividedSlot) *limiter.Divided {
+func newBorrower(c timekeeper.Clock, r *reporter.Reporter, v *receiver.Receiver) *limiter.Borrower {
+	return limiter.NewBorrower(limiter.BorrowerConfig{Clock: c, Scope: r.Scope, Call: v.Borrow})
+}
+
+func newDivided(s Settings, c timekeeper.Clock, v *receiver.Receiver, d *dividedSlot, b *limiter.Borrower) *limiter.Divided {
 	m := limiter.NewDivided(limiter.DividedConfig{
-		Clock: c, View: v.View, Share: v.Share, Overdraft: s.Overdraft, Entries: func() int { return len(v.View().Entries) },
+		Clock: c, View: v.View, Share: v.Share, Borrower: b, Overdraft: s.Overdraft, Entries: func() int { return len(v.View().Entries) },
 	})
 	if !s.Roles {
 		d.value = m
@@ -322,6 +327,7 @@
 	Receiver   *receiver.Receiver
 	Owner      *limiter.Owner
 	Limiter    *limiter.Limiter
+	Borrower   *limiter.Borrower
 	Granter    *dispatcher.Granter
 	Client     *dispatcher.Client
 	Dispatcher *dispatcher.Dispatcher
@@ -369,6 +375,8 @@
 				p.Group.Go("limiter", p.Limiter.Run)
 				p.Group.Go("permits", p.Client.Run)
 				p.Group.Go("prober", p.Prober.Run)
+			} else {
+				p.Group.Go("borrower", p.Borrower.Run)
 			}
 			p.Logger.Log(logger.ProcessStarted, logger.F("callers", callers.Address()))
 			return nil
--- /dev/null
+++ b/entry/limiter/borrower.go
@@ -0,0 +1,296 @@
+package limiter
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// Parameters of borrowing.
+const (
+	// habitSpan is the time over which a team's requests at this entry are averaged. Callers
+	// stay on their connections for seconds.
+	habitSpan = 5 * time.Second
+	// heldSpan is the time whose expected requests this entry wants tokens in hand for.
+	heldSpan = time.Second
+	// leastHabit is the rate in requests per second below which no token is held.
+	leastHabit = 0.05
+	// refillInterval is how often tokens in hand are filled up without a request that waits.
+	refillInterval = 100 * time.Millisecond
+	// askAgain is the longest time in which a team's empty bucket is not asked again, so
+	// that a team far over its limit costs few calls.
+	askAgain = 100 * time.Millisecond
+	// longestLoan is the longest that a request waits for a token: a change of leader.
+	longestLoan = time.Second
+	// loanPart bounds the same by a part of the time left.
+	loanPart = 0.25
+	// lenderPause is the pause after a call that failed.
+	lenderPause = 25 * time.Millisecond
+)
+
+// BorrowerConfig sets up a Borrower.
+type BorrowerConfig struct {
+	Clock timekeeper.Clock
+	Scope tally.Scope
+	// Call asks the control leader.
+	Call func(ctx context.Context, demands []*wire.TokenDemand) (*wire.BorrowResponse, error)
+}
+
+// Borrower holds the tokens that control lent this entry, for teams whose rate is too small
+// to be divided. Requests that find none wait for one call for all of them together.
+type Borrower struct {
+	config BorrowerConfig
+	mutex  sync.Mutex
+	loans  map[string]*loan
+	// answered is when control last answered; tokens are given up past the lease.
+	answered time.Duration
+	wake     chan struct{}
+	calls    tally.Counter
+	waits    tally.Counter
+}
+
+// loan is what this entry holds of one team.
+type loan struct {
+	tokens int
+	// rate is the limit that the tokens were lent under.
+	rate float64
+	// habit is the averaged number of requests per second, counted at the moment counted.
+	habit   float64
+	counted time.Duration
+	waiters []*borrow
+	// emptyUntil is the time before which the bucket is not asked again.
+	emptyUntil time.Duration
+	// sparedUntil is the time before which nothing is asked for beyond what is needed.
+	sparedUntil time.Duration
+}
+
+// borrow is a request that waits for a token.
+type borrow struct {
+	done chan Verdict
+	gone bool
+}
+
+// Verdict is what came of a wait for a token.
+type Verdict struct {
+	Admitted bool
+	// Wait is the time after which another try has a chance.
+	Wait time.Duration
+	// Unreachable tells that control did not answer in time.
+	Unreachable bool
+}
+
+// NewBorrower returns a Borrower without tokens.
+func NewBorrower(c BorrowerConfig) *Borrower {
+	return &Borrower{
+		config: c, loans: map[string]*loan{}, wake: make(chan struct{}, 1),
+		calls: c.Scope.Counter("loanCalls"), waits: c.Scope.Counter("loanWaits"),
+	}
+}
+
+// Run asks control for tokens until the context ends.
+func (b *Borrower) Run(ctx context.Context) error {
+	return b.run(ctx)
+}
+
+// Take spends a token of a team; without one in hand it waits until control has answered, at
+// most a part of the time left.
+func (b *Borrower) Take(ctx context.Context, t *parser.Team, left time.Duration) Verdict {
+	w, v := b.take(t)
+	if w == nil {
+		return v
+	}
+	b.waits.Inc(1)
+	timer := time.NewTimer(min(longestLoan, time.Duration(loanPart*float64(left))))
+	defer timer.Stop()
+	select {
+	case v = <-w.done:
+		return v
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	w.gone = true
+	select {
+	case v = <-w.done: // it came at the last moment
+		return v
+	default:
+		return Verdict{Wait: longestLoan, Unreachable: true}
+	}
+}
+
+// take returns a verdict, or a wait.
+func (b *Borrower) take(t *parser.Team) (*borrow, Verdict) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := b.config.Clock.Now()
+	l := b.loans[t.Name]
+	if l == nil {
+		l = &loan{counted: now}
+		b.loans[t.Name] = l
+	}
+	l.count(now)
+	if l.rate != t.Rate || now-b.answered > timekeeper.ShareLease {
+		l.rate, l.tokens = t.Rate, 0
+	}
+	switch {
+	case l.tokens > 0 && len(l.waiters) == 0:
+		l.tokens--
+		return nil, Verdict{Admitted: true}
+	case now < l.emptyUntil:
+		return nil, Verdict{Wait: l.emptyUntil - now + time.Duration(float64(time.Second)/max(1, l.rate))}
+	}
+	w := &borrow{done: make(chan Verdict, 1)}
+	l.waiters = append(l.waiters, w)
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+	return w, Verdict{}
+}
+
+func (b *Borrower) run(ctx context.Context) error {
+	t := time.NewTicker(refillInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-b.wake:
+		case <-t.C:
+		}
+		for b.ask(ctx) && ctx.Err() == nil { // until nobody waits
+		}
+	}
+}
+
+// ask makes one call if there is reason to, and tells whether somebody waits for another.
+func (b *Borrower) ask(ctx context.Context) (again bool) {
+	demands := b.demands()
+	if len(demands) == 0 {
+		return false
+	}
+	b.calls.Inc(1)
+	answer, err := b.config.Call(ctx, demands)
+	if err != nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(lenderPause): // those who wait have bounds of their own
+		}
+		return b.waiting()
+	}
+	b.settle(answer)
+	return b.waiting()
+}
+
+// demands lists the teams of which this entry needs tokens or gives some back.
+func (b *Borrower) demands() []*wire.TokenDemand {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := b.config.Clock.Now()
+	var out []*wire.TokenDemand
+	for name, l := range b.loans {
+		if d := l.demand(now); d != nil {
+			d.Team = name
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func (l *loan) demand(now time.Duration) *wire.TokenDemand {
+	l.decay(now)
+	l.dropGone()
+	d := &wire.TokenDemand{Needed: uint32(len(l.waiters))}
+	if l.habit < leastHabit {
+		d.Returned, l.tokens = uint32(l.tokens), 0
+	}
+	d.Held = uint32(l.tokens)
+	target := 0
+	if l.habit >= leastHabit {
+		target = int(math.Ceil(l.habit * heldSpan.Seconds()))
+	}
+	if l.tokens <= target/2 && now >= l.sparedUntil {
+		d.Wanted = uint32(target - l.tokens)
+	}
+	if d.Needed == 0 && d.Returned == 0 && d.Wanted == 0 {
+		return nil
+	}
+	return d
+}
+
+// settle hands lent tokens to the requests that wait, in their order; the rest stay in hand.
+func (b *Borrower) settle(answer *wire.BorrowResponse) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := b.config.Clock.Now()
+	b.answered = now
+	for _, n := range answer.GetLoans() {
+		l := b.loans[n.GetTeam()]
+		if l == nil {
+			continue
+		}
+		l.tokens += int(n.GetTokens())
+		l.dropGone()
+		for l.tokens > 0 && len(l.waiters) > 0 {
+			l.tokens--
+			l.next(Verdict{Admitted: true})
+		}
+		l.sparedUntil = now + askAgain
+		wait := time.Duration(n.GetWaitMilliseconds()) * time.Millisecond
+		if wait == 0 && !n.GetDivided() {
+			continue
+		}
+		l.emptyUntil = now + min(wait, askAgain)
+		for len(l.waiters) > 0 {
+			l.next(Verdict{Wait: max(wait, askAgain)})
+		}
+	}
+}
+
+// next gives the first request that waits its verdict.
+func (l *loan) next(v Verdict) {
+	l.waiters[0].done <- v
+	l.waiters = l.waiters[1:]
+}
+
+func (b *Borrower) waiting() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, l := range b.loans {
+		l.dropGone()
+		if len(l.waiters) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *loan) dropGone() {
+	live := l.waiters[:0]
+	for _, w := range l.waiters {
+		if !w.gone {
+			live = append(live, w)
+		}
+	}
+	l.waiters = live
+}
+
+func (l *loan) count(now time.Duration) {
+	l.decay(now)
+	l.habit += 1 / habitSpan.Seconds()
+}
+
+func (l *loan) decay(now time.Duration) {
+	if now > l.counted {
+		l.habit *= math.Exp(-(now - l.counted).Seconds() / habitSpan.Seconds())
+		l.counted = now
+	}
+}
--- a/entry/limiter/divided.go
+++ b/entry/limiter/divided.go
@@ -26,6 +26,9 @@
 	View  func() *receiver.View
 	// Share is the part of a team's rate and burst that this entry may admit, from 0 to 1.
 	Share func(team string) float64
+	// Borrower takes tokens of teams of whose rate this entry has no share; nil means that
+	// such requests are refused.
+	Borrower *Borrower
 	// Overdraft is what all entries together may admit beyond a team's limit.
 	Overdraft Overdraft
 	// Entries is the number of entries that share the overdraft; nil means one.
@@ -101,6 +104,9 @@
 	if e.Team == nil || e.Team.Unlimited {
 		return handler.Outcome{}
 	}
+	if d.config.Borrower != nil && d.config.Share(e.Team.Name) == 0 {
+		return d.borrow(ctx, e)
+	}
 	wait, ok := d.take(e.Team)
 	if !ok {
 		e.RetryAfter, e.Trace.Share = wait, d.config.Share(e.Team.Name)
@@ -119,19 +125,38 @@
 	}
 }
 
+// borrow spends a token that control lends.
+func (d *Divided) borrow(ctx context.Context, e *handler.Exchange) handler.Outcome {
+	d.count(e.Team)
+	v := d.config.Borrower.Take(ctx, e.Team, e.Deadline-d.config.Clock.Now())
+	switch {
+	case v.Admitted:
+		return handler.Outcome{}
+	case ctx.Err() != nil:
+		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonCallerGone)
+	case v.Unreachable:
+		e.RetryAfter = v.Wait
+		return handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNotAvailable)
+	}
+	e.RetryAfter = v.Wait
+	return handler.Refuse(http.StatusTooManyRequests, handler.ReasonLimit)
+}
+
+// count notes a request towards a team's demand here.
+func (d *Divided) count(t *parser.Team) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.bucket(t).count(d.config.Clock.Now())
+}
+
 // take spends a token, or one that comes within longestBorrow. The wait is until the token
 // is there; without one it is until one may be.
 func (d *Divided) take(t *parser.Team) (wait time.Duration, ok bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.config.Clock.Now()
-	b := d.teams[t.Name]
-	if b == nil {
-		b = &dividedBucket{filled: now, counted: now}
-		d.teams[t.Name] = b
-	}
-	b.decay(now)
-	b.rate += 1 / rateSpan.Seconds()
+	b := d.bucket(t)
+	b.count(now)
 	share := d.config.Share(t.Name)
 	b.fill(now, t.Rate*share, t.Burst*share+d.overdraft(t, share))
 	if b.tokens >= 1 {
@@ -150,6 +175,16 @@
 	return wait, true
 }
 
+func (d *Divided) bucket(t *parser.Team) *dividedBucket {
+	b := d.teams[t.Name]
+	if b == nil {
+		now := d.config.Clock.Now()
+		b = &dividedBucket{filled: now, counted: now}
+		d.teams[t.Name] = b
+	}
+	return b
+}
+
 // overdraft is this entry's part of the overdraft of a team.
 func (d *Divided) overdraft(t *parser.Team, share float64) float64 {
 	o, n := d.config.Overdraft, 1
@@ -172,6 +207,11 @@
 	b.filled = now
 }
 
+func (b *dividedBucket) count(now time.Duration) {
+	b.decay(now)
+	b.rate += 1 / rateSpan.Seconds()
+}
+
 func (b *dividedBucket) decay(now time.Duration) {
 	if now > b.counted {
 		b.rate *= math.Exp(-(now - b.counted).Seconds() / rateSpan.Seconds())
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -26,6 +26,9 @@
 	// pollTimeout bounds a poll, so that a silent connection costs less than a lease.
 	pollTimeout = timekeeper.PollHold + 350*time.Millisecond
 	retryPause  = 50 * time.Millisecond
+	// borrowTimeout bounds a call for tokens: two trips between distant regions and a pause
+	// of the leader.
+	borrowTimeout = 400 * time.Millisecond
 	// avoidSpan is how long a member that did not answer is asked only if no other is left.
 	avoidSpan = timekeeper.RoleLease
 )
@@ -149,6 +152,31 @@
 	return r.shares.of(team, r.config.Clock.Now())
 }
 
+// Borrow asks the control leader for tokens of teams' rates.
+func (r *Receiver) Borrow(ctx context.Context, demands []*wire.TokenDemand) (*wire.BorrowResponse, error) {
+	leader := r.Leader()
+	if leader == "" {
+		return nil, errors.New("no control leader is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	c := wireconnect.NewDistributionServiceClient(r.client, r.config.Connector.URL(leader))
+	q := &wire.BorrowRequest{Entry: r.config.Self.GetName(), Incarnation: r.config.Self.GetIncarnation(), Demands: demands}
+	answer, err := c.Borrow(ctx, connect.NewRequest(q))
+	if err != nil {
+		return nil, errors.Wrap(err, "borrowing tokens")
+	}
+	if answer.Msg.GetNotLeader() {
+		return nil, errors.Errorf("%s does not lead", leader)
+	}
+	for _, n := range answer.Msg.GetLoans() {
+		if n.GetDivided() {
+			r.shares.divide(n.GetTeam())
+		}
+	}
+	return answer.Msg, nil
+}
+
 // RoleUntil returns the end of the lease on this entry's roles, on the Clock.
 func (r *Receiver) RoleUntil() time.Duration {
 	return time.Duration(r.asked.Load()) + timekeeper.RoleLease
@@ -216,7 +244,7 @@
 	defer cancel()
 	address := r.address()
 	start := r.config.Clock.Now()
-	q := r.request(address, start)
+	q, reported := r.request(address, start)
 	c := wireconnect.NewDistributionServiceClient(r.client, r.config.Connector.URL(address))
 	answer, err := c.Poll(ctx, connect.NewRequest(q))
 	r.polls.Inc(1)
@@ -235,20 +263,21 @@
 	if len(answer.Msg.GetControlAddresses()) > 0 {
 		r.learned = answer.Msg.GetControlAddresses()
 	}
-	r.shares.take(answer.Msg, start, q.GetDemands() != nil, address)
+	r.shares.take(answer.Msg, start, reported, address)
 	r.take(answer.Msg, start)
 	r.takeTargets(answer.Msg.GetTargets())
 	r.takeAllocation(answer.Msg.GetAllocation())
 	return true
 }
 
-func (r *Receiver) request(address string, now time.Duration) *wire.PollRequest {
+// request returns the next poll, and whether it reports what this entry was asked for.
+func (r *Receiver) request(address string, now time.Duration) (q *wire.PollRequest, reported bool) {
 	self := proto.CloneOf(r.config.Self)
 	if r.leaving.Load() {
 		self.State = wire.EntryState_ENTRY_STATE_LEAVING
 	}
 	v := r.View()
-	q := &wire.PollRequest{Member: self, Applied: v.Index, HoldMilliseconds: uint32(timekeeper.PollHold / time.Millisecond)}
+	q = &wire.PollRequest{Member: self, Applied: v.Index, HoldMilliseconds: uint32(timekeeper.PollHold / time.Millisecond)}
 	for _, h := range v.Roles {
 		if r.mine(h) && h.GetVacant() {
 			q.Stopped = append(q.Stopped, &wire.StoppedRole{Name: h.GetName(), Epoch: h.GetEpoch()})
@@ -259,12 +288,13 @@
 	}
 	q.Targets = r.targets.version
 	q.SharesInUse = r.shares.inUse()
-	if r.config.Rates != nil && r.shares.due(address, now) {
+	reported = r.config.Rates != nil && r.shares.due(address, now)
+	if reported {
 		q.Demands = r.shares.demands(r.config.Rates(), now)
 		q.Services = servicesOf(r.config.Demands)
 	}
 	q.Allocation = r.allocation
-	return q
+	return q, reported
 }
 
 func servicesOf(demands func() map[string]float64) []*wire.ServiceDemand {
--- a/entry/receiver/shares.go
+++ b/entry/receiver/shares.go
@@ -18,6 +18,8 @@
 	mutex  sync.Mutex
 	number uint64
 	byTeam map[string]float64
+	// lent are the teams whose tokens are lent; their demand is not reported.
+	lent map[string]bool
 	// asked is when the last answered poll was sent; the lease counts from it.
 	asked time.Duration
 	// reportedTo and reportedAt tell the last report of demands.
@@ -66,6 +68,9 @@
 	s.lapse(now)
 	var out []*wire.TeamDemand
 	for _, team := range slices.Sorted(maps.Keys(rates)) {
+		if s.lent[team] && s.byTeam[team] == 0 {
+			continue
+		}
 		out = append(out, &wire.TeamDemand{Team: team, Rate: rates[team], Share: s.byTeam[team]})
 	}
 	return out
@@ -87,8 +92,22 @@
 	if next == nil {
 		next = map[string]float64{}
 	}
+	lent := maps.Clone(s.lent)
+	if lent == nil {
+		lent = map[string]bool{}
+	}
 	for _, t := range p.GetShares() {
-		next[t.GetTeam()] = t.GetShare()
+		next[t.GetTeam()], lent[t.GetTeam()] = t.GetShare(), t.GetLent()
+	}
+	s.number, s.byTeam, s.lent = p.GetSharesNumber(), next, lent
+}
+
+// divide notes that a team's rate is divided now.
+func (s *shares) divide(team string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.lent[team] {
+		s.lent = maps.Clone(s.lent)
+		delete(s.lent, team)
 	}
-	s.number, s.byTeam = p.GetSharesNumber(), next
 }
