Pack large answers once for all entries, decode items once, and wait longer for a whole state

An entry decoded all items again at each change: 25 ms for 1,400 routes, on 0.16 cores.

Ruled out: the platform's list (the leader had read the target's state 0.1 s after it).

Change: the distributor keeps what it built for 200 ms by the versions it leads from and to, packed where larger than 2 KB; other answers go out plain. Entries keep decoded items. From the second failed poll in a row the time-out doubles, since a whole state takes long on 2 Mbit/s.

TestPack; TestManyJoin.

--- a/control/control.go
+++ b/control/control.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -55,9 +56,6 @@
 	stopTimeout = 10 * time.Second
 	// drainTimeout bounds the wait for calls under way; a poll is held for less.
 	drainTimeout = 2 * time.Second
-	// compressedBytes is the size of an answer to an entry from which compressing it saves
-	// more on the entry's link than it costs the leader.
-	compressedBytes = 2 << 10
 )
 
 // New composes a control process from its settings.
@@ -321,7 +319,8 @@
 func openListeners(p parts) ([]*listener.Listener, error) {
 	peer := http.NewServeMux()
 	peer.Handle(wireconnect.NewReplicationServiceHandler(p.Messenger))
-	peer.Handle(wireconnect.NewDistributionServiceHandler(p.Distributor, connect.WithCompressMinBytes(compressedBytes)))
+	// The distributor compresses by itself what many entries get alike.
+	peer.Handle(wireconnect.NewDistributionServiceHandler(p.Distributor, connect.WithCompressMinBytes(math.MaxInt)))
 	peer.Handle(wireconnect.NewOutcomeServiceHandler(p.Registrar))
 	peer.Handle(wireconnect.NewAdministrationServiceHandler(p.Administrator))
 	operators := http.NewServeMux()
--- a/control/distributor/distributor.go
+++ b/control/distributor/distributor.go
@@ -80,11 +80,12 @@
 	config  Config
 	mutex   sync.Mutex
 	callers map[CallerName]*Caller
+	packer  *packer
 }
 
 // NewDistributor returns a Distributor that knows no caller.
 func NewDistributor(c Config) *Distributor {
-	return &Distributor{config: c, callers: map[CallerName]*Caller{}}
+	return &Distributor{config: c, callers: map[CallerName]*Caller{}, packer: newPacker()}
 }
 
 // Poll answers with changes as soon as there are any, or with the statement that there
@@ -116,7 +117,11 @@
 		targets := d.targetChanges()
 		changed := v.Serving() && (d.config.State.ChangedSince(r.GetApplied()) || d.listed(r) != nil)
 		if (held && confirmed) || (gathered && changed && (confirmed || d.recentlyFresh(r))) {
-			return connect.NewResponse(d.answer(v, r, confirmed)), nil
+			answer, err := d.answer(v, r, confirmed)
+			if err != nil {
+				return nil, connect.NewError(connect.CodeInternal, err)
+			}
+			return connect.NewResponse(answer), nil
 		}
 		if changed && gather == nil {
 			gather = time.After(gatherSpan)
@@ -180,12 +185,24 @@
 	return c.Applied
 }
 
-func (d *Distributor) answer(v *sequencer.View, r *wire.PollRequest, fresh bool) *wire.PollResponse {
-	records, index, whole := d.config.State.Since(r.GetApplied())
+func (d *Distributor) answer(v *sequencer.View, r *wire.PollRequest, fresh bool) (*wire.PollResponse, error) {
+	n := packName{from: r.GetApplied(), to: d.config.State.Index(), targetsTerm: r.GetTargets().GetTerm(), targetsFrom: r.GetTargets().GetChange()}
+	if d.config.Surveyor != nil {
+		n.knownTerm, n.knownTo = d.config.Surveyor.Version()
+	}
+	k, err := d.packer.get(d.config.Clock.Now(), n, func() *pack {
+		records, index, whole := d.config.State.Since(r.GetApplied())
+		return &pack{records: records, index: index, whole: whole, targets: d.listed(r)}
+	})
+	if err != nil {
+		return nil, err
+	}
 	if fresh {
 		d.noteFresh(r)
 	}
-	out := &wire.PollResponse{Index: index, Snapshot: whole, Records: records, Fresh: fresh, Targets: d.listed(r)}
+	out := &wire.PollResponse{
+		Index: k.index, Snapshot: k.whole, Records: k.records, Fresh: fresh, Targets: k.targets, Packed: k.packed,
+	}
 	if d.config.Apportioner != nil && v.Serving() {
 		caller := apportioner.Caller{Name: r.GetMember().GetName(), Incarnation: r.GetMember().GetIncarnation()}
 		out.Shares, out.SharesNumber = d.config.Apportioner.Answer(v.Term, v.LeaderSince, caller, r)
@@ -194,7 +211,7 @@
 		out.Allocation = d.config.Allocator.Answer(v.Term, r)
 	}
 	out.ControlAddresses = d.addresses(v, r)
-	return out
+	return out, nil
 }
 
 // listed returns what changed on the list of targets since the caller's version, or nil.
--- a/control/distributor/distributor_test.go
+++ b/control/distributor/distributor_test.go
@@ -1,8 +1,11 @@
 package distributor
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -10,6 +13,7 @@
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/filberthoist/filberthoist/control/applier"
 	"github.com/filberthoist/filberthoist/control/recorder"
@@ -61,6 +65,57 @@
 	return NewDistributor(Config{Clock: timekeeper.NewClock(), Sequencer: s, State: state}), s
 }
 
+func recordsOf(t *testing.T, p *wire.PollResponse) []*wire.Record {
+	t.Helper()
+	if len(p.GetPacked()) == 0 {
+		return p.GetRecords()
+	}
+	r, err := gzip.NewReader(bytes.NewReader(p.GetPacked()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := io.ReadAll(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	inner := &wire.PollResponse{}
+	if err := proto.Unmarshal(b, inner); err != nil {
+		t.Fatal(err)
+	}
+	return inner.GetRecords()
+}
+
+// TestPack: what many entries get alike is built once, and only large answers are packed.
+func TestPack(t *testing.T) {
+	is := is.New(t)
+	p, built := newPacker(), 0
+	build := func(n int) func() *pack {
+		return func() *pack {
+			built++
+			k := &pack{index: 7}
+			for i := range n {
+				k.records = append(k.records, &wire.Record{Key: fmt.Sprint("route/", i), Value: []byte("the same for all"), Index: 7})
+			}
+			return k
+		}
+	}
+	for range 80 {
+		k, err := p.get(time.Second, packName{from: 1, to: 7}, build(1000))
+		is.NoErr(err)
+		is.True(len(k.packed) > 0 && len(k.packed) < 10_000)
+		is.Equal(len(k.records), 0)
+		is.Equal(len(recordsOf(t, &wire.PollResponse{Packed: k.packed})), 1000)
+	}
+	is.Equal(built, 1)
+	k, err := p.get(time.Second, packName{from: 6, to: 7}, build(1))
+	is.NoErr(err)
+	is.Equal(len(k.records), 1)
+	_, err = p.get(time.Second+2*packLife, packName{from: 6, to: 7}, build(1))
+	is.NoErr(err)
+	is.Equal(built, 3)
+	is.Equal(len(p.kept), 1) // older ones are forgotten
+}
+
 // TestManyJoin: while many entries join one after the other, each gets the news in few
 // answers, and all of it.
 func TestManyJoin(t *testing.T) {
@@ -88,7 +143,7 @@
 		is.NoErr(err)
 		answers++
 		applied = a.Msg.GetIndex()
-		for _, r := range a.Msg.GetRecords() {
+		for _, r := range recordsOf(t, a.Msg) {
 			known[r.GetKey()] = true
 		}
 	}
--- a/control/surveyor/surveyor.go
+++ b/control/surveyor/surveyor.go
@@ -113,6 +113,13 @@
 	return out
 }
 
+// Version names the latest state of the list.
+func (s *Surveyor) Version() (term, change uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.term, s.change
+}
+
 // Slots returns the slots of the targets that take work, by service and availability zone.
 func (s *Surveyor) Slots() map[string]map[string]float64 {
 	s.mutex.Lock()
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -23,8 +23,10 @@
 
 // Times of the polls.
 const (
-	// pollTimeout bounds a poll, so that a silent connection costs less than a lease.
+	// pollTimeout bounds a poll, so that a silent connection costs less than a lease. From
+	// the second failure in a row it doubles, since a whole state takes long on a thin link.
 	pollTimeout = timekeeper.PollHold + 350*time.Millisecond
+	longestPoll = 4 * pollTimeout
 	retryPause  = 50 * time.Millisecond
 	// borrowTimeout bounds a call for tokens: two trips between distant regions and a pause
 	// of the leader.
@@ -59,7 +61,7 @@
 type Receiver struct {
 	config  Config
 	client  *http.Client
-	records records
+	records *records
 	view    atomic.Pointer[View]
 	// asked is when the last poll with a fresh answer was sent; leases count from it.
 	asked   atomic.Int64
@@ -83,8 +85,10 @@
 	lapsed     bool
 	silent     bool
 	failing    bool
-	polls      tally.Counter
-	bytes      tally.Counter
+	// failed counts the polls without an answer in a row.
+	failed int
+	polls  tally.Counter
+	bytes  tally.Counter
 }
 
 // neverAsked is the value of asked before the first fresh answer.
@@ -95,7 +99,7 @@
 	r := &Receiver{
 		config:  c,
 		client:  c.Connector.Client(),
-		records: records{},
+		records: newRecords(),
 		targets: newTargetList(c.Zones),
 		lapsed:  true,
 		polls:   c.Scope.Counter("polls"),
@@ -160,7 +164,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
-	c := wireconnect.NewDistributionServiceClient(r.client, r.config.Connector.URL(leader))
+	c := r.distribution(leader)
 	q := &wire.BorrowRequest{Entry: r.config.Self.GetName(), Incarnation: r.config.Self.GetIncarnation(), Demands: demands}
 	answer, err := c.Borrow(ctx, connect.NewRequest(q))
 	if err != nil {
@@ -240,12 +244,12 @@
 
 // poll asks one control member once, and tells whether that moved something.
 func (r *Receiver) poll(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	ctx, cancel := context.WithTimeout(ctx, min(longestPoll, pollTimeout<<min(max(0, r.failed-1), 2)))
 	defer cancel()
 	address := r.address()
 	start := r.config.Clock.Now()
 	q, reported := r.request(address, start)
-	c := wireconnect.NewDistributionServiceClient(r.client, r.config.Connector.URL(address))
+	c := r.distribution(address)
 	answer, err := c.Poll(ctx, connect.NewRequest(q))
 	r.polls.Inc(1)
 	if err != nil {
@@ -253,11 +257,15 @@
 		return false
 	}
 	r.bytes.Inc(int64(proto.Size(answer.Msg)))
+	if err := unpack(answer.Msg); err != nil {
+		r.unreachable(address, err)
+		return false
+	}
 	if answer.Msg.GetNotLeader() {
 		r.follow(answer.Msg.GetLeaderAddress())
 		return r.leader != ""
 	}
-	r.silent = false
+	r.silent, r.failed = false, 0
 	r.leader = address
 	r.known.Store(&address)
 	if len(answer.Msg.GetControlAddresses()) > 0 {
@@ -297,6 +305,11 @@
 	return q, reported
 }
 
+// distribution returns a client of a control member. Large answers are packed by themselves.
+func (r *Receiver) distribution(address string) wireconnect.DistributionServiceClient {
+	return wireconnect.NewDistributionServiceClient(r.client, r.config.Connector.URL(address), connect.WithAcceptCompression("gzip", nil, nil))
+}
+
 func servicesOf(demands func() map[string]float64) []*wire.ServiceDemand {
 	if demands == nil {
 		return nil
@@ -425,6 +438,7 @@
 		r.config.Logger.Log(logger.ControlUnreachable, logger.F("address", address), logger.F("error", err))
 	}
 	r.silent = true
+	r.failed++
 	r.leader = ""
 	r.avoided, r.avoidedUntil = address, r.config.Clock.Now()+avoidSpan
 	r.target++
--- a/entry/receiver/view.go
+++ b/entry/receiver/view.go
@@ -71,27 +71,37 @@
 }
 
 // records is the replicated state as received.
-type records map[string]*wire.Record
+type records struct {
+	byKey map[string]*wire.Record
+	// decoded are the items of records that did not change since they were decoded.
+	decoded map[string]*wire.Item
+}
+
+func newRecords() *records {
+	return &records{byKey: map[string]*wire.Record{}, decoded: map[string]*wire.Item{}}
+}
 
 // merge adds the records of an answer and tells whether the text changed.
-func (r records) merge(p *wire.PollResponse) (textChanged bool) {
+func (r *records) merge(p *wire.PollResponse) (textChanged bool) {
 	if p.GetSnapshot() {
-		clear(r)
+		clear(r.byKey)
+		clear(r.decoded)
 		textChanged = true
 	}
 	for _, n := range p.GetRecords() {
 		textChanged = textChanged || strings.HasPrefix(n.GetKey(), wire.TextRecords) || strings.HasPrefix(n.GetKey(), wire.ItemRecords)
+		delete(r.decoded, n.GetKey())
 		if n.GetDeleted() {
-			delete(r, n.GetKey())
+			delete(r.byKey, n.GetKey())
 			continue
 		}
-		r[n.GetKey()] = n
+		r.byKey[n.GetKey()] = n
 	}
 	return textChanged
 }
 
 // compile makes a View; the configuration is taken from old unless the text changed.
-func (r records) compile(index uint64, old *View, textChanged bool, zones map[string]string) (*View, error) {
+func (r *records) compile(index uint64, old *View, textChanged bool, zones map[string]string) (*View, error) {
 	v := &View{
 		Index:         index,
 		Configuration: old.Configuration,
@@ -103,7 +113,7 @@
 		Evacuated:     map[string]bool{},
 		moves:         map[string]*wire.MoveRecord{},
 	}
-	for k, n := range r {
+	for k, n := range r.byKey {
 		if err := v.add(k, n); err != nil {
 			return nil, err
 		}
@@ -161,7 +171,7 @@
 	return nil
 }
 
-func (v *View) compileText(r records, zones map[string]string) error {
+func (v *View) compileText(r *records, zones map[string]string) error {
 	sections, err := r.sections()
 	if err != nil {
 		return err
@@ -183,24 +193,28 @@
 	return problems.Err()
 }
 
-func (r records) items() (map[string]*wire.Item, error) {
+func (r *records) items() (map[string]*wire.Item, error) {
 	out := map[string]*wire.Item{}
-	for k, n := range r {
+	for k, n := range r.byKey {
 		if !strings.HasPrefix(k, wire.ItemRecords) {
 			continue
 		}
-		t := &wire.Item{}
-		if err := proto.Unmarshal(n.GetValue(), t); err != nil {
-			return nil, err
+		t := r.decoded[k]
+		if t == nil {
+			t = &wire.Item{}
+			if err := proto.Unmarshal(n.GetValue(), t); err != nil {
+				return nil, err
+			}
+			r.decoded[k] = t
 		}
 		out[t.GetName()] = t
 	}
 	return out, nil
 }
 
-func (r records) sections() ([]loader.Section, error) {
+func (r *records) sections() ([]loader.Section, error) {
 	var keys []string
-	for k := range r {
+	for k := range r.byKey {
 		if strings.HasPrefix(k, wire.TextRecords) {
 			keys = append(keys, k)
 		}
@@ -209,7 +223,7 @@
 	var out []loader.Section
 	for _, k := range keys {
 		s := &wire.TextSection{}
-		if err := proto.Unmarshal(r[k].GetValue(), s); err != nil {
+		if err := proto.Unmarshal(r.byKey[k].GetValue(), s); err != nil {
 			return nil, err
 		}
 		out = append(out, wire.FromTextSection(s))
