Tell of changed shares, allocations, evacuations, lent tokens and spent budgets in the log

Cause: an entry's lines for what it believes lacked its shares of teams' rates, the parts of its region's requests, evacuations, budgets of repeats and the state of lent tokens.

Change: events 314, 315, 605, 702 to 704. Shares and parts get a line once they moved by 0.1, a spent budget one a second, so that the volume stays bounded. A refused request of a lent team says what came of the loan (field loan).

--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -44,6 +44,8 @@
 	OrderAccepted      = Event{311, "orderAccepted", log.InfoLevel, "An order is committed: a change of items, an evacuation or a move."}
 	OrderRefused       = Event{312, "orderRefused", log.WarnLevel, "An order is not valid; nothing of it is in force."}
 	OrderUnknown       = Event{313, "orderUnknown", log.WarnLevel, "An order may or may not be committed; its sender was told to ask again."}
+	AllocationInUse    = Event{314, "allocationInUse", log.InfoLevel, "This entry uses other parts of its region's requests for each region."}
+	EvacuationsInForce = Event{315, "evacuationsInForce", log.InfoLevel, "The availability zones whose targets get nothing from this entry changed."}
 	ListReachable      = Event{321, "listReachable", log.InfoLevel, "The platform's list of targets answers again."}
 	ListUnreachable    = Event{322, "listUnreachable", log.WarnLevel, "The platform's list of targets does not answer; what it said last holds."}
 	ListEntriesSkipped = Event{323, "listEntriesSkipped", log.WarnLevel, "Entries of the platform's list can't be read; the others hold."}
@@ -60,6 +62,7 @@
 	TargetReadmitted   = Event{602, "targetReadmitted", log.InfoLevel, "A probe succeeded; the target takes work again."}
 	TargetLeaving      = Event{603, "targetLeaving", log.InfoLevel, "A target is leaving and gets no new work."}
 	DispatcherReady    = Event{604, "dispatcherReady", log.InfoLevel, "A new dispatcher knows the permits in use and grants."}
+	RepeatsSpent       = Event{605, "repeatsSpent", log.WarnLevel, "A service's budget of repeats is spent here; its requests go to one target only."}
 	MoveBegun          = Event{611, "moveBegun", log.InfoLevel, "A move began, or goes on under a changed schedule."}
 	MoveStepped        = Event{612, "moveStepped", log.InfoLevel, "A move went on to its next share."}
 	MoveTakenBack      = Event{613, "moveTakenBack", log.WarnLevel, "The new side of a move is surely worse; all traffic is back on the old one."}
@@ -67,6 +70,9 @@
 	MoveHeld           = Event{615, "moveHeld", log.WarnLevel, "A move can't go on by its schedule; the reason says why."}
 	MoveStoppedHere    = Event{616, "moveStoppedHere", log.WarnLevel, "This entry saw the new side fail and sends it no more requests."}
 	OwnerStarted       = Event{701, "ownerStarted", log.InfoLevel, "This entry owns an account, a team's rate or the room on a link, under a new epoch."}
+	SharesInUse        = Event{702, "sharesInUse", log.InfoLevel, "This entry's shares of teams' rates changed, or tokens are lent instead."}
+	TokensUnavailable  = Event{703, "tokensUnavailable", log.WarnLevel, "Control lends no tokens; requests of the teams concerned wait and are refused."}
+	TokensAvailable    = Event{704, "tokensAvailable", log.InfoLevel, "Control lends tokens again."}
 	InvariantBroken    = Event{901, "invariantBroken", log.FatalLevel, "An invariant does not hold; the process stops."}
 )
 
@@ -79,11 +85,11 @@
 	MemberJoins, OutsideQuorum,
 	TextAccepted, TextRefused, ConfigurationInUse, ConfigurationBad,
 	LeaseLapsed, LeaseRenewed, ControlUnreachable,
-	OrderAccepted, OrderRefused, OrderUnknown,
+	OrderAccepted, OrderRefused, OrderUnknown, AllocationInUse, EvacuationsInForce,
 	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed,
 	EntryJoined, EntryRemoved, RoleAssigned,
 	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed,
-	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady,
+	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
-	OwnerStarted, InvariantBroken,
+	OwnerStarted, SharesInUse, TokensUnavailable, TokensAvailable, InvariantBroken,
 }
--- a/entry/balancer/budget.go
+++ b/entry/balancer/budget.go
@@ -1,6 +1,15 @@
 package balancer
 
-import "sync"
+import (
+	"sync"
+	"time"
+
+	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+)
+
+// spentInterval is the least time between two lines that a service's budget is spent.
+const spentInterval = time.Second
 
 // BudgetConfig sets up a Budget.
 type BudgetConfig struct {
@@ -10,6 +19,9 @@
 	Reserve float64
 	// Entries is the number of entries that share the reserve; nil means that this one has it.
 	Entries func() int
+	// Clock and Logger serve the lines that tell of a spent budget.
+	Clock  timekeeper.Clock
+	Logger logger.Logger
 }
 
 // Budget bounds the requests that this entry sends to a further target, by service.
@@ -17,11 +29,13 @@
 	config BudgetConfig
 	mutex  sync.Mutex
 	left   map[string]float64
+	// told is when a line said that a service's budget is spent.
+	told map[string]time.Duration
 }
 
 // NewBudget returns a Budget with its reserve.
 func NewBudget(c BudgetConfig) *Budget {
-	return &Budget{config: c, left: map[string]float64{}}
+	return &Budget{config: c, left: map[string]float64{}, told: map[string]time.Duration{}}
 }
 
 // Earn counts a request of a service.
@@ -48,8 +62,21 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.left[service] < 1 {
+		b.tell(service)
 		return false
 	}
 	b.left[service]--
 	return true
 }
+
+func (b *Budget) tell(service string) {
+	if b.config.Clock.Now == nil {
+		return
+	}
+	now := b.config.Clock.Now()
+	if at, ok := b.told[service]; ok && now-at < spentInterval {
+		return
+	}
+	b.told[service] = now
+	b.config.Logger.Log(logger.RepeatsSpent, logger.F("service", service), logger.F("left", b.left[service]), logger.F("reserve", b.reserve()))
+}
--- /dev/null
+++ b/entry/balancer/budget_test.go
@@ -0,0 +1,36 @@
+package balancer
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+)
+
+// TestSpentBudget: a spent budget refuses, earns again, and tells so once a second.
+func TestSpentBudget(t *testing.T) {
+	is := is.New(t)
+	now, out := time.Duration(0), &bytes.Buffer{}
+	b := NewBudget(BudgetConfig{
+		Share: 0.2, Reserve: 2, Clock: timekeeper.Clock{Now: func() time.Duration { return now }},
+		Logger: logger.NewLogger(logger.Config{Writer: out, Process: "entry1", Level: "info"}),
+	})
+	b.Earn("lamps")
+	is.True(b.Spend("lamps"))
+	is.True(b.Spend("lamps"))
+	for range 100 {
+		now += 30 * time.Millisecond // 3 s in all
+		is.True(!b.Spend("lamps"))
+	}
+	lines := strings.Count(out.String(), logger.RepeatsSpent.Name)
+	is.True(lines >= 2 && lines <= 4)
+	for range 5 {
+		b.Earn("lamps")
+	}
+	is.True(b.Spend("lamps"))
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -212,8 +212,8 @@
 	return &dividedSlot{}
 }
 
-func newBorrower(c timekeeper.Clock, r *reporter.Reporter, v *receiver.Receiver) *limiter.Borrower {
-	return limiter.NewBorrower(limiter.BorrowerConfig{Clock: c, Scope: r.Scope, Call: v.Borrow})
+func newBorrower(c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver) *limiter.Borrower {
+	return limiter.NewBorrower(limiter.BorrowerConfig{Clock: c, Logger: l, Scope: r.Scope, Call: v.Borrow})
 }
 
 func newDivided(s Settings, c timekeeper.Clock, v *receiver.Receiver, d *dividedSlot, b *limiter.Borrower) *limiter.Divided {
@@ -287,6 +287,7 @@
 	f *forwarder.Forwarder, v *receiver.Receiver, m *balancer.Meter,
 ) *balancer.Balancer {
 	s.Repeats.Entries = func() int { return len(v.View().Entries) }
+	s.Repeats.Clock, s.Repeats.Logger = c, l
 	return balancer.NewBalancer(balancer.Config{
 		Clock: c, Logger: l, Scope: r.Scope, Picker: p, Send: f.Send, Pass: f.Pass, Repeats: balancer.NewBudget(s.Repeats), Meter: m,
 	})
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -84,6 +84,8 @@
 	Visits []Visit
 	// Share is the part of its team's rate that this entry might admit, where that decided.
 	Share float64
+	// Loan tells what came of the try to borrow a token, where tokens are lent.
+	Loan string
 }
 
 // Visit is one choice of a target with what decided it and what came of it.
--- a/entry/limiter/borrower.go
+++ b/entry/limiter/borrower.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
@@ -37,8 +39,9 @@
 
 // BorrowerConfig sets up a Borrower.
 type BorrowerConfig struct {
-	Clock timekeeper.Clock
-	Scope tally.Scope
+	Clock  timekeeper.Clock
+	Logger logger.Logger
+	Scope  tally.Scope
 	// Call asks the control leader.
 	Call func(ctx context.Context, demands []*wire.TokenDemand) (*wire.BorrowResponse, error)
 }
@@ -52,8 +55,10 @@
 	// answered is when control last answered; tokens are given up past the lease.
 	answered time.Duration
 	wake     chan struct{}
-	calls    tally.Counter
-	waits    tally.Counter
+	// failing tells that the last call failed.
+	failing bool
+	calls   tally.Counter
+	waits   tally.Counter
 }
 
 // loan is what this entry holds of one team.
@@ -86,6 +91,17 @@
 	Unreachable bool
 }
 
+// String tells the verdict for a request's log line.
+func (v Verdict) String() string {
+	switch {
+	case v.Admitted:
+		return "lent"
+	case v.Unreachable:
+		return "control did not answer"
+	}
+	return fmt.Sprintf("none for %v", v.Wait.Round(time.Millisecond))
+}
+
 // NewBorrower returns a Borrower without tokens.
 func NewBorrower(c BorrowerConfig) *Borrower {
 	return &Borrower{
@@ -179,6 +195,7 @@
 	}
 	b.calls.Inc(1)
 	answer, err := b.config.Call(ctx, demands)
+	b.note(err, len(demands))
 	if err != nil {
 		select {
 		case <-ctx.Done():
@@ -190,6 +207,19 @@
 	return b.waiting()
 }
 
+func (b *Borrower) note(err error, teams int) {
+	failing := err != nil
+	if failing == b.failing {
+		return
+	}
+	b.failing = failing
+	if failing {
+		b.config.Logger.Log(logger.TokensUnavailable, logger.F("error", err), logger.F("teams", teams))
+		return
+	}
+	b.config.Logger.Log(logger.TokensAvailable, logger.F("teams", teams))
+}
+
 // demands lists the teams of which this entry needs tokens or gives some back.
 func (b *Borrower) demands() []*wire.TokenDemand {
 	b.mutex.Lock()
--- a/entry/limiter/divided.go
+++ b/entry/limiter/divided.go
@@ -129,6 +129,7 @@
 func (d *Divided) borrow(ctx context.Context, e *handler.Exchange) handler.Outcome {
 	d.count(e.Team)
 	v := d.config.Borrower.Take(ctx, e.Team, e.Deadline-d.config.Clock.Now())
+	e.Trace.Loan = v.String()
 	switch {
 	case v.Admitted:
 		return handler.Outcome{}
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -3,6 +3,9 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"math"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -85,6 +88,8 @@
 	lapsed     bool
 	silent     bool
 	failing    bool
+	// toldParts are the parts of the allocation that a log line told last.
+	toldParts map[string]float64
 	// failed counts the polls without an answer in a row.
 	failed int
 	polls  tally.Counter
@@ -271,7 +276,9 @@
 	if len(answer.Msg.GetControlAddresses()) > 0 {
 		r.learned = answer.Msg.GetControlAddresses()
 	}
-	r.shares.take(answer.Msg, start, reported, address)
+	if changed := r.shares.take(answer.Msg, start, reported, address); len(changed) > 0 {
+		r.config.Logger.Log(logger.SharesInUse, logger.F("number", answer.Msg.GetSharesNumber()), logger.F("shares", changed))
+	}
 	r.take(answer.Msg, start)
 	r.takeTargets(answer.Msg.GetTargets())
 	r.takeAllocation(answer.Msg.GetAllocation())
@@ -336,6 +343,24 @@
 		n.Parts[p.GetService()][p.GetRegion()] = p.GetPart()
 	}
 	r.store(&n)
+	r.tellAllocation(a)
+}
+
+// tellAllocation writes a line once a part differs much from the one told last.
+func (r *Receiver) tellAllocation(a *wire.Allocation) {
+	var parts []string
+	told, differs := map[string]float64{}, false
+	for _, p := range a.GetParts() {
+		name := p.GetService() + " " + p.GetRegion()
+		old, known := r.toldParts[name]
+		differs = differs || !known || math.Abs(old-p.GetPart()) >= toldChange
+		told[name] = p.GetPart()
+		parts = append(parts, fmt.Sprintf("%s %.2f", name, p.GetPart()))
+	}
+	if differs {
+		r.toldParts = told
+		r.config.Logger.Log(logger.AllocationInUse, logger.F("number", a.GetNumber()), logger.F("parts", parts))
+	}
 }
 
 // takeTargets applies changes of the list of targets.
@@ -378,6 +403,9 @@
 		return false
 	}
 	r.store(v)
+	if !maps.Equal(v.Evacuated, old.Evacuated) {
+		r.config.Logger.Log(logger.EvacuationsInForce, logger.F("zones", slices.Sorted(maps.Keys(v.Evacuated))), logger.F("index", v.Index))
+	}
 	if textChanged && v.Configuration != nil {
 		r.config.Logger.Log(logger.ConfigurationInUse, logger.F("revision", v.Configuration.Revision), logger.F("index", v.Index))
 	}
--- a/entry/receiver/shares.go
+++ b/entry/receiver/shares.go
@@ -1,7 +1,9 @@
 package receiver
 
 import (
+	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +15,13 @@
 // demandInterval is the pause between reports of what teams ask for.
 const demandInterval = 500 * time.Millisecond
 
+const (
+	// toldChange is the change of a share or part that gets a log line.
+	toldChange = 0.1
+	// lentTold stands for a share of a team whose tokens are lent.
+	lentTold = -1
+)
+
 // shares are the parts of teams' rates that this entry may admit.
 type shares struct {
 	mutex  sync.Mutex
@@ -25,6 +34,8 @@
 	// reportedTo and reportedAt tell the last report of demands.
 	reportedTo string
 	reportedAt time.Duration
+	// told are the shares that log lines told last.
+	told map[string]float64
 }
 
 // of returns the share of a team; past the lease only a small one is left.
@@ -76,8 +87,9 @@
 	return out
 }
 
-// take uses the shares of an answer from now on.
-func (s *shares) take(p *wire.PollResponse, start time.Duration, reported bool, address string) {
+// take uses the shares of an answer from now on, and returns those that changed much since
+// they were last returned, for a log line.
+func (s *shares) take(p *wire.PollResponse, start time.Duration, reported bool, address string) (changed []string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lapse(start)
@@ -86,7 +98,7 @@
 		s.reportedTo, s.reportedAt = address, start
 	}
 	if p.GetSharesNumber() == 0 {
-		return
+		return nil
 	}
 	next := maps.Clone(s.byTeam)
 	if next == nil {
@@ -98,8 +110,29 @@
 	}
 	for _, t := range p.GetShares() {
 		next[t.GetTeam()], lent[t.GetTeam()] = t.GetShare(), t.GetLent()
+		changed = append(changed, s.tell(t)...)
 	}
 	s.number, s.byTeam, s.lent = p.GetSharesNumber(), next, lent
+	return changed
+}
+
+// tell returns a share as text if it differs much from the one told last.
+func (s *shares) tell(t *wire.TeamShare) []string {
+	value := t.GetShare()
+	if t.GetLent() {
+		value = lentTold
+	}
+	if old, ok := s.told[t.GetTeam()]; ok && math.Abs(old-value) < toldChange {
+		return nil
+	}
+	if s.told == nil {
+		s.told = map[string]float64{}
+	}
+	s.told[t.GetTeam()] = value
+	if t.GetLent() {
+		return []string{t.GetTeam() + " lent"}
+	}
+	return []string{fmt.Sprintf("%s %.3f", t.GetTeam(), t.GetShare())}
 }
 
 // divide notes that a team's rate is divided now.
--- /dev/null
+++ b/entry/receiver/shares_test.go
@@ -0,0 +1,44 @@
+package receiver
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+// TestToldShares: what an answer changes, which demands are reported, and which changes get a line.
+func TestToldShares(t *testing.T) {
+	answer := func(number uint64, list ...*wire.TeamShare) *wire.PollResponse {
+		return &wire.PollResponse{SharesNumber: number, Shares: list}
+	}
+	rates := map[string]float64{"large": 50, "thin": 1}
+	t.Run("teams whose tokens are lent are not reported", func(t *testing.T) {
+		is := is.New(t)
+		s := &shares{}
+		is.Equal(len(s.demands(rates, 0)), 2)
+		s.take(answer(1, &wire.TeamShare{Team: "large", Share: 0.3}, &wire.TeamShare{Team: "thin", Lent: true}), 0, true, "control1")
+		is.Equal(len(s.demands(rates, 0)), 1)
+		is.Equal(s.demands(rates, 0)[0].GetShare(), 0.3)
+		s.divide("thin")
+		is.Equal(len(s.demands(rates, 0)), 2)
+	})
+	t.Run("small changes get no line", func(t *testing.T) {
+		is := is.New(t)
+		s := &shares{}
+		is.Equal(s.take(answer(1, &wire.TeamShare{Team: "large", Share: 0.3}), 0, true, "control1"), []string{"large 0.300"})
+		is.Equal(len(s.take(answer(2, &wire.TeamShare{Team: "large", Share: 0.35}), 0, true, "control1")), 0)
+		is.Equal(s.take(answer(3, &wire.TeamShare{Team: "large", Share: 0.41}), 0, true, "control1"), []string{"large 0.410"})
+		is.Equal(s.take(answer(4, &wire.TeamShare{Team: "large", Lent: true}), 0, true, "control1"), []string{"large lent"})
+	})
+	t.Run("past the lease a small share is left", func(t *testing.T) {
+		is := is.New(t)
+		s := &shares{}
+		s.take(answer(1, &wire.TeamShare{Team: "large", Share: 0.3}), 0, true, "control1")
+		is.Equal(s.of("large", timekeeper.ShareLease), 0.3)
+		is.Equal(s.of("large", timekeeper.ShareLease+time.Millisecond), timekeeper.SilentShare)
+	})
+}
