--- a/control/distributor/distributor.go
+++ b/control/distributor/distributor.go
@@ -29,8 +29,8 @@
 	// unconfirmedSpan is how long after a fresh answer changes may go out at once,
 	// without waiting for a quorum round.
 	unconfirmedSpan = 300 * time.Millisecond
-	// gatherSpan is how long an answer waits for further changes: when many entries join or
-	// targets come, each change would go to each entry by itself.
+	// gatherSpan is the least time between two answers with changes to one caller: when many
+	// entries join or targets come, each change would go to each entry by itself.
 	gatherSpan = 40 * time.Millisecond
 	// keptSpan is how long a silent caller is remembered.
 	keptSpan = 10 * timekeeper.FreshnessLease
@@ -63,6 +63,8 @@
 	Fresh time.Duration
 	// Vacated holds the last epoch in which it stopped to act, by role.
 	Vacated map[string]uint64
+	// answered is when it was last told of changes.
+	answered time.Duration
 	// Evidence is what it saw of the moves under way, since it started.
 	Evidence []*wire.MoveEvidence
 	// toldMembers are the control members whose addresses it was sent.
@@ -96,7 +98,8 @@
 	if v.Standing != replicator.Leader {
 		return connect.NewResponse(notLeader(v)), nil
 	}
-	d.note(r)
+	gather := time.NewTimer(max(0, d.note(r)+gatherSpan-d.config.Clock.Now()))
+	defer gather.Stop()
 	round := d.config.Sequencer.PendingRound()
 	hold := min(time.Duration(r.GetHoldMilliseconds())*time.Millisecond, maxHold)
 	if len(r.GetDemands()) > 0 && r.GetSharesInUse() == 0 {
@@ -107,7 +110,6 @@
 	limit := time.NewTimer(hold + confirmWait)
 	defer limit.Stop()
 	held, gathered := false, false
-	var gather <-chan time.Time
 	for {
 		v = d.config.Sequencer.View()
 		if v.Standing != replicator.Leader {
@@ -123,13 +125,10 @@
 			}
 			return connect.NewResponse(answer), nil
 		}
-		if changed && gather == nil {
-			gather = time.After(gatherSpan)
-		}
 		select {
 		case <-v.Changed():
 		case <-targets:
-		case <-gather:
+		case <-gather.C:
 			gathered = true
 		case <-timer.C:
 			held = true
@@ -200,6 +199,9 @@
 	if fresh {
 		d.noteFresh(r)
 	}
+	if k.whole || k.holds() {
+		d.noteAnswered(r)
+	}
 	out := &wire.PollResponse{
 		Index: k.index, Snapshot: k.whole, Records: k.records, Fresh: fresh, Targets: k.targets, Packed: k.packed,
 	}
@@ -245,7 +247,8 @@
 	return out
 }
 
-func (d *Distributor) note(r *wire.PollRequest) {
+// note keeps account of a caller and returns when it was last told of changes.
+func (d *Distributor) note(r *wire.PollRequest) (answered time.Duration) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.config.Clock.Now()
@@ -254,7 +257,7 @@
 	if c == nil {
 		d.forgetSilent(now)
 		// A lease that an earlier leader granted may still run.
-		c = &Caller{Fresh: d.config.Sequencer.View().LeaderSince, Vacated: map[string]uint64{}}
+		c = &Caller{Fresh: d.config.Sequencer.View().LeaderSince, Vacated: map[string]uint64{}, answered: now - gatherSpan}
 		d.callers[n] = c
 	}
 	c.Member, c.Asked = r.GetMember(), now
@@ -265,6 +268,7 @@
 	}
 	c.Vacated = vacated
 	c.Evidence = r.GetEvidence()
+	return c.answered
 }
 
 // noteFresh is called before the answer leaves, so that the caller's lease ends earlier.
@@ -276,6 +280,14 @@
 	}
 }
 
+func (d *Distributor) noteAnswered(r *wire.PollRequest) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if c := d.callers[nameOf(r.GetMember())]; c != nil {
+		c.answered = d.config.Clock.Now()
+	}
+}
+
 func (d *Distributor) recentlyFresh(r *wire.PollRequest) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/control/distributor/packer.go
+++ b/control/distributor/packer.go
@@ -74,6 +74,11 @@
 	return k, nil
 }
 
+// holds tells whether there is any change in a pack.
+func (k *pack) holds() bool {
+	return len(k.packed) > 0 || len(k.records) > 0 || k.targets != nil
+}
+
 // compress replaces large contents by their packed form.
 func (k *pack) compress() error {
 	m := &wire.PollResponse{Records: k.records, Targets: k.targets}
--- a/entry/balancer/model_test.go
+++ b/entry/balancer/model_test.go
@@ -89,13 +89,18 @@
 
 // newModel returns a world with targets by region and two entries in each.
 func newModel(targets map[string]int) *model {
+	return newCrowd(targets, 2)
+}
+
+// newCrowd is the same with a number of entries in each region.
+func newCrowd(targets map[string]int, entries int) *model {
 	m := &model{random: rand.New(rand.NewPCG(20261204, 1)), servers: map[string]*server{}}
 	m.view = &receiver.View{Listed: map[string][]*receiver.Listed{}, Entries: map[string]*wire.EntryMember{}}
 	for region, n := range targets {
 		for i := range n {
 			m.addTarget(region, fmt.Sprintf("%s-%d", region, i))
 		}
-		for i := range 2 {
+		for i := range entries {
 			name := fmt.Sprintf("entry-%s-%d", region, i)
 			m.view.Entries[name] = &wire.EntryMember{Name: name, Region: region}
 			m.entries = append(m.entries, &modelEntry{name: name, region: region, picker: NewPicker(PickerConfig{
@@ -372,3 +377,27 @@
 		is.True(float64(n) <= 17*1.5+5)
 	}
 }
+
+// TestManyEntries plays many entries with a thin view each, and objects of which a few are
+// asked for often: an entry hears of a target's load only with its own rare answers, and
+// must still not send to full queues while an object's second target has room.
+func TestManyEntries(t *testing.T) {
+	is := is.New(t)
+	m := newCrowd(map[string]int{"south": 12}, 27)
+	const rate, objects, hot = 640, 400, 12 // of 790 requests/s that fit if all are warm
+	var next func()
+	next = func() {
+		object := m.random.IntN(objects)
+		if m.random.IntN(3) == 0 {
+			object = m.random.IntN(hot)
+		}
+		m.request("south", fmt.Sprint("south/", object))
+		m.after(time.Duration(m.random.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	m.after(0, next)
+	m.run(40 * time.Second)
+	s := m.summary(15*time.Second, 40*time.Second, "")
+	t.Logf("%+v: %.3f in time, %.3f warm, %.3f refused, %.3f failed", s, part(s.inAim, s.count), part(s.warm, s.count-s.refused),
+		part(s.refused, s.count), part(s.failed, s.count))
+	is.True(part(s.inAim, s.count) >= 0.9)
+}
--- a/entry/balancer/target.go
+++ b/entry/balancer/target.go
@@ -10,9 +10,12 @@
 
 // Parameters of what is known of a target.
 const (
-	// reportLife is the time in which what a target told of others' requests loses most of
-	// its weight.
+	// reportLife is the time in which what a target told of others' requests gives way to the
+	// mean of what it told before, and meanLife the time in which that loses most of its weight.
 	reportLife = 400 * time.Millisecond
+	meanLife   = 5 * time.Second
+	// meanWeight is the part of a new report in the mean.
+	meanWeight = 0.25
 	// failureWeight is the part of a new result in the failure rate.
 	failureWeight = 0.15
 	// failureLimit is the failure rate at which a target is ejected.
@@ -50,6 +53,9 @@
 	// others is the load beyond this entry's requests as the target told at the moment told.
 	others float64
 	told   time.Duration
+	// mean is the mean of others over the last reports. Where many entries share a target,
+	// each hears of it seldom, but what the others send there changes slowly.
+	mean float64
 
 	failures     float64
 	ejections    int
@@ -78,7 +84,8 @@
 
 // load is the number of requests that run or wait at the target, as far as known.
 func (t *target) load(now time.Duration) float64 {
-	return float64(t.running) + t.others*decay(now-t.told, reportLife)
+	age := now - t.told
+	return float64(t.running) + t.mean*decay(age, meanLife) + (t.others-t.mean)*decay(age, reportLife)
 }
 
 // pace is the target's slowness now; old observations fade, so that it is tried again.
@@ -131,7 +138,12 @@
 	if l == nil {
 		return
 	}
-	t.others, t.told = max(0, float64(l.Running+l.Waiting-t.running)), now
+	t.others = max(0, float64(l.Running+l.Waiting-t.running))
+	if t.told == 0 {
+		t.mean = t.others
+	}
+	t.mean = t.mean*decay(now-t.told, meanLife) + meanWeight*(t.others-t.mean*decay(now-t.told, meanLife))
+	t.told = now
 }
 
 // succeed takes in an answer that took as long as expected, times ratio; it tells whether
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -26,10 +27,12 @@
 
 // Times of the polls.
 const (
-	// pollTimeout bounds a poll, so that a silent connection costs less than a lease. From
-	// the second failure in a row it doubles, since a whole state takes long on a thin link.
+	// pollTimeout bounds a poll, so that a silent connection costs less than a lease. It
+	// doubles, up to longestPoll, while answers begin and don't end in time, since a whole
+	// state takes long on a thin link.
 	pollTimeout = timekeeper.PollHold + 350*time.Millisecond
 	longestPoll = 4 * pollTimeout
+	longestCut  = 2
 	retryPause  = 50 * time.Millisecond
 	// borrowTimeout bounds a call for tokens: two trips between distant regions and a pause
 	// of the leader.
@@ -90,10 +93,10 @@
 	failing    bool
 	// toldParts are the parts of the allocation that a log line told last.
 	toldParts map[string]float64
-	// failed counts the polls without an answer in a row.
-	failed int
-	polls  tally.Counter
-	bytes  tally.Counter
+	// cut counts the answers in a row that began and did not end in time.
+	cut   int
+	polls tally.Counter
+	bytes tally.Counter
 }
 
 // neverAsked is the value of asked before the first fresh answer.
@@ -249,14 +252,19 @@
 
 // poll asks one control member once, and tells whether that moved something.
 func (r *Receiver) poll(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, min(longestPoll, pollTimeout<<min(max(0, r.failed-1), 2)))
+	ctx, cancel := context.WithTimeout(ctx, min(longestPoll, pollTimeout<<r.cut))
 	defer cancel()
 	address := r.address()
 	start := r.config.Clock.Now()
 	q, reported := r.request(address, start)
-	c := r.distribution(address)
-	answer, err := c.Poll(ctx, connect.NewRequest(q))
+	c, begun := r.distribution(address), &atomic.Bool{}
+	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { begun.Store(true) }}
+	answer, err := c.Poll(httptrace.WithClientTrace(ctx, trace), connect.NewRequest(q))
 	r.polls.Inc(1)
+	r.cut = min(r.cut+1, longestCut)
+	if err == nil || !begun.Load() {
+		r.cut = 0
+	}
 	if err != nil {
 		r.unreachable(address, err)
 		return false
@@ -270,7 +278,7 @@
 		r.follow(answer.Msg.GetLeaderAddress())
 		return r.leader != ""
 	}
-	r.silent, r.failed = false, 0
+	r.silent = false
 	r.leader = address
 	r.known.Store(&address)
 	if len(answer.Msg.GetControlAddresses()) > 0 {
@@ -466,7 +474,6 @@
 		r.config.Logger.Log(logger.ControlUnreachable, logger.F("address", address), logger.F("error", err))
 	}
 	r.silent = true
-	r.failed++
 	r.leader = ""
 	r.avoided, r.avoidedUntil = address, r.config.Clock.Now()+avoidSpan
 	r.target++
--- a/entry/receiver/receiver_test.go
+++ b/entry/receiver/receiver_test.go
@@ -1,12 +1,19 @@
 package receiver
 
 import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/filberthoist/filberthoist/core/asserter"
 	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
@@ -74,3 +81,51 @@
 	is.Equal(s.of("t", now), timekeeper.SilentShare)
 	is.Equal(s.demands(map[string]float64{"t": 5}, now)[0].GetShare(), timekeeper.SilentShare)
 }
+
+// TestLargeAnswer: an answer that takes longer than a poll's time-out is waited for with the
+// next tries; a member that does not answer at all is left after the same time each try.
+func TestLargeAnswer(t *testing.T) {
+	newReceiver := func(t *testing.T, h http.HandlerFunc) *Receiver {
+		t.Helper()
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		n, err := connector.NewConnector(connector.Config{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return NewReceiver(Config{
+			Clock: timekeeper.NewClock(), Scope: tally.NoopScope, Connector: n, Assert: asserter.NewPanicking(),
+			Self: &wire.EntryMember{Name: "e"}, Controls: []string{s.Listener.Addr().String()},
+		})
+	}
+	t.Run("begins and takes long", func(t *testing.T) {
+		is := is.New(t)
+		b, err := proto.Marshal(&wire.PollResponse{Index: 7, Snapshot: true, Fresh: true})
+		is.NoErr(err)
+		r := newReceiver(t, func(w http.ResponseWriter, q *http.Request) {
+			w.Header().Set("Content-Type", "application/proto")
+			w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+			_, _ = w.Write(b[:1])
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case <-time.After(pollTimeout * 3 / 2):
+			case <-q.Context().Done():
+			}
+			_, _ = w.Write(b[1:])
+		})
+		is.True(!r.poll(context.Background()))
+		is.True(r.poll(context.Background()))
+		is.Equal(r.View().Index, uint64(7))
+		is.Equal(r.cut, 0)
+	})
+	t.Run("does not begin", func(t *testing.T) {
+		is := is.New(t)
+		r := newReceiver(t, func(_ http.ResponseWriter, q *http.Request) {
+			_, _ = io.Copy(io.Discard, q.Body)
+			<-q.Context().Done()
+		})
+		is.True(!r.poll(context.Background()))
+		is.True(!r.poll(context.Background()))
+		is.Equal(r.cut, 0)
+	})
+}
