Look at the first eight targets of an object's order instead of sorting all

Cause: each request sorted all targets of its service, 320 on the grown sites, on 0.16 cores.

Change: a linear pass keeps the first eight; at most two sound ones are used anyway.

TestEarliest compares with sorting.

--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -1,7 +1,9 @@
 package balancer
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -208,3 +210,21 @@
 		})
 	}
 }
+
+// TestEarliest: the first candidates are those that sorting all would bring first.
+func TestEarliest(t *testing.T) {
+	is := is.New(t)
+	g := rand.New(rand.NewPCG(20261204, 7))
+	for n := range 40 {
+		list := make([]candidate, n)
+		for i := range list {
+			list[i].place = float64(g.IntN(20)) // some are equal
+		}
+		got := earliest(list)
+		sorted := slices.SortedStableFunc(slices.Values(list), func(a, b candidate) int { return cmp.Compare(a.place, b.place) })
+		is.Equal(len(got), min(n, depth))
+		for i := range got {
+			is.Equal(got[i].place, sorted[i].place)
+		}
+	}
+}
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -38,6 +38,8 @@
 	// spread is the number of sound targets in an object's order that may serve it. More
 	// would push the objects out that targets keep warm, and then nothing is warm anywhere.
 	spread = 2
+	// depth is the number of targets in an object's order that are looked at for sound ones.
+	depth = 8
 	// slowPace is the slowness from which a target does not count as sound.
 	slowPace = 2.5
 	// ejectedPart is the part of a service's targets that may be ejected at once.
@@ -296,8 +298,7 @@
 
 // best returns the target with the least cost.
 func (p *Picker) best(now time.Duration, v *receiver.View, d Demand) *Pick {
-	list := p.candidates(now, v, d)
-	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.place, b.place) })
+	list := earliest(p.candidates(now, v, d))
 	var best *Pick
 	sound := 0
 	for i, c := range list {
@@ -318,6 +319,24 @@
 	return best
 }
 
+// earliest returns the first candidates of an object's order. A service may have hundreds,
+// and few are ever looked at.
+func earliest(list []candidate) []candidate {
+	out := make([]candidate, 0, depth+1)
+	for _, c := range list {
+		if len(out) == depth && c.place >= out[depth-1].place {
+			continue
+		}
+		i := len(out)
+		for i > 0 && out[i-1].place > c.place {
+			i--
+		}
+		out = slices.Insert(out, i, c)
+		out = out[:min(len(out), depth)]
+	}
+	return out
+}
+
 // candidates returns the targets that may serve a demand now. Each object has an order of
 // them that all entries of a region agree on and that changes little as targets come and go
 // (weighted rendezvous hashing).
