Leave an election to another candidate that would win it

Cause: after a last fault with two lost disks three members are left, and all three must agree.

Ruled out: members' start (all within 10 ms of each other), the connections between them.

Change: a member that would grant a pre-vote puts its own campaign off by a quarter of the time-out, and a pre-candidate steps back for one with a higher id.

--- a/control/replicator/election.go
+++ b/control/replicator/election.go
@@ -6,6 +6,10 @@
 	"github.com/filberthoist/filberthoist/core/wire"
 )
 
+// yieldPart is the part of the election time-out that a member leaves another for its election:
+// 100 ms of 400, two trips between distant regions and a write.
+const yieldPart = 4
+
 // campaign asks for votes; a pre-candidate asks whether it would get them.
 func (c *Core) campaign(now time.Duration, as Standing) {
 	c.standing, c.leader, c.peers = as, 0, nil
@@ -57,10 +61,25 @@
 	reply := &wire.Message{Type: wire.MessageType_MESSAGE_TYPE_PRE_VOTE_REPLY, To: m.GetFrom(), Reject: !grant}
 	if grant {
 		reply.Term = m.GetTerm()
+		c.yield(now, m.GetFrom())
 	}
 	c.send(reply)
 }
 
+// yield leaves the election to another member that would get this one's vote: two candidates
+// that meet would each lack the other's. Of two that ask each other the higher id goes on.
+func (c *Core) yield(now time.Duration, to uint64) {
+	switch c.standing {
+	case Follower:
+		c.campaignAt = max(c.campaignAt, now+c.config.ElectionTimeout/yieldPart)
+	case PreCandidate:
+		if to > c.config.ID {
+			c.standing, c.granted = Follower, nil
+			c.resetCampaign(now)
+		}
+	}
+}
+
 func (c *Core) handleVote(now time.Duration, m *wire.Message) {
 	free := c.vote == 0 || c.vote == m.GetFrom()
 	grant := free && c.standing == Follower && c.log.upToDate(m.GetIndex(), m.GetLogTerm())
