Bound an entry's share, so that a silent one holds back little after a change of leader

Cause: a new leader keeps back what entries that have not asked it may hold of a team's rate: all that nobody brought along.

Ruled out: the election (0.98 s after the start), configuration and leases (in use 0.24 to 0.5 s after it).

Change: a share is at most three even parts, so that k entries hold back 3k/n.

--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -17,8 +17,13 @@
 const (
 	// evenPart is the part of a team's rate that is divided evenly, whoever asks.
 	evenPart = 0.25
+	// mostShare bounds an entry's share, in even parts. So a new leader knows what an entry
+	// that has not asked it may hold at most.
+	mostShare = 3
 	// leastChange is the change of a share that is worth telling.
 	leastChange = 0.005
+	// lookInterval is the pause between looks at the entries of the deployment.
+	lookInterval = 250 * time.Millisecond
 	// forgetAfter is the silence after which nothing is kept for an entry any more.
 	forgetAfter = 2 * timekeeper.ShareLease
 	// termBits leaves room below a term for the answers of its leader.
@@ -48,6 +53,9 @@
 	since   time.Duration
 	number  uint64
 	callers map[Caller]*account
+	// entries are those of the deployment as they were at the last look.
+	entries map[string]*wire.EntryMember
+	looked  time.Duration
 }
 
 // account is what is known of one entry.
@@ -81,7 +89,10 @@
 	defer a.mutex.Unlock()
 	now := a.config.Clock.Now()
 	if term != a.term {
-		a.term, a.since, a.number, a.callers = term, since, 0, map[Caller]*account{}
+		a.term, a.since, a.number, a.callers, a.entries = term, since, 0, map[Caller]*account{}, nil
+	}
+	if a.entries == nil || now-a.looked >= lookInterval {
+		a.entries, a.looked = a.config.Entries(), now
 	}
 	if a.callers[c] == nil && len(r.GetDemands()) == 0 {
 		return nil, 0 // it may hold shares that it has not told yet
@@ -103,9 +114,10 @@
 		n.demands[d.GetTeam()] = d.GetRate()
 	}
 	a.forget(now)
-	awaits := a.awaits(now)
+	limit := a.limit()
+	awaited := float64(a.awaited(now)) * limit
 	for _, team := range slices.Sorted(maps.Keys(n.demands)) {
-		if s, changes := a.next(now, n, team, reported, awaits); changes {
+		if s, changes := a.next(now, n, team, reported, limit, awaited); changes {
 			out = append(out, &wire.TeamShare{Team: team, Share: s})
 		}
 	}
@@ -140,8 +152,14 @@
 	return n
 }
 
+// limit is the largest share of an entry.
+func (a *Apportioner) limit() float64 {
+	return min(1, mostShare/float64(max(1, len(a.entries))))
+}
+
 // next returns the share that an entry should have now, and whether that is worth telling.
-func (a *Apportioner) next(now time.Duration, n *account, team string, reported map[string]float64, awaits bool) (float64, bool) {
+// awaited is what entries that have not asked yet may hold.
+func (a *Apportioner) next(now time.Duration, n *account, team string, reported map[string]float64, limit, awaited float64) (float64, bool) {
 	total, others := 0.0, 0.0
 	for _, o := range a.callers {
 		total += o.demands[team]
@@ -159,18 +177,16 @@
 	if !told {
 		present = n.newest(team)
 	}
-	if awaits {
-		others += a.reserved(team)
-	}
-	want = min(want, max(0, 1-others))
+	others += min(awaited, a.unbrought(team))
+	want = min(want, limit, max(0, 1-others))
 	if d := want - present; d > -leastChange && d < leastChange && n.has(team) {
 		return present, false
 	}
 	return want, true
 }
 
-// reserved is what entries that have not asked this leader yet may hold of an earlier one.
-func (a *Apportioner) reserved(team string) float64 {
+// unbrought is the part of a team's rate that no entry has brought along from an earlier leader.
+func (a *Apportioner) unbrought(team string) float64 {
 	brought := 0.0
 	for _, n := range a.callers {
 		brought += n.brought[team]
@@ -178,22 +194,23 @@
 	return max(0, 1-brought)
 }
 
-// awaits tells whether an entry of the deployment that has not asked this leader yet may
-// hold shares.
-func (a *Apportioner) awaits(now time.Duration) bool {
+// awaited is the number of entries of the deployment that have not asked this leader yet and
+// may hold shares.
+func (a *Apportioner) awaited(now time.Duration) int {
 	if now-a.since > timekeeper.ShareLease+timekeeper.DriftMargin {
-		return false
+		return 0
 	}
 	asked := map[string]bool{}
 	for c := range a.callers {
 		asked[c.Name] = true
 	}
-	for name := range a.config.Entries() {
+	out := 0
+	for name := range a.entries {
 		if !asked[name] {
-			return true
+			out++
 		}
 	}
-	return false
+	return out
 }
 
 func (a *Apportioner) forget(now time.Duration) {
--- a/control/apportioner/apportioner_test.go
+++ b/control/apportioner/apportioner_test.go
@@ -116,3 +116,33 @@
 	is.True(share["a"] > 0.75)
 	is.True(share["a"]+share["b"] <= 1+1e-9)
 }
+
+// TestSilentEntryAfterAChange: a new leader that one of twelve entries does not ask gives the
+// others most of the rate at once, and never more than that entry may leave.
+func TestSilentEntryAfterAChange(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	members := map[string]*wire.EntryMember{}
+	for i := range 12 {
+		name := fmt.Sprint("entry", i)
+		members[name] = &wire.EntryMember{Name: name, Incarnation: 2}
+	}
+	n := NewApportioner(Config{Clock: timekeeper.Clock{Now: func() time.Duration { return now }}, Entries: func() map[string]*wire.EntryMember { return members }})
+	share, number := map[string]float64{}, map[string]uint64{}
+	for range 4 {
+		for i := range 11 {
+			name := fmt.Sprint("entry", i)
+			now += 10 * time.Millisecond
+			r := &wire.PollRequest{Member: members[name], SharesInUse: number[name], Demands: []*wire.TeamDemand{{Team: "t", Rate: 20, Share: share[name]}}}
+			if s, k := n.Answer(2, time.Hour, Caller{name, 2}, r); k > 0 {
+				share[name], number[name] = s[0].GetShare(), k
+			}
+		}
+	}
+	sum := 0.0
+	for _, s := range share {
+		sum += s
+	}
+	t.Logf("%.3f of the rate in use", sum)
+	is.True(sum >= 0.7 && sum <= 1-mostShare/12.0+1e-9)
+}
