Change a team between lent tokens and shares only past a factor of two

Cause, by reading: the border moves with the number of entries; a herd of killed entries could change a team over and back within a window, with a part of its burst given anew each time.

Change: hysteresis of a factor of two.

--- a/control/lender/lender.go
+++ b/control/lender/lender.go
@@ -18,6 +18,9 @@
 	// dividedRate is the rate in requests per second and entry from which a team's rate is
 	// divided: below, an entry's share often lacks the token that another holds unused.
 	dividedRate = 4
+	// hysteresis is the factor by which that must be passed to change over, since entries come
+	// and go, and each change gives a team a part of its burst anew.
+	hysteresis = 2
 	// heldPart is the part of a team's burst that may lie unspent in entries' hands; the
 	// bucket holds the rest, so that both together never exceed the burst.
 	heldPart = 0.5
@@ -55,6 +58,8 @@
 	looked  time.Duration
 	teams   map[string]*parser.Team
 	entries int
+	// lent tells which teams' tokens are lent.
+	lent map[string]bool
 }
 
 // caller names one run of an entry.
@@ -77,7 +82,7 @@
 
 // NewLender returns a Lender whose buckets are empty.
 func NewLender(c Config) *Lender {
-	return &Lender{config: c, pots: map[string]*pot{}, asked: map[caller]time.Duration{}, looked: -lookInterval}
+	return &Lender{config: c, pots: map[string]*pot{}, asked: map[caller]time.Duration{}, looked: -lookInterval, lent: map[string]bool{}}
 }
 
 // Lends tells whether a team's tokens are lent.
@@ -143,7 +148,18 @@
 
 func (l *Lender) lends(team string) bool {
 	t := l.teams[team]
-	return t != nil && !t.Unlimited && t.Rate < dividedRate*float64(l.entries)
+	if t == nil || t.Unlimited {
+		delete(l.lent, team)
+		return false
+	}
+	bound := dividedRate * float64(l.entries)
+	if lent, known := l.lent[team]; known && lent {
+		bound *= hysteresis
+	} else if known {
+		bound /= hysteresis
+	}
+	l.lent[team] = t.Rate < bound
+	return l.lent[team]
 }
 
 func (l *Lender) pot(now time.Duration, team string) *pot {
