--- a/control/lender/lender_test.go
+++ b/control/lender/lender_test.go
@@ -173,8 +173,10 @@
 func TestChangeOver(t *testing.T) {
 	now, entries := time.Hour, 80
 	l := NewLender(Config{
-		Clock:   timekeeper.Clock{Now: func() time.Duration { return now }},
-		Teams:   func() map[string]*parser.Team { return map[string]*parser.Team{"lamps": {Name: "lamps", Rate: 200, Burst: 200}} },
+		Clock: timekeeper.Clock{Now: func() time.Duration { return now }},
+		Teams: func() map[string]*parser.Team {
+			return map[string]*parser.Team{"lamps": {Name: "lamps", Rate: 200, Burst: 200}}
+		},
 		Entries: func() int { return entries },
 	})
 	for _, c := range []struct {
