Let requests wait for a team's first share instead of refusing them at once

Change: such a request waits for the first share, at most 600 ms or a quarter of its time.

TestFirstShare.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -218,7 +218,7 @@
 
 func newDivided(s Settings, c timekeeper.Clock, v *receiver.Receiver, d *dividedSlot, b *limiter.Borrower) *limiter.Divided {
 	m := limiter.NewDivided(limiter.DividedConfig{
-		Clock: c, View: v.View, Share: v.Share, Borrower: b, Overdraft: s.Overdraft, Entries: func() int { return len(v.View().Entries) },
+		Clock: c, View: v.View, Share: v.Share, ShareChanged: v.ShareChanged, Borrower: b, Overdraft: s.Overdraft, Entries: func() int { return len(v.View().Entries) },
 	})
 	if !s.Roles {
 		d.value = m
--- a/entry/limiter/borrower.go
+++ b/entry/limiter/borrower.go
@@ -72,6 +72,8 @@
 	waiters []*borrow
 	// emptyUntil is the time before which the bucket is not asked again.
 	emptyUntil time.Duration
+	// dividedUntil is the time before which the team's rate is taken for divided.
+	dividedUntil time.Duration
 	// sparedUntil is the time before which nothing is asked for beyond what is needed.
 	sparedUntil time.Duration
 }
@@ -89,6 +91,8 @@
 	Wait time.Duration
 	// Unreachable tells that control did not answer in time.
 	Unreachable bool
+	// Divided tells that the team's rate is divided: a share of it comes with the polls.
+	Divided bool
 }
 
 // String tells the verdict for a request's log line.
@@ -98,6 +102,8 @@
 		return "lent"
 	case v.Unreachable:
 		return "control did not answer"
+	case v.Divided:
+		return "divided"
 	}
 	return fmt.Sprintf("none for %v", v.Wait.Round(time.Millisecond))
 }
@@ -160,6 +166,8 @@
 	case l.tokens > 0 && len(l.waiters) == 0:
 		l.tokens--
 		return nil, Verdict{Admitted: true}
+	case now < l.dividedUntil:
+		return nil, Verdict{Divided: true}
 	case now < l.emptyUntil:
 		return nil, Verdict{Wait: l.emptyUntil - now + time.Duration(float64(time.Second)/max(1, l.rate))}
 	}
@@ -275,12 +283,16 @@
 		}
 		l.sparedUntil = now + askAgain
 		wait := time.Duration(n.GetWaitMilliseconds()) * time.Millisecond
-		if wait == 0 && !n.GetDivided() {
+		switch {
+		case n.GetDivided():
+			l.dividedUntil = now + askAgain
+		case wait > 0:
+			l.emptyUntil = now + min(wait, askAgain)
+		default:
 			continue
 		}
-		l.emptyUntil = now + min(wait, askAgain)
 		for len(l.waiters) > 0 {
-			l.next(Verdict{Wait: max(wait, askAgain)})
+			l.next(Verdict{Wait: max(wait, askAgain), Divided: n.GetDivided()})
 		}
 	}
 }
--- a/entry/limiter/borrower_test.go
+++ b/entry/limiter/borrower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,8 @@
 	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/entry/handler"
+	"github.com/filberthoist/filberthoist/entry/receiver"
 )
 
 // bank is a stand-in for the control leader's buckets.
@@ -142,3 +145,37 @@
 	defer b.mutex.Unlock()
 	return b.loans["lamps"].tokens
 }
+
+// TestFirstShare: a request of a team whose rate is divided waits for this entry's first share
+// of it, for a bounded time only.
+func TestFirstShare(t *testing.T) {
+	divided := func(_ context.Context, demands []*wire.TokenDemand) (*wire.BorrowResponse, error) {
+		return &wire.BorrowResponse{Loans: []*wire.TokenLoan{{Team: demands[0].GetTeam(), Divided: true}}}, nil
+	}
+	for _, comes := range []bool{true, false} {
+		t.Run(map[bool]string{true: "comes", false: "does not come"}[comes], func(t *testing.T) {
+			is := is.New(t)
+			b := NewBorrower(BorrowerConfig{Clock: timekeeper.NewClock(), Scope: tally.NoopScope, Call: divided})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() { _ = b.Run(ctx) }() // ends with the context
+			var share atomic.Int64
+			changed, clock := make(chan struct{}), timekeeper.NewClock()
+			d := NewDivided(DividedConfig{
+				Clock: clock, Borrower: b, View: func() *receiver.View { return &receiver.View{} },
+				Share:        func(string) float64 { return float64(share.Load()) },
+				ShareChanged: func() <-chan struct{} { return changed },
+			})
+			if comes {
+				time.AfterFunc(50*time.Millisecond, func() {
+					share.Store(1)
+					close(changed)
+				})
+			}
+			e := &handler.Exchange{Team: &parser.Team{Name: "lamps", Rate: 200, Burst: 200}, Deadline: clock.Now() + time.Second}
+			o := d.limit(ctx, e)
+			is.Equal(o.Over(), !comes)
+			is.True(comes || e.RetryAfter > 0)
+		})
+	}
+}
--- a/entry/limiter/divided.go
+++ b/entry/limiter/divided.go
@@ -18,6 +18,8 @@
 	rateSpan = time.Second
 	// longestBorrow is the longest that a request waits for the next token of its team.
 	longestBorrow = 100 * time.Millisecond
+	// longestShareWait is the longest that a request waits for a first share: two polls.
+	longestShareWait = 600 * time.Millisecond
 )
 
 // DividedConfig sets up a Divided.
@@ -26,6 +28,8 @@
 	View  func() *receiver.View
 	// Share is the part of a team's rate and burst that this entry may admit, from 0 to 1.
 	Share func(team string) float64
+	// ShareChanged is closed when shares are newer than at its call; it goes with Borrower.
+	ShareChanged func() <-chan struct{}
 	// Borrower takes tokens of teams of whose rate this entry has no share; nil means that
 	// such requests are refused.
 	Borrower *Borrower
@@ -105,7 +109,11 @@
 		return handler.Outcome{}
 	}
 	if d.config.Borrower != nil && d.config.Share(e.Team.Name) == 0 {
-		return d.borrow(ctx, e)
+		o, divided := d.borrow(ctx, e)
+		if !divided {
+			return o
+		}
+		d.awaitShare(ctx, e)
 	}
 	wait, ok := d.take(e.Team)
 	if !ok {
@@ -125,22 +133,46 @@
 	}
 }
 
-// borrow spends a token that control lends.
-func (d *Divided) borrow(ctx context.Context, e *handler.Exchange) handler.Outcome {
-	d.count(e.Team)
+// borrow spends a token that control lends, unless the team's rate is divided.
+func (d *Divided) borrow(ctx context.Context, e *handler.Exchange) (o handler.Outcome, divided bool) {
 	v := d.config.Borrower.Take(ctx, e.Team, e.Deadline-d.config.Clock.Now())
 	e.Trace.Loan = v.String()
+	if v.Divided {
+		return handler.Outcome{}, true
+	}
+	d.count(e.Team)
 	switch {
 	case v.Admitted:
-		return handler.Outcome{}
+		return handler.Outcome{}, false
 	case ctx.Err() != nil:
-		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonCallerGone)
+		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonCallerGone), false
 	case v.Unreachable:
 		e.RetryAfter = v.Wait
-		return handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNotAvailable)
+		return handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNotAvailable), false
 	}
 	e.RetryAfter = v.Wait
-	return handler.Refuse(http.StatusTooManyRequests, handler.ReasonLimit)
+	return handler.Refuse(http.StatusTooManyRequests, handler.ReasonLimit), false
+}
+
+// awaitShare waits for the first share of a team's rate, which comes soon after an entry's
+// start or a change of leader.
+func (d *Divided) awaitShare(ctx context.Context, e *handler.Exchange) {
+	left := e.Deadline - d.config.Clock.Now()
+	timer := time.NewTimer(min(longestShareWait, time.Duration(loanPart*float64(left))))
+	defer timer.Stop()
+	for {
+		changed := d.config.ShareChanged()
+		if d.config.Share(e.Team.Name) > 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // count notes a request towards a team's demand here.
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -164,6 +164,11 @@
 	return r.shares.of(team, r.config.Clock.Now())
 }
 
+// ShareChanged is closed when there are newer shares than at the time of the call.
+func (r *Receiver) ShareChanged() <-chan struct{} {
+	return r.shares.changes()
+}
+
 // Borrow asks the control leader for tokens of teams' rates.
 func (r *Receiver) Borrow(ctx context.Context, demands []*wire.TokenDemand) (*wire.BorrowResponse, error) {
 	leader := r.Leader()
--- a/entry/receiver/shares.go
+++ b/entry/receiver/shares.go
@@ -34,6 +34,8 @@
 	// reportedTo and reportedAt tell the last report of demands.
 	reportedTo string
 	reportedAt time.Duration
+	// wake is closed with the next change; nil while nobody waits.
+	wake chan struct{}
 	// told are the shares that log lines told last.
 	told map[string]float64
 }
@@ -113,9 +115,23 @@
 		changed = append(changed, s.tell(t)...)
 	}
 	s.number, s.byTeam, s.lent = p.GetSharesNumber(), next, lent
+	if s.wake != nil {
+		close(s.wake)
+		s.wake = nil
+	}
 	return changed
 }
 
+// changes is closed when there are newer shares.
+func (s *shares) changes() <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.wake == nil {
+		s.wake = make(chan struct{})
+	}
+	return s.wake
+}
+
 // tell returns a share as text if it differs much from the one told last.
 func (s *shares) tell(t *wire.TeamShare) []string {
 	value := t.GetShare()
