--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -48,6 +48,9 @@
 	// Limits are read for each request.
 	Limits func() Limits
 	Logger logger.Logger
+	// Crowd is the number of connections above which each answer asks its caller to close, so
+	// that descriptors are left for new callers and for targets; 0 means no such number.
+	Crowd int
 }
 
 // Acceptor serves the connections of one listener.
@@ -59,6 +62,7 @@
 	mutex    sync.Mutex
 	listener net.Listener
 	open     map[*connection]struct{}
+	count    atomic.Int64
 	ended    sync.WaitGroup
 }
 
@@ -88,6 +92,7 @@
 		a.mutex.Lock()
 		a.open[c] = struct{}{}
 		a.mutex.Unlock()
+		a.count.Add(1)
 		a.ended.Add(1)
 		go c.run()
 	}
@@ -152,9 +157,15 @@
 	return out
 }
 
+// isCrowded tells whether connections are to end with their next answers.
+func (a *Acceptor) isCrowded() bool {
+	return a.config.Crowd > 0 && a.count.Load() > int64(a.config.Crowd)
+}
+
 func (a *Acceptor) forget(c *connection) {
 	a.mutex.Lock()
 	delete(a.open, c)
 	a.mutex.Unlock()
+	a.count.Add(-1)
 	a.ended.Done()
 }
--- a/entry/acceptor/acceptor_test.go
+++ b/entry/acceptor/acceptor_test.go
@@ -225,3 +225,34 @@
 	defer cancel()
 	is.NoErr(a.Shutdown(ctx))
 }
+
+// TestCrowd: past the number of connections that the process has room for, answers ask their
+// callers to close, and the connections end; below it they are kept.
+func TestCrowd(t *testing.T) {
+	is := is.New(t)
+	a, first, b := newServer(t, echo)
+	a.config.Crowd = 2 // before the first connection is looked at
+	ask := func(c net.Conn, b *bufio.Reader) bool {
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		is.NoErr(err)
+		return checkAnswer(t, b, http.StatusOK, "GET / ").Close
+	}
+	is.True(!ask(first, b))
+	var others []net.Conn
+	for range 2 {
+		c, err := net.Dial("tcp", first.RemoteAddr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = c.Close() })
+		others = append(others, c)
+	}
+	for a.count.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(ask(others[0], bufio.NewReader(others[0])))
+	_ = others[0].Close()
+	for a.count.Load() > 2 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(!ask(others[1], bufio.NewReader(others[1])))
+	is.True(!ask(first, b))
+}
--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -188,7 +188,7 @@
 }
 
 func (e *exchange) head() []byte {
-	if e.header.Get("Connection") == "close" || e.connection.acceptor.draining.Load() {
+	if a := e.connection.acceptor; e.header.Get("Connection") == "close" || a.draining.Load() || a.isCrowded() {
 		e.last = true
 	}
 	if e.last {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,6 +46,9 @@
 	callerHeaderTimeout = 5 * time.Second
 	callerIdleTimeout   = 60 * time.Second
 	callerHeaderBytes   = 16 << 10
+	// callersPart is the part of the process's descriptors that callers' connections may take
+	// before answers ask callers to close; targets, peers and files need the rest.
+	callersPart = 0.4
 	// stopMargin is added to the drain for the rest of a shutdown.
 	stopMargin = time.Minute
 )
@@ -293,9 +296,9 @@
 	})
 }
 
-func newAcceptor(x Seams, l logger.Logger, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver) *acceptor.Acceptor {
+func newAcceptor(s Settings, x Seams, l logger.Logger, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver) *acceptor.Acceptor {
 	return acceptor.NewAcceptor(acceptor.Config{
-		Handler: callerHandler(x, h, n), Logger: l,
+		Handler: callerHandler(x, h, n), Logger: l, Crowd: int(callersPart * float64(s.Descriptors)),
 		Limits: func() acceptor.Limits {
 			if c := v.View().Configuration; c != nil {
 				return acceptor.Limits{HeaderBytes: c.Limits.HeaderBytes, HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -13,6 +13,9 @@
 // defaultDrain bounds the wait for requests under way at shutdown.
 const defaultDrain = 30 * time.Second
 
+// maxDescriptors bounds what a system lets one process hold.
+const maxDescriptors = 1 << 24
+
 // Defaults of the budget of repeats.
 const (
 	defaultRepeatShare   = 0.1
@@ -28,6 +31,8 @@
 	PeerAddress string
 	// ReportAddress serves metrics, health and dumps.
 	ReportAddress string
+	// Descriptors is the number of descriptors that the process may hold; 0 if not stated.
+	Descriptors int
 	// Controls are the peer addresses of the control members.
 	Controls []string
 	// Platform is the address of the platform's list of VMs; empty for none.
@@ -92,5 +97,6 @@
 	t.CallerAddress = r.Address("callers")
 	t.PeerAddress = r.Address("peer")
 	t.ReportAddress = r.Address("report")
+	t.Descriptors = r.Int("descriptors", 0, 0, maxDescriptors)
 	r.Finish()
 }
