--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -102,17 +102,7 @@
 	n.asked = now
 	n.inUse = r.GetSharesInUse()
 	n.settle(n.inUse)
-	reported := map[string]float64{}
-	var out []*wire.TeamShare
-	for _, d := range r.GetDemands() {
-		reported[d.GetTeam()] = d.GetShare()
-		if a.config.Lends != nil && a.config.Lends(d.GetTeam()) {
-			delete(n.demands, d.GetTeam())
-			out = append(out, &wire.TeamShare{Team: d.GetTeam(), Lent: true})
-			continue
-		}
-		n.demands[d.GetTeam()] = d.GetRate()
-	}
+	reported, out := a.takeDemands(n, r)
 	a.forget(now)
 	limit := a.limit()
 	awaited := float64(a.awaited(now)) * limit
@@ -132,6 +122,22 @@
 	return out, number
 }
 
+// takeDemands notes what an entry was asked for. It returns the shares that the entry uses, and
+// the answers for teams whose tokens are lent.
+func (a *Apportioner) takeDemands(n *account, r *wire.PollRequest) (reported map[string]float64, lent []*wire.TeamShare) {
+	reported = map[string]float64{}
+	for _, d := range r.GetDemands() {
+		reported[d.GetTeam()] = d.GetShare()
+		if a.config.Lends != nil && a.config.Lends(d.GetTeam()) {
+			delete(n.demands, d.GetTeam())
+			lent = append(lent, &wire.TeamShare{Team: d.GetTeam(), Lent: true})
+			continue
+		}
+		n.demands[d.GetTeam()] = d.GetRate()
+	}
+	return reported, lent
+}
+
 // account returns the record of an entry. One that an earlier leader gave shares brings
 // them along; an earlier run of it can use none any more.
 func (a *Apportioner) account(c Caller, r *wire.PollRequest) *account {
--- a/control/distributor/distributor.go
+++ b/control/distributor/distributor.go
@@ -101,10 +101,7 @@
 	gather := time.NewTimer(max(0, d.note(r)+gatherSpan-d.config.Clock.Now()))
 	defer gather.Stop()
 	round := d.config.Sequencer.PendingRound()
-	hold := min(time.Duration(r.GetHoldMilliseconds())*time.Millisecond, maxHold)
-	if len(r.GetDemands()) > 0 && r.GetSharesInUse() == 0 {
-		hold = 0 // it can't admit anything yet
-	}
+	hold := holdOf(r)
 	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	limit := time.NewTimer(hold + confirmWait)
@@ -117,13 +114,8 @@
 		}
 		confirmed := v.ConfirmedRound(round)
 		targets := d.targetChanges()
-		changed := v.Serving() && (d.config.State.ChangedSince(r.GetApplied()) || d.listed(r) != nil)
-		if (held && confirmed) || (gathered && changed && (confirmed || d.recentlyFresh(r))) {
-			answer, err := d.answer(v, r, confirmed)
-			if err != nil {
-				return nil, connect.NewError(connect.CodeInternal, err)
-			}
-			return connect.NewResponse(answer), nil
+		if (held && confirmed) || (gathered && d.hasChanged(v, r) && (confirmed || d.recentlyFresh(r))) {
+			return d.respond(v, r, confirmed)
 		}
 		select {
 		case <-v.Changed():
@@ -140,6 +132,27 @@
 	}
 }
 
+// holdOf returns how long a poll is held without a change.
+func holdOf(r *wire.PollRequest) time.Duration {
+	if len(r.GetDemands()) > 0 && r.GetSharesInUse() == 0 {
+		return 0 // it can't admit anything yet
+	}
+	return min(time.Duration(r.GetHoldMilliseconds())*time.Millisecond, maxHold)
+}
+
+// hasChanged tells whether there is something that a caller does not know.
+func (d *Distributor) hasChanged(v *sequencer.View, r *wire.PollRequest) bool {
+	return v.Serving() && (d.config.State.ChangedSince(r.GetApplied()) || d.listed(r) != nil)
+}
+
+func (d *Distributor) respond(v *sequencer.View, r *wire.PollRequest, confirmed bool) (*connect.Response[wire.PollResponse], error) {
+	answer, err := d.answer(v, r, confirmed)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(answer), nil
+}
+
 // Borrow lends tokens of teams' rates.
 func (d *Distributor) Borrow(_ context.Context, q *connect.Request[wire.BorrowRequest]) (*connect.Response[wire.BorrowResponse], error) {
 	v := d.config.Sequencer.View()
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -257,47 +257,52 @@
 
 // poll asks one control member once, and tells whether that moved something.
 func (r *Receiver) poll(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, min(longestPoll, pollTimeout<<r.cut))
-	defer cancel()
 	address := r.address()
 	start := r.config.Clock.Now()
 	q, reported := r.request(address, start)
-	c, begun := r.distribution(address), &atomic.Bool{}
-	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { begun.Store(true) }}
-	answer, err := c.Poll(httptrace.WithClientTrace(ctx, trace), connect.NewRequest(q))
-	r.polls.Inc(1)
-	r.cut = min(r.cut+1, longestCut)
-	if err == nil || !begun.Load() {
-		r.cut = 0
-	}
+	answer, err := r.call(ctx, address, q)
 	if err != nil {
 		r.unreachable(address, err)
 		return false
 	}
-	r.bytes.Inc(int64(proto.Size(answer.Msg)))
-	if err := unpack(answer.Msg); err != nil {
-		r.unreachable(address, err)
-		return false
-	}
-	if answer.Msg.GetNotLeader() {
-		r.follow(answer.Msg.GetLeaderAddress())
+	if answer.GetNotLeader() {
+		r.follow(answer.GetLeaderAddress())
 		return r.leader != ""
 	}
 	r.silent = false
 	r.leader = address
 	r.known.Store(&address)
-	if len(answer.Msg.GetControlAddresses()) > 0 {
-		r.learned = answer.Msg.GetControlAddresses()
+	if len(answer.GetControlAddresses()) > 0 {
+		r.learned = answer.GetControlAddresses()
 	}
-	if changed := r.shares.take(answer.Msg, start, reported, address); len(changed) > 0 {
-		r.config.Logger.Log(logger.SharesInUse, logger.F("number", answer.Msg.GetSharesNumber()), logger.F("shares", changed))
+	if changed := r.shares.take(answer, start, reported, address); len(changed) > 0 {
+		r.config.Logger.Log(logger.SharesInUse, logger.F("number", answer.GetSharesNumber()), logger.F("shares", changed))
 	}
-	r.take(answer.Msg, start)
-	r.takeTargets(answer.Msg.GetTargets())
-	r.takeAllocation(answer.Msg.GetAllocation())
+	r.take(answer, start)
+	r.takeTargets(answer.GetTargets())
+	r.takeAllocation(answer.GetAllocation())
 	return true
 }
 
+// call makes a poll and unpacks its answer.
+func (r *Receiver) call(ctx context.Context, address string, q *wire.PollRequest) (*wire.PollResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(longestPoll, pollTimeout<<r.cut))
+	defer cancel()
+	begun := &atomic.Bool{}
+	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { begun.Store(true) }}
+	answer, err := r.distribution(address).Poll(httptrace.WithClientTrace(ctx, trace), connect.NewRequest(q))
+	r.polls.Inc(1)
+	r.cut = min(r.cut+1, longestCut)
+	if err == nil || !begun.Load() {
+		r.cut = 0
+	}
+	if err != nil {
+		return nil, err
+	}
+	r.bytes.Inc(int64(proto.Size(answer.Msg)))
+	return answer.Msg, unpack(answer.Msg)
+}
+
 // request returns the next poll, and whether it reports what this entry was asked for.
 func (r *Receiver) request(address string, now time.Duration) (q *wire.PollRequest, reported bool) {
 	self := proto.CloneOf(r.config.Self)
