Let one type average rates

A rate that fades over a span was written five times: an entry's demand of each team (divided and lent), the demand of an account, the load by service, and the refusals of a lent team. timekeeper.Rate serves all. The limiter's simulation hoards by asking for a million tokens, where it set the fields; all assertions are as they were.

--- a/control/lender/lender.go
+++ b/control/lender/lender.go
@@ -70,14 +70,12 @@
 
 // pot is the bucket of one team.
 type pot struct {
-	rate   float64
-	burst  float64
-	tokens float64
-	filled time.Duration
-	held   map[caller]float64
-	// refused is the averaged number of refusals, counted at the moment counted.
-	refused float64
-	counted time.Duration
+	rate    float64
+	burst   float64
+	tokens  float64
+	filled  time.Duration
+	held    map[caller]float64
+	refused timekeeper.Rate
 }
 
 // NewLender returns a Lender whose buckets are empty.
@@ -165,7 +163,7 @@
 func (l *Lender) pot(now time.Duration, team string) *pot {
 	t, p := l.teams[team], l.pots[team]
 	if p == nil {
-		p = &pot{rate: t.Rate, filled: l.since, held: map[caller]float64{}}
+		p = &pot{rate: t.Rate, filled: l.since, held: map[caller]float64{}, refused: timekeeper.Rate{Span: refusalSpan}}
 		l.pots[team] = p
 	}
 	p.fill(now, t.Rate, t.Burst)
@@ -211,8 +209,7 @@
 // refuse counts requests that got no token and returns when they have a chance: once those
 // refused before them have been served.
 func (p *pot) refuse(now time.Duration, n float64) time.Duration {
-	p.refused = n + p.refused*math.Exp(-(now-p.counted).Seconds()/refusalSpan.Seconds())
-	p.counted = now
-	wait := time.Duration(p.refused / max(p.rate, 1) * float64(time.Second))
+	p.refused.Add(now, n)
+	wait := time.Duration(p.refused.At(now) / max(p.rate, 1) * float64(refusalSpan))
 	return min(mostWait, max(leastWait, wait))
 }
--- a/entry/balancer/meter.go
+++ b/entry/balancer/meter.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -15,18 +14,12 @@
 type Meter struct {
 	clock    timekeeper.Clock
 	mutex    sync.Mutex
-	services map[string]*rate
-}
-
-// rate is an average of work per time.
-type rate struct {
-	value float64
-	at    time.Duration
+	services map[string]*timekeeper.Rate
 }
 
 // NewMeter returns a Meter that has counted nothing.
 func NewMeter(c timekeeper.Clock) *Meter {
-	return &Meter{clock: c, services: map[string]*rate{}}
+	return &Meter{clock: c, services: map[string]*timekeeper.Rate{}}
 }
 
 // Count counts a request that keeps a slot busy for a time.
@@ -35,11 +28,10 @@
 	defer m.mutex.Unlock()
 	r := m.services[service]
 	if r == nil {
-		r = &rate{}
+		r = &timekeeper.Rate{Span: meterSpan}
 		m.services[service] = r
 	}
-	r.decay(m.clock.Now())
-	r.value += work.Seconds() / meterSpan.Seconds()
+	r.Add(m.clock.Now(), work.Seconds())
 }
 
 // Loads returns the busy slots by service.
@@ -48,13 +40,7 @@
 	defer m.mutex.Unlock()
 	now, out := m.clock.Now(), map[string]float64{}
 	for name, r := range m.services {
-		r.decay(now)
-		out[name] = r.value
+		out[name] = r.At(now)
 	}
 	return out
 }
-
-func (r *rate) decay(now time.Duration) {
-	r.value *= math.Exp(-(now - r.at).Seconds() / meterSpan.Seconds())
-	r.at = now
-}
--- a/entry/limiter/allowance.go
+++ b/entry/limiter/allowance.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/filberthoist/filberthoist/core/timekeeper"
 )
 
 // Parameters of the prefetch.
@@ -23,8 +25,7 @@
 type Allowance struct {
 	pots   []pot
 	uses   []pastUse
-	demand float64
-	asked  time.Duration
+	demand timekeeper.Rate
 	// trip is the averaged duration of a call to the owner.
 	trip time.Duration
 }
@@ -48,8 +49,8 @@
 
 // Want counts n tokens towards the demand.
 func (a *Allowance) Want(now time.Duration, n float64) {
-	a.decay(now)
-	a.demand += n / demandSpan.Seconds()
+	a.demand.Span = demandSpan // so that the zero Allowance is usable
+	a.demand.Add(now, n)
 }
 
 // Add puts granted tokens in; they run out a lifetime after the request for them was sent.
@@ -68,8 +69,7 @@
 // requests wait for, so that the next requests find theirs here.
 func (a *Allowance) Lacks(now time.Duration) float64 {
 	a.drop(now)
-	a.decay(now)
-	wanted := a.demand * (2*a.trip + prefetchSpan).Seconds()
+	wanted := a.demand.At(now) * (2*a.trip + prefetchSpan).Seconds()
 	if have := a.total(); wanted >= leastPrefetch && have < wanted/2 {
 		return math.Ceil(wanted - have)
 	}
@@ -140,10 +140,3 @@
 		a.pots = a.pots[1:]
 	}
 }
-
-func (a *Allowance) decay(now time.Duration) {
-	if now > a.asked {
-		a.demand *= math.Exp(-(now - a.asked).Seconds() / demandSpan.Seconds())
-		a.asked = now
-	}
-}
--- a/entry/limiter/borrower.go
+++ b/entry/limiter/borrower.go
@@ -66,9 +66,8 @@
 	tokens int
 	// rate is the limit that the tokens were lent under.
 	rate float64
-	// habit is the averaged number of requests per second, counted at the moment counted.
-	habit   float64
-	counted time.Duration
+	// habit is the rate of the team's requests here.
+	habit   timekeeper.Rate
 	waiters []*borrow
 	// emptyUntil is the time before which the bucket is not asked again.
 	emptyUntil time.Duration
@@ -155,10 +154,10 @@
 	now := b.config.Clock.Now()
 	l := b.loans[t.Name]
 	if l == nil {
-		l = &loan{counted: now}
+		l = &loan{habit: timekeeper.Rate{Span: habitSpan}}
 		b.loans[t.Name] = l
 	}
-	l.count(now)
+	l.habit.Add(now, 1)
 	if l.rate != t.Rate || now-b.answered > timekeeper.ShareLease {
 		l.rate, l.tokens = t.Rate, 0
 	}
@@ -244,17 +243,15 @@
 }
 
 func (l *loan) demand(now time.Duration) *wire.TokenDemand {
-	l.decay(now)
 	l.dropGone()
 	d := &wire.TokenDemand{Needed: uint32(len(l.waiters))}
-	if l.habit < leastHabit {
+	target := 0
+	if habit := l.habit.At(now); habit >= leastHabit {
+		target = int(math.Ceil(habit * heldSpan.Seconds()))
+	} else {
 		d.Returned, l.tokens = uint32(l.tokens), 0
 	}
 	d.Held = uint32(l.tokens)
-	target := 0
-	if l.habit >= leastHabit {
-		target = int(math.Ceil(l.habit * heldSpan.Seconds()))
-	}
 	if l.tokens <= target/2 && now >= l.sparedUntil {
 		d.Wanted = uint32(target - l.tokens)
 	}
@@ -324,15 +321,3 @@
 	}
 	l.waiters = live
 }
-
-func (l *loan) count(now time.Duration) {
-	l.decay(now)
-	l.habit += 1 / habitSpan.Seconds()
-}
-
-func (l *loan) decay(now time.Duration) {
-	if now > l.counted {
-		l.habit *= math.Exp(-(now - l.counted).Seconds() / habitSpan.Seconds())
-		l.counted = now
-	}
-}
--- a/entry/limiter/divided.go
+++ b/entry/limiter/divided.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -61,10 +60,8 @@
 type dividedBucket struct {
 	tokens float64
 	filled time.Duration
-	// rate is the averaged number of requests per second, counted at the moment counted.
-	rate    float64
-	counted time.Duration
-	known   bool
+	rate   timekeeper.Rate
+	known  bool
 }
 
 // NewDivided returns a Divided.
@@ -92,8 +89,7 @@
 		}
 		out[name] = 0
 		if b := d.teams[name]; b != nil {
-			b.decay(now)
-			out[name] = b.rate
+			out[name] = b.rate.At(now)
 		}
 	}
 	for name := range d.teams {
@@ -179,7 +175,7 @@
 func (d *Divided) count(t *parser.Team) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.bucket(t).count(d.config.Clock.Now())
+	d.bucket(t).rate.Add(d.config.Clock.Now(), 1)
 }
 
 // take spends a token, or one that comes within longestBorrow. The wait is until the token
@@ -189,7 +185,7 @@
 	defer d.mutex.Unlock()
 	now := d.config.Clock.Now()
 	b := d.bucket(t)
-	b.count(now)
+	b.rate.Add(now, 1)
 	share := d.config.Share(t.Name)
 	b.fill(now, t.Rate*share, t.Burst*share+d.overdraft(t, share))
 	if b.tokens >= 1 {
@@ -211,8 +207,7 @@
 func (d *Divided) bucket(t *parser.Team) *dividedBucket {
 	b := d.teams[t.Name]
 	if b == nil {
-		now := d.config.Clock.Now()
-		b = &dividedBucket{filled: now, counted: now}
+		b = &dividedBucket{filled: d.config.Clock.Now(), rate: timekeeper.Rate{Span: rateSpan}}
 		d.teams[t.Name] = b
 	}
 	return b
@@ -239,15 +234,3 @@
 	b.tokens = min(burst, b.tokens+rate*(now-b.filled).Seconds())
 	b.filled = now
 }
-
-func (b *dividedBucket) count(now time.Duration) {
-	b.decay(now)
-	b.rate += 1 / rateSpan.Seconds()
-}
-
-func (b *dividedBucket) decay(now time.Duration) {
-	if now > b.counted {
-		b.rate *= math.Exp(-(now - b.counted).Seconds() / rateSpan.Seconds())
-		b.counted = now
-	}
-}
--- a/entry/limiter/limiter_test.go
+++ b/entry/limiter/limiter_test.go
@@ -205,8 +205,7 @@
 	s := m.simulation
 	switch s.random.IntN(s.pace) {
 	case 0:
-		m.account.allowance.demand = 1e6
-		m.account.allowance.asked = s.now
+		m.account.allowance.Want(s.now, 1e6)
 	case 1:
 		for m.account.take(1) {
 			s.admit()
