Join a configuration's sections in one place

The text's sections, or the frame of the availability zones where there is none, and those of the items were joined at the leader, at entries and where changes are judged. wire.Sections serves all three.

--- a/control/applier/items.go
+++ b/control/applier/items.go
@@ -189,5 +189,5 @@
 
 // CompileItems returns the Configuration of items, for a deployment in the given zones.
 func CompileItems(zones map[string]string, items map[string]*wire.Item) (*parser.Configuration, loader.Problems) {
-	return parser.Compile(append(parser.Frame(zones), wire.ItemSections(items)...))
+	return parser.Compile(wire.Sections(nil, zones, items))
 }
--- a/control/applier/state.go
+++ b/control/applier/state.go
@@ -176,15 +176,11 @@
 	if version == s.compiledVersion {
 		return s.compiled, nil
 	}
-	sections := s.Sections()
-	items := s.Items()
-	if len(sections) == 0 && len(items) > 0 {
-		sections = parser.Frame(s.zones)
-	}
-	if len(sections) == 0 {
+	sections, items := s.Sections(), s.Items()
+	if len(sections) == 0 && len(items) == 0 {
 		return nil, nil
 	}
-	c, problems := parser.Compile(append(sections, wire.ItemSections(items)...))
+	c, problems := parser.Compile(wire.Sections(sections, s.zones, items))
 	if c == nil {
 		return nil, problems.Err()
 	}
--- a/core/wire/items.go
+++ b/core/wire/items.go
@@ -6,14 +6,24 @@
 	"strconv"
 
 	"github.com/filberthoist/filberthoist/core/loader"
+	"github.com/filberthoist/filberthoist/core/parser"
 )
 
 // routeItems begins the names of routes' items.
 const routeItems = "route"
 
-// ItemSections returns the sections of the items that stand, in the order of their names.
+// Sections joins all that a configuration is compiled from: a text's sections, or where there
+// is no text the frame that the availability zones give, and those of the items.
+func Sections(text []loader.Section, zones map[string]string, items map[string]*Item) []loader.Section {
+	if len(text) == 0 {
+		text = parser.Frame(zones)
+	}
+	return append(text, itemSections(items)...)
+}
+
+// itemSections returns the sections of the items that stand, in the order of their names.
 // A route's section also carries its item's version.
-func ItemSections(items map[string]*Item) []loader.Section {
+func itemSections(items map[string]*Item) []loader.Section {
 	var out []loader.Section
 	for _, n := range slices.Sorted(maps.Keys(items)) {
 		t := items[n]
--- a/entry/receiver/view.go
+++ b/entry/receiver/view.go
@@ -180,15 +180,11 @@
 	if err != nil {
 		return err
 	}
-	if len(sections) == 0 && len(items) > 0 {
-		sections = parser.Frame(zones)
-	}
-	sections = append(sections, wire.ItemSections(items)...)
-	if len(sections) == 0 {
+	if len(sections) == 0 && len(items) == 0 {
 		v.Configuration = nil
 		return nil
 	}
-	c, problems := parser.Compile(sections)
+	c, problems := parser.Compile(wire.Sections(sections, zones, items))
 	v.Configuration = c
 	return problems.Err()
 }
