Name a run of an entry by one type

distributor.CallerName, apportioner.Caller and lender.caller were the same two fields. wire.Caller stands for them; the apportioner takes it from the poll's member, as its callers did.

--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -39,12 +39,6 @@
 	Lends func(team string) bool
 }
 
-// Caller names one run of an entry.
-type Caller struct {
-	Name        string
-	Incarnation uint64
-}
-
 // Apportioner keeps account of the shares that entries may use. It is safe for concurrent use.
 type Apportioner struct {
 	config  Config
@@ -52,7 +46,7 @@
 	term    uint64
 	since   time.Duration
 	number  uint64
-	callers map[Caller]*account
+	callers map[wire.Caller]*account
 	// entries are those of the deployment as they were at the last look.
 	entries map[string]*wire.EntryMember
 	looked  time.Duration
@@ -78,18 +72,18 @@
 
 // NewApportioner returns an Apportioner that knows no entry.
 func NewApportioner(c Config) *Apportioner {
-	return &Apportioner{config: c, callers: map[Caller]*account{}}
+	return &Apportioner{config: c, callers: map[wire.Caller]*account{}}
 }
 
 // Answer takes in an entry's demands and returns its shares that change, under a number
 // that the entry names once it uses them; 0 means that none changes. term and since tell
 // since when this member leads.
-func (a *Apportioner) Answer(term uint64, since time.Duration, c Caller, r *wire.PollRequest) ([]*wire.TeamShare, uint64) {
+func (a *Apportioner) Answer(term uint64, since time.Duration, r *wire.PollRequest) ([]*wire.TeamShare, uint64) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	now := a.config.Clock.Now()
+	now, c := a.config.Clock.Now(), wire.CallerOf(r.GetMember())
 	if term != a.term {
-		a.term, a.since, a.number, a.callers, a.entries = term, since, 0, map[Caller]*account{}, nil
+		a.term, a.since, a.number, a.callers, a.entries = term, since, 0, map[wire.Caller]*account{}, nil
 	}
 	if a.entries == nil || now-a.looked >= lookInterval {
 		a.entries, a.looked = a.config.Entries(), now
@@ -140,7 +134,7 @@
 
 // account returns the record of an entry. One that an earlier leader gave shares brings
 // them along; an earlier run of it can use none any more.
-func (a *Apportioner) account(c Caller, r *wire.PollRequest) *account {
+func (a *Apportioner) account(c wire.Caller, r *wire.PollRequest) *account {
 	if n := a.callers[c]; n != nil {
 		return n
 	}
--- a/control/apportioner/apportioner_test.go
+++ b/control/apportioner/apportioner_test.go
@@ -70,7 +70,7 @@
 					Team: "lamps", Rate: rapid.Float64Range(0, 100).Draw(t, "rate"), Share: e.use(now),
 				}}}
 				asked := now
-				shares, number := a.Answer(term, since, Caller{e.member.GetName(), e.member.GetIncarnation()}, r)
+				shares, number := a.Answer(term, since, r)
 				if rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
 					break
 				}
@@ -101,7 +101,7 @@
 		for _, e := range []string{"a", "b"} {
 			now += 125 * time.Millisecond
 			r := &wire.PollRequest{Member: members[e], SharesInUse: number[e], Demands: []*wire.TeamDemand{{Team: "t", Rate: rates[e], Share: share[e]}}}
-			if s, k := n.Answer(1, time.Hour, Caller{e, 1}, r); k > 0 {
+			if s, k := n.Answer(1, time.Hour, r); k > 0 {
 				share[e], number[e] = s[0].GetShare(), k
 			}
 		}
@@ -134,7 +134,7 @@
 			name := fmt.Sprint("entry", i)
 			now += 10 * time.Millisecond
 			r := &wire.PollRequest{Member: members[name], SharesInUse: number[name], Demands: []*wire.TeamDemand{{Team: "t", Rate: 20, Share: share[name]}}}
-			if s, k := n.Answer(2, time.Hour, Caller{name, 2}, r); k > 0 {
+			if s, k := n.Answer(2, time.Hour, r); k > 0 {
 				share[name], number[name] = s[0].GetShare(), k
 			}
 		}
--- a/control/coordinator/coordinator_test.go
+++ b/control/coordinator/coordinator_test.go
@@ -17,12 +17,12 @@
 func picture(n int) Picture {
 	p := Picture{
 		Now: now, Entries: map[string]*wire.EntryMember{}, Roles: map[string]*wire.Role{},
-		Callers: map[distributor.CallerName]distributor.Caller{},
+		Callers: map[wire.Caller]distributor.Caller{},
 	}
 	for i := range n {
 		m := &wire.EntryMember{Name: fmt.Sprint("entry", i), Incarnation: uint64(i + 1), Region: fmt.Sprint("region", i%3)}
 		p.Entries[m.GetName()] = m
-		p.Callers[distributor.CallerName{Name: m.GetName(), Incarnation: m.GetIncarnation()}] = distributor.Caller{
+		p.Callers[wire.Caller{Name: m.GetName(), Incarnation: m.GetIncarnation()}] = distributor.Caller{
 			Member: m, Asked: now, Fresh: now, Vacated: map[string]uint64{},
 		}
 	}
@@ -37,7 +37,7 @@
 		return &wire.Role{Name: wire.TeamRole("0"), Holder: "entry0", Incarnation: 1, Epoch: 4, Vacant: vacant}
 	}
 	silent := func(p *Picture, d time.Duration) {
-		n := distributor.CallerName{Name: "entry0", Incarnation: 1}
+		n := wire.Caller{Name: "entry0", Incarnation: 1}
 		c := p.Callers[n]
 		c.Asked, c.Fresh = now-d, now-d
 		p.Callers[n] = c
@@ -65,11 +65,11 @@
 		{"vacant waits for the holder's word", func(p *Picture) { p.Roles[wire.TeamRole("0")] = role(true) }, 0, false},
 		{"vacant moves once the holder stopped", func(p *Picture) {
 			p.Roles[wire.TeamRole("0")] = role(true)
-			p.Callers[distributor.CallerName{Name: "entry0", Incarnation: 1}].Vacated[wire.TeamRole("0")] = 4
+			p.Callers[wire.Caller{Name: "entry0", Incarnation: 1}].Vacated[wire.TeamRole("0")] = 4
 		}, 5, false},
 		{"a new leader waits for leases it does not know", func(p *Picture) {
 			p.Roles[wire.TeamRole("0")] = role(false)
-			delete(p.Callers, distributor.CallerName{Name: "entry0", Incarnation: 1})
+			delete(p.Callers, wire.Caller{Name: "entry0", Incarnation: 1})
 			p.LeaderSince = now - lapsed
 		}, 0, false},
 	}
@@ -96,7 +96,7 @@
 		p.Roles["pool/lamps/region1"] = &wire.Role{Name: "pool/lamps/region1", Holder: "entry0", Incarnation: 1, Epoch: 1}
 		p.LeaderSince = now
 		is.True(Plan(p)[0].GetAssignRole().GetRole().GetVacant())
-		delete(p.Callers, distributor.CallerName{Name: "entry1", Incarnation: 2})
+		delete(p.Callers, wire.Caller{Name: "entry1", Incarnation: 2})
 		is.Equal(len(Plan(p)), 0) // nobody near is live
 	})
 	t.Run("first roles spread", func(t *testing.T) {
--- a/control/coordinator/plan.go
+++ b/control/coordinator/plan.go
@@ -27,7 +27,7 @@
 	LeaderSince time.Duration
 	Entries     map[string]*wire.EntryMember
 	Roles       map[string]*wire.Role
-	Callers     map[distributor.CallerName]distributor.Caller
+	Callers     map[wire.Caller]distributor.Caller
 	// Wanted lists the roles that the text calls for, with the region they prefer.
 	Wanted []WantedRole
 }
@@ -112,7 +112,7 @@
 // the time that this member leads.
 func (p Picture) silence(name string, incarnation uint64) time.Duration {
 	since := p.LeaderSince
-	if c, ok := p.Callers[distributor.CallerName{Name: name, Incarnation: incarnation}]; ok {
+	if c, ok := p.Callers[wire.Caller{Name: name, Incarnation: incarnation}]; ok {
 		since = max(since, c.Fresh, c.Asked)
 	}
 	return p.Now - since
@@ -173,7 +173,7 @@
 	if p.silence(r.GetHolder(), r.GetIncarnation()) > lapsed {
 		return true
 	}
-	c, ok := p.Callers[distributor.CallerName{Name: r.GetHolder(), Incarnation: r.GetIncarnation()}]
+	c, ok := p.Callers[wire.Caller{Name: r.GetHolder(), Incarnation: r.GetIncarnation()}]
 	return ok && r.GetVacant() && c.Vacated[r.GetName()] >= r.GetEpoch()
 }
 
@@ -202,7 +202,7 @@
 	var out []*wire.EntryMember
 	for _, n := range slices.Sorted(maps.Keys(p.Entries)) {
 		m := p.Entries[n]
-		_, polls := p.Callers[distributor.CallerName{Name: n, Incarnation: m.GetIncarnation()}]
+		_, polls := p.Callers[wire.Caller{Name: n, Incarnation: m.GetIncarnation()}]
 		live := polls && m.GetState() == wire.EntryState_ENTRY_STATE_LIVE && p.silence(n, m.GetIncarnation()) <= lapsed
 		if live && (region == "" || m.GetRegion() == region) {
 			out = append(out, m)
--- a/control/distributor/distributor.go
+++ b/control/distributor/distributor.go
@@ -71,23 +71,17 @@
 	toldMembers *wire.Membership
 }
 
-// CallerName tells incarnations of one entry apart.
-type CallerName struct {
-	Name        string
-	Incarnation uint64
-}
-
 // Distributor answers polls on the leader.
 type Distributor struct {
 	config  Config
 	mutex   sync.Mutex
-	callers map[CallerName]*Caller
+	callers map[wire.Caller]*Caller
 	packer  *packer
 }
 
 // NewDistributor returns a Distributor that knows no caller.
 func NewDistributor(c Config) *Distributor {
-	return &Distributor{config: c, callers: map[CallerName]*Caller{}, packer: newPacker()}
+	return &Distributor{config: c, callers: map[wire.Caller]*Caller{}, packer: newPacker()}
 }
 
 // Poll answers with changes as soon as there are any, or with the statement that there
@@ -163,10 +157,10 @@
 }
 
 // Callers returns what is known of each caller.
-func (d *Distributor) Callers() map[CallerName]Caller {
+func (d *Distributor) Callers() map[wire.Caller]Caller {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	out := make(map[CallerName]Caller, len(d.callers))
+	out := make(map[wire.Caller]Caller, len(d.callers))
 	for n, c := range d.callers {
 		out[n] = *c
 	}
@@ -219,8 +213,7 @@
 		Index: k.index, Snapshot: k.whole, Records: k.records, Fresh: fresh, Targets: k.targets, Packed: k.packed,
 	}
 	if d.config.Apportioner != nil && v.Serving() {
-		caller := apportioner.Caller{Name: r.GetMember().GetName(), Incarnation: r.GetMember().GetIncarnation()}
-		out.Shares, out.SharesNumber = d.config.Apportioner.Answer(v.Term, v.LeaderSince, caller, r)
+		out.Shares, out.SharesNumber = d.config.Apportioner.Answer(v.Term, v.LeaderSince, r)
 	}
 	if d.config.Allocator != nil && v.Serving() {
 		out.Allocation = d.config.Allocator.Answer(v.Term, r)
@@ -248,7 +241,7 @@
 func (d *Distributor) addresses(v *sequencer.View, r *wire.PollRequest) []string {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	c := d.callers[nameOf(r.GetMember())]
+	c := d.callers[wire.CallerOf(r.GetMember())]
 	if c == nil || c.toldMembers == v.Members {
 		return nil
 	}
@@ -265,7 +258,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.config.Clock.Now()
-	n := nameOf(r.GetMember())
+	n := wire.CallerOf(r.GetMember())
 	c := d.callers[n]
 	if c == nil {
 		d.forgetSilent(now)
@@ -288,7 +281,7 @@
 func (d *Distributor) noteFresh(r *wire.PollRequest) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if c := d.callers[nameOf(r.GetMember())]; c != nil {
+	if c := d.callers[wire.CallerOf(r.GetMember())]; c != nil {
 		c.Fresh = d.config.Clock.Now()
 	}
 }
@@ -296,7 +289,7 @@
 func (d *Distributor) noteAnswered(r *wire.PollRequest) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if c := d.callers[nameOf(r.GetMember())]; c != nil {
+	if c := d.callers[wire.CallerOf(r.GetMember())]; c != nil {
 		c.answered = d.config.Clock.Now()
 	}
 }
@@ -304,7 +297,7 @@
 func (d *Distributor) recentlyFresh(r *wire.PollRequest) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	c := d.callers[nameOf(r.GetMember())]
+	c := d.callers[wire.CallerOf(r.GetMember())]
 	return c != nil && d.config.Clock.Now()-c.Fresh < unconfirmedSpan
 }
 
@@ -316,10 +309,6 @@
 	}
 }
 
-func nameOf(m *wire.EntryMember) CallerName {
-	return CallerName{Name: m.GetName(), Incarnation: m.GetIncarnation()}
-}
-
 func notLeader(v *sequencer.View) *wire.PollResponse {
 	return &wire.PollResponse{NotLeader: true, LeaderAddress: v.Leader().GetAddress()}
 }
--- a/control/lender/lender.go
+++ b/control/lender/lender.go
@@ -53,7 +53,7 @@
 	term   uint64
 	since  time.Duration
 	pots   map[string]*pot
-	asked  map[caller]time.Duration
+	asked  map[wire.Caller]time.Duration
 	// teams and entries are as they were at the last look.
 	looked  time.Duration
 	teams   map[string]*parser.Team
@@ -62,25 +62,19 @@
 	lent map[string]bool
 }
 
-// caller names one run of an entry.
-type caller struct {
-	name        string
-	incarnation uint64
-}
-
 // pot is the bucket of one team.
 type pot struct {
 	rate    float64
 	burst   float64
 	tokens  float64
 	filled  time.Duration
-	held    map[caller]float64
+	held    map[wire.Caller]float64
 	refused timekeeper.Rate
 }
 
 // NewLender returns a Lender whose buckets are empty.
 func NewLender(c Config) *Lender {
-	return &Lender{config: c, pots: map[string]*pot{}, asked: map[caller]time.Duration{}, looked: -lookInterval, lent: map[string]bool{}}
+	return &Lender{config: c, pots: map[string]*pot{}, asked: map[wire.Caller]time.Duration{}, looked: -lookInterval, lent: map[string]bool{}}
 }
 
 // Lends tells whether a team's tokens are lent.
@@ -98,9 +92,9 @@
 	defer l.mutex.Unlock()
 	now := l.config.Clock.Now()
 	if term != l.term {
-		l.term, l.since, l.pots, l.asked = term, since, map[string]*pot{}, map[caller]time.Duration{}
+		l.term, l.since, l.pots, l.asked = term, since, map[string]*pot{}, map[wire.Caller]time.Duration{}
 	}
-	c := caller{r.GetEntry(), r.GetIncarnation()}
+	c := wire.Caller{Name: r.GetEntry(), Incarnation: r.GetIncarnation()}
 	l.look(now)
 	l.note(now, c)
 	out := &wire.BorrowResponse{}
@@ -110,7 +104,7 @@
 	return out
 }
 
-func (l *Lender) lend(now time.Duration, c caller, d *wire.TokenDemand) *wire.TokenLoan {
+func (l *Lender) lend(now time.Duration, c wire.Caller, d *wire.TokenDemand) *wire.TokenLoan {
 	out := &wire.TokenLoan{Team: d.GetTeam()}
 	if !l.lends(d.GetTeam()) {
 		delete(l.pots, d.GetTeam())
@@ -163,7 +157,7 @@
 func (l *Lender) pot(now time.Duration, team string) *pot {
 	t, p := l.teams[team], l.pots[team]
 	if p == nil {
-		p = &pot{rate: t.Rate, filled: l.since, held: map[caller]float64{}, refused: timekeeper.Rate{Span: refusalSpan}}
+		p = &pot{rate: t.Rate, filled: l.since, held: map[wire.Caller]float64{}, refused: timekeeper.Rate{Span: refusalSpan}}
 		l.pots[team] = p
 	}
 	p.fill(now, t.Rate, t.Burst)
@@ -172,10 +166,10 @@
 
 // note keeps account of who asks; an entry that was silent for long has given up its tokens,
 // and so has an earlier run of one.
-func (l *Lender) note(now time.Duration, c caller) {
+func (l *Lender) note(now time.Duration, c wire.Caller) {
 	l.asked[c] = now
 	for o, at := range l.asked {
-		if now-at <= forgetAfter && (o.name != c.name || o == c) {
+		if now-at <= forgetAfter && (o.Name != c.Name || o == c) {
 			continue
 		}
 		delete(l.asked, o)
--- a/control/mover/judge.go
+++ b/control/mover/judge.go
@@ -42,7 +42,7 @@
 }
 
 type seenName struct {
-	caller distributor.CallerName
+	caller wire.Caller
 	route  string
 }
 
@@ -66,7 +66,7 @@
 }
 
 // Window takes in what every caller saw since the last window, as one.
-func (j *Judge) Window(callers map[distributor.CallerName]distributor.Caller) {
+func (j *Judge) Window(callers map[wire.Caller]distributor.Caller) {
 	sums := map[string]pair{}
 	for name, c := range callers {
 		for _, e := range c.Evidence {
@@ -80,7 +80,7 @@
 	}
 }
 
-func (j *Judge) collect(caller distributor.CallerName, e *wire.MoveEvidence, sums map[string]pair) {
+func (j *Judge) collect(caller wire.Caller, e *wire.MoveEvidence, sums map[string]pair) {
 	for _, r := range e.GetRoutes() {
 		if j.routes[r.GetRoute()] == nil {
 			continue
--- a/control/mover/mover.go
+++ b/control/mover/mover.go
@@ -145,7 +145,7 @@
 	return out
 }
 
-func (m *Mover) planMove(c *parser.Configuration, v *parser.Move, records map[string]*wire.MoveRecord, callers map[distributor.CallerName]distributor.Caller) *wire.MoveRecord {
+func (m *Mover) planMove(c *parser.Configuration, v *parser.Move, records map[string]*wire.MoveRecord, callers map[wire.Caller]distributor.Caller) *wire.MoveRecord {
 	r := records[v.Name]
 	now := m.config.Now()
 	routes := c.RoutesOf(v.Service)
--- a/control/mover/mover_test.go
+++ b/control/mover/mover_test.go
@@ -86,7 +86,7 @@
 			total[route.Name] = sum
 			e.Routes = append(e.Routes, &wire.RouteEvidence{Route: route.Name, Old: wire.ToVersionTally(sum.old), New: wire.ToVersionTally(sum.new)})
 		}
-		j.Window(map[distributor.CallerName]distributor.Caller{{Name: "entry1"}: {Evidence: []*wire.MoveEvidence{e}}})
+		j.Window(map[wire.Caller]distributor.Caller{{Name: "entry1"}: {Evidence: []*wire.MoveEvidence{e}}})
 		next, _ := Advance(m, list, r, j, now)
 		if next != nil {
 			r = next
@@ -220,7 +220,7 @@
 			o.Add(time.Millisecond, false)
 		}
 		e := &wire.MoveEvidence{Course: m.Course(), Routes: []*wire.RouteEvidence{{Route: "status", Old: wire.ToVersionTally(o)}, {Route: "gone"}}}
-		j.Window(map[distributor.CallerName]distributor.Caller{{Name: "entry1", Incarnation: incarnation}: {Evidence: []*wire.MoveEvidence{e}}})
+		j.Window(map[wire.Caller]distributor.Caller{{Name: "entry1", Incarnation: incarnation}: {Evidence: []*wire.MoveEvidence{e}}})
 	}
 	for _, count := range []int{100, 120, 120, 150} {
 		tell(1, count)
@@ -273,17 +273,17 @@
 			m := newMove(0.2, time.Hour, 0)
 			j := NewJudge(m, allRoutes[2], start)
 			size := 0
-			var rounds [2]map[distributor.CallerName]distributor.Caller
+			var rounds [2]map[wire.Caller]distributor.Caller
 			for i := range rounds {
 				p := split(0, 1000*(i+1), 0.2, 0.01)
-				rounds[i] = map[distributor.CallerName]distributor.Caller{}
+				rounds[i] = map[wire.Caller]distributor.Caller{}
 				for n := range entries {
 					e := &wire.MoveEvidence{Move: m.Name, Course: m.Course()}
 					for _, r := range allRoutes[2] {
 						e.Routes = append(e.Routes, &wire.RouteEvidence{Route: r.Name, Old: wire.ToVersionTally(p.old), New: wire.ToVersionTally(p.new)})
 					}
 					size = proto.Size(e)
-					rounds[i][distributor.CallerName{Name: fmt.Sprint(n)}] = distributor.Caller{Evidence: []*wire.MoveEvidence{e}}
+					rounds[i][wire.Caller{Name: fmt.Sprint(n)}] = distributor.Caller{Evidence: []*wire.MoveEvidence{e}}
 				}
 			}
 			for i := 0; b.Loop(); i++ {
--- a/core/wire/roles.go
+++ b/core/wire/roles.go
@@ -65,3 +65,14 @@
 func Incarnation(entry string, incarnation uint64) string {
 	return entry + "/" + strconv.FormatUint(incarnation, 36)
 }
+
+// Caller names one run of an entry, for use as a key.
+type Caller struct {
+	Name        string
+	Incarnation uint64
+}
+
+// CallerOf names the run that a member describes.
+func CallerOf(m *EntryMember) Caller {
+	return Caller{Name: m.GetName(), Incarnation: m.GetIncarnation()}
+}
