Pack and unpack answers beside each other

The distributor packed, the receiver unpacked, and the distributor's test unpacked again by itself. wire.Pack and wire.Unpack serve all three.

--- a/control/distributor/distributor_test.go
+++ b/control/distributor/distributor_test.go
@@ -1,11 +1,8 @@
 package distributor
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -13,7 +10,6 @@
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/filberthoist/filberthoist/control/applier"
 	"github.com/filberthoist/filberthoist/control/recorder"
@@ -67,22 +63,10 @@
 
 func recordsOf(t *testing.T, p *wire.PollResponse) []*wire.Record {
 	t.Helper()
-	if len(p.GetPacked()) == 0 {
-		return p.GetRecords()
-	}
-	r, err := gzip.NewReader(bytes.NewReader(p.GetPacked()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	b, err := io.ReadAll(r)
-	if err != nil {
-		t.Fatal(err)
-	}
-	inner := &wire.PollResponse{}
-	if err := proto.Unmarshal(b, inner); err != nil {
+	if err := wire.Unpack(p); err != nil {
 		t.Fatal(err)
 	}
-	return inner.GetRecords()
+	return p.GetRecords()
 }
 
 // TestPack: what many entries get alike is built once, and only large answers are packed.
--- a/control/distributor/packer.go
+++ b/control/distributor/packer.go
@@ -1,12 +1,9 @@
 package distributor
 
 import (
-	"bytes"
-	"compress/gzip"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/filberthoist/filberthoist/core/wire"
@@ -81,25 +78,13 @@
 
 // compress replaces large contents by their packed form.
 func (k *pack) compress() error {
-	m := &wire.PollResponse{Records: k.records, Targets: k.targets}
-	if proto.Size(m) < packedBytes {
+	if proto.Size(&wire.PollResponse{Records: k.records, Targets: k.targets}) < packedBytes {
 		return nil
 	}
-	b, err := proto.Marshal(m)
+	packed, err := wire.Pack(k.records, k.targets)
 	if err != nil {
-		return errors.Wrap(err, "encoding an answer")
+		return err
 	}
-	var out bytes.Buffer
-	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
-	if err != nil {
-		return errors.Wrap(err, "compressing an answer")
-	}
-	if _, err := w.Write(b); err != nil {
-		return errors.Wrap(err, "compressing an answer")
-	}
-	if err := w.Close(); err != nil {
-		return errors.Wrap(err, "compressing an answer")
-	}
-	k.packed, k.records, k.targets = out.Bytes(), nil, nil
+	k.packed, k.records, k.targets = packed, nil, nil
 	return nil
 }
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -300,7 +300,7 @@
 		return nil, err
 	}
 	r.bytes.Inc(int64(proto.Size(answer.Msg)))
-	return answer.Msg, unpack(answer.Msg)
+	return answer.Msg, wire.Unpack(answer.Msg)
 }
 
 // request returns the next poll, and whether it reports what this entry was asked for.
