Keep what the control leader asks for at each poll decoded, instead of two caches of it

State.Entries sorted all records and decoded every entry at each call, so that the apportioner and the lender each kept a copy with an age of its own. The state now keeps the entries decoded until one changes, sorts only records of the prefix asked for, and remembers why a configuration does not compile instead of compiling it again. Both copies are gone. Whether the list of targets changed is told without building the list. A configuration that does not compile gets one line, as with the copies it got four a second.

TestChangeOver no longer waits for a copy to age; its cases are as they were.

--- a/control/applier/apply.go
+++ b/control/applier/apply.go
@@ -179,8 +179,11 @@
 }
 
 func (s *State) record(r *wire.Record) {
-	if strings.HasPrefix(r.GetKey(), wire.ItemRecords) {
+	switch {
+	case strings.HasPrefix(r.GetKey(), wire.ItemRecords):
 		s.itemsIndex = r.GetIndex()
+	case strings.HasPrefix(r.GetKey(), wire.EntryRecords):
+		s.entries = nil
 	}
 	s.records[r.GetKey()] = r
 	s.changes = append(s.changes, change{r.GetIndex(), r.GetKey()})
--- a/control/applier/state.go
+++ b/control/applier/state.go
@@ -50,12 +50,15 @@
 	orders []change
 	// itemsIndex is the index of the last change of an item.
 	itemsIndex uint64
+	// entries are the entries by name, decoded; nil after one changed.
+	entries map[string]*wire.EntryMember
 	// zones are the regions of the availability zones, for configurations of items.
 	zones map[string]string
-	// compiled is the configuration of compiledVersion.
+	// compiled is the configuration of compiledVersion, or compiledError says why there is none.
 	compiledMutex   sync.Mutex
 	compiledVersion string
 	compiled        *parser.Configuration
+	compiledError   error
 }
 
 type change struct {
@@ -102,7 +105,7 @@
 	s.assert.That(index >= s.index, "appliedMonotonic", "restore at %d, applied %d", index, s.index)
 	s.index, s.floor = index, in.GetFloor()
 	s.records = map[string]*wire.Record{}
-	s.changes, s.tombstones, s.onceOrder, s.onceCount, s.itemsIndex = nil, 0, nil, 0, 0
+	s.changes, s.tombstones, s.onceOrder, s.onceCount, s.itemsIndex, s.entries = nil, 0, nil, 0, 0, nil
 	for _, r := range in.GetRecords() {
 		s.records[r.GetKey()] = r
 		s.changes = append(s.changes, change{r.GetIndex(), r.GetKey()})
@@ -174,18 +177,18 @@
 	defer s.compiledMutex.Unlock()
 	version := s.version()
 	if version == s.compiledVersion {
-		return s.compiled, nil
+		return s.compiled, s.compiledError
 	}
 	sections, items := s.Sections(), s.Items()
 	if len(sections) == 0 && len(items) == 0 {
 		return nil, nil
 	}
 	c, problems := parser.Compile(wire.Sections(sections, s.zones, items))
+	s.compiledVersion, s.compiled, s.compiledError = version, c, nil
 	if c == nil {
-		return nil, problems.Err()
+		s.compiledError = problems.Err()
 	}
-	s.compiledVersion, s.compiled = version, c
-	return c, nil
+	return c, s.compiledError
 }
 
 // version names the state of the text and the items.
@@ -195,15 +198,19 @@
 	return fmt.Sprintf("%d/%d", s.revision(HeadKey).GetRevision(), s.itemsIndex)
 }
 
-// Entries returns the entries by name.
+// Entries returns the entries by name. The map and its members must not be changed.
 func (s *State) Entries() map[string]*wire.EntryMember {
-	out := map[string]*wire.EntryMember{}
-	s.each(wire.EntryRecords, func(r *wire.Record) {
-		m := &wire.EntryMember{}
-		s.decode(r, m)
-		out[m.GetName()] = m
-	})
-	return out
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.entries == nil {
+		s.entries = map[string]*wire.EntryMember{}
+		s.visit(wire.EntryRecords, func(r *wire.Record) {
+			m := &wire.EntryMember{}
+			s.decode(r, m)
+			s.entries[m.GetName()] = m
+		})
+	}
+	return s.entries
 }
 
 // Roles returns the roles by name.
@@ -231,11 +238,21 @@
 func (s *State) each(prefix string, visit func(*wire.Record)) {
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
-	for _, k := range s.sortedKeys() {
-		if r := s.records[k]; strings.HasPrefix(k, prefix) && !r.GetDeleted() {
-			visit(r)
+	s.visit(prefix, visit)
+}
+
+// visit is each for callers that hold the mutex.
+func (s *State) visit(prefix string, visit func(*wire.Record)) {
+	var keys []string
+	for k, r := range s.records {
+		if strings.HasPrefix(k, prefix) && !r.GetDeleted() {
+			keys = append(keys, k)
 		}
 	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		visit(s.records[k])
+	}
 }
 
 func (s *State) all() []*wire.Record {
--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -22,8 +22,6 @@
 	mostShare = 3
 	// leastChange is the change of a share that is worth telling.
 	leastChange = 0.005
-	// lookInterval is the pause between looks at the entries of the deployment.
-	lookInterval = 250 * time.Millisecond
 	// forgetAfter is the silence after which nothing is kept for an entry any more.
 	forgetAfter = 2 * timekeeper.ShareLease
 	// termBits leaves room below a term for the answers of its leader.
@@ -47,9 +45,6 @@
 	since   time.Duration
 	number  uint64
 	callers map[wire.Caller]*account
-	// entries are those of the deployment as they were at the last look.
-	entries map[string]*wire.EntryMember
-	looked  time.Duration
 }
 
 // account is what is known of one entry.
@@ -83,10 +78,7 @@
 	defer a.mutex.Unlock()
 	now, c := a.config.Clock.Now(), wire.CallerOf(r.GetMember())
 	if term != a.term {
-		a.term, a.since, a.number, a.callers, a.entries = term, since, 0, map[wire.Caller]*account{}, nil
-	}
-	if a.entries == nil || now-a.looked >= lookInterval {
-		a.entries, a.looked = a.config.Entries(), now
+		a.term, a.since, a.number, a.callers = term, since, 0, map[wire.Caller]*account{}
 	}
 	if a.callers[c] == nil && len(r.GetDemands()) == 0 {
 		return nil, 0 // it may hold shares that it has not told yet
@@ -154,7 +146,7 @@
 
 // limit is the largest share of an entry.
 func (a *Apportioner) limit() float64 {
-	return min(1, mostShare/float64(max(1, len(a.entries))))
+	return min(1, mostShare/float64(max(1, len(a.config.Entries()))))
 }
 
 // next returns the share that an entry should have now, and whether that is worth telling.
@@ -205,7 +197,7 @@
 		asked[c.Name] = true
 	}
 	out := 0
-	for name := range a.entries {
+	for name := range a.config.Entries() {
 		if !asked[name] {
 			out++
 		}
--- a/control/control.go
+++ b/control/control.go
@@ -179,11 +179,13 @@
 	if s.Roles {
 		return nil
 	}
+	told := ""
 	return lender.NewLender(lender.Config{
 		Clock: c, Entries: func() int { return len(t.Entries()) },
 		Teams: func() map[string]*parser.Team {
 			n, err := t.Configuration()
-			if err != nil {
+			if err != nil && err.Error() != told { // once for each fault
+				told = err.Error()
 				l.Log(logger.ConfigurationBad, logger.F("error", err))
 			}
 			if n == nil {
--- a/control/distributor/distributor.go
+++ b/control/distributor/distributor.go
@@ -136,7 +136,7 @@
 
 // hasChanged tells whether there is something that a caller does not know.
 func (d *Distributor) hasChanged(v *sequencer.View, r *wire.PollRequest) bool {
-	return v.Serving() && (d.config.State.ChangedSince(r.GetApplied()) || d.listed(r) != nil)
+	return v.Serving() && (d.config.State.ChangedSince(r.GetApplied()) || (d.config.Surveyor != nil && d.config.Surveyor.ChangedSince(r.GetTargets())))
 }
 
 func (d *Distributor) respond(v *sequencer.View, r *wire.PollRequest, confirmed bool) (*connect.Response[wire.PollResponse], error) {
--- a/control/lender/lender.go
+++ b/control/lender/lender.go
@@ -31,8 +31,6 @@
 	// leastWait and mostWait bound what refused callers are asked to wait.
 	leastWait = 100 * time.Millisecond
 	mostWait  = 2 * time.Second
-	// lookInterval is the pause between looks at the configuration and the entries.
-	lookInterval = 250 * time.Millisecond
 	// forgetAfter is the silence after which an entry has given up its tokens.
 	forgetAfter = timekeeper.ShareLease + timekeeper.DriftMargin
 )
@@ -54,10 +52,6 @@
 	since  time.Duration
 	pots   map[string]*pot
 	asked  map[wire.Caller]time.Duration
-	// teams and entries are as they were at the last look.
-	looked  time.Duration
-	teams   map[string]*parser.Team
-	entries int
 	// lent tells which teams' tokens are lent.
 	lent map[string]bool
 }
@@ -74,15 +68,14 @@
 
 // NewLender returns a Lender whose buckets are empty.
 func NewLender(c Config) *Lender {
-	return &Lender{config: c, pots: map[string]*pot{}, asked: map[wire.Caller]time.Duration{}, looked: -lookInterval, lent: map[string]bool{}}
+	return &Lender{config: c, pots: map[string]*pot{}, asked: map[wire.Caller]time.Duration{}, lent: map[string]bool{}}
 }
 
 // Lends tells whether a team's tokens are lent.
 func (l *Lender) Lends(team string) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.look(l.config.Clock.Now())
-	return l.lends(team)
+	return l.lends(team, l.config.Teams()[team])
 }
 
 // Answer lends what a request asks for, as far as there is. term and since tell since when
@@ -95,7 +88,6 @@
 		l.term, l.since, l.pots, l.asked = term, since, map[string]*pot{}, map[wire.Caller]time.Duration{}
 	}
 	c := wire.Caller{Name: r.GetEntry(), Incarnation: r.GetIncarnation()}
-	l.look(now)
 	l.note(now, c)
 	out := &wire.BorrowResponse{}
 	for _, d := range r.GetDemands() {
@@ -106,12 +98,13 @@
 
 func (l *Lender) lend(now time.Duration, c wire.Caller, d *wire.TokenDemand) *wire.TokenLoan {
 	out := &wire.TokenLoan{Team: d.GetTeam()}
-	if !l.lends(d.GetTeam()) {
+	t := l.config.Teams()[d.GetTeam()]
+	if !l.lends(d.GetTeam(), t) {
 		delete(l.pots, d.GetTeam())
 		out.Divided = true
 		return out
 	}
-	p := l.pot(now, d.GetTeam())
+	p := l.pot(now, t)
 	p.held[c] = float64(d.GetHeld())
 	p.tokens = min(p.tokens+float64(d.GetReturned()), p.room())
 	needed := min(float64(d.GetNeeded()), math.Floor(p.tokens))
@@ -132,19 +125,13 @@
 	return out
 }
 
-func (l *Lender) look(now time.Duration) {
-	if now-l.looked >= lookInterval {
-		l.looked, l.teams, l.entries = now, l.config.Teams(), l.config.Entries()
-	}
-}
-
-func (l *Lender) lends(team string) bool {
-	t := l.teams[team]
+// lends is Lends for callers that hold the mutex; t is nil for a team that does not stand.
+func (l *Lender) lends(team string, t *parser.Team) bool {
 	if t == nil || t.Unlimited {
 		delete(l.lent, team)
 		return false
 	}
-	bound := dividedRate * float64(l.entries)
+	bound := dividedRate * float64(l.config.Entries())
 	if lent, known := l.lent[team]; known && lent {
 		bound *= hysteresis
 	} else if known {
@@ -154,11 +141,11 @@
 	return l.lent[team]
 }
 
-func (l *Lender) pot(now time.Duration, team string) *pot {
-	t, p := l.teams[team], l.pots[team]
+func (l *Lender) pot(now time.Duration, t *parser.Team) *pot {
+	p := l.pots[t.Name]
 	if p == nil {
 		p = &pot{rate: t.Rate, filled: l.since, held: map[wire.Caller]float64{}, refused: timekeeper.Rate{Span: refusalSpan}}
-		l.pots[team] = p
+		l.pots[t.Name] = p
 	}
 	p.fill(now, t.Rate, t.Burst)
 	return p
--- a/control/lender/lender_test.go
+++ b/control/lender/lender_test.go
@@ -171,9 +171,9 @@
 // TestChangeOver: a team does not change between lent tokens and shares while some entries
 // come and go.
 func TestChangeOver(t *testing.T) {
-	now, entries := time.Hour, 80
+	entries := 80
 	l := NewLender(Config{
-		Clock: timekeeper.Clock{Now: func() time.Duration { return now }},
+		Clock: timekeeper.Clock{Now: func() time.Duration { return time.Hour }},
 		Teams: func() map[string]*parser.Team {
 			return map[string]*parser.Team{"lamps": {Name: "lamps", Rate: 200, Burst: 200}}
 		},
@@ -184,7 +184,6 @@
 		lends   bool
 	}{{80, true}, {36, true}, {80, true}, {20, false}, {60, false}, {110, true}} {
 		entries = c.entries
-		now += lookInterval
 		is.New(t).Equal(l.Lends("lamps"), c.lends)
 	}
 }
--- a/control/surveyor/surveyor.go
+++ b/control/surveyor/surveyor.go
@@ -99,10 +99,10 @@
 func (s *Surveyor) Since(v *wire.ListVersion) *wire.TargetChanges {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	whole := v.GetTerm() != s.term
-	if s.change == 0 || (!whole && v.GetChange() >= s.change) {
+	if !s.isNewer(v) {
 		return nil
 	}
+	whole := v.GetTerm() != s.term
 	out := &wire.TargetChanges{Version: &wire.ListVersion{Term: s.term, Change: s.change}, Whole: whole}
 	now := s.config.Clock.Now()
 	for _, k := range s.targets {
@@ -113,6 +113,17 @@
 	return out
 }
 
+// ChangedSince tells whether anything changed after a version.
+func (s *Surveyor) ChangedSince(v *wire.ListVersion) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.isNewer(v)
+}
+
+func (s *Surveyor) isNewer(v *wire.ListVersion) bool {
+	return s.change > 0 && (v.GetTerm() != s.term || v.GetChange() < s.change)
+}
+
 // Version names the latest state of the list.
 func (s *Surveyor) Version() (term, change uint64) {
 	s.mutex.Lock()
