Small simplifications found on reading the change

Sections of settings that belong to a build for another platform are skipped by the starter, which both programs wrote for themselves. A move's evidence is worked out once a step, and its trial has a name. The body of a request no longer names a connection that nobody reads. TestCrowd sets its server up with its bound.

--- a/control/control.go
+++ b/control/control.go
@@ -94,10 +94,8 @@
 	)
 	return starter.Program{
 		App: app, Logger: func() logger.Logger { return l },
+		Skip: x.Skip,
 		Reload: func(r starter.Source) error {
-			if x.Skip != nil {
-				x.Skip(r)
-			}
 			n, err := ReadSettings(r)
 			if err == nil {
 				f.SetFounders(n.Founders)
--- a/control/mover/plan.go
+++ b/control/mover/plan.go
@@ -46,7 +46,9 @@
 	if over(r) {
 		return nil, ""
 	}
-	if _, v := j.worst(); j.against(v) >= j.bound(r) {
+	_, v := j.worst()
+	against := j.against(v)
+	if against >= j.bound(r) {
 		return takeBack(r, j, now), ""
 	}
 	// Worked out from the shares, since a changed text may have changed the steps.
@@ -62,13 +64,11 @@
 	}
 	forced := !now.Before(begun.Add(list[step+1].Forced))
 	last := !now.Before(lastChance(m, list, step, begun))
-	inTrial := m.Exposure > 0 && r.GetShare() > m.Exposure
-	if _, v := j.worst(); m.Exposure > 0 && (forced || inTrial) && j.against(v) >= trialDoubt {
+	trial := j.inTrial(r)
+	inDoubt := m.Exposure > 0 && (forced || trial) && against >= trialDoubt
+	if inDoubt || (trial && j.failsTrial()) {
 		return takeBack(r, j, now), "" // what can't be undone needs more than a deadline
 	}
-	if inTrial && j.failsTrial() {
-		return takeBack(r, j, now), ""
-	}
 	if why := j.objection(list[step], forced, last); why != "" {
 		return nil, why
 	}
@@ -87,12 +87,17 @@
 // bound is the evidence at which a move is taken back. A guarded one gives way sooner while
 // the new side has most of the traffic.
 func (j *Judge) bound(r *wire.MoveRecord) float64 {
-	if j.move.Exposure > 0 && r.GetShare() > j.move.Exposure {
+	if j.inTrial(r) {
 		return trialLimit
 	}
 	return j.limit
 }
 
+// inTrial tells whether the new side of a guarded move has more than its first exposure.
+func (j *Judge) inTrial(r *wire.MoveRecord) bool {
+	return j.move.Exposure > 0 && r.GetShare() > j.move.Exposure
+}
+
 // lastChance is when a step must be left for the rest to reach the deadline in haste.
 func lastChance(m *parser.Move, list []Stage, step int, begun time.Time) time.Time {
 	left := time.Duration(0)
--- a/core/starter/starter.go
+++ b/core/starter/starter.go
@@ -37,6 +37,9 @@
 // Program is a composed program.
 type Program struct {
 	App *fx.App
+	// Skip reads the sections of settings that are not the program's own before Reload does;
+	// nil means that there are none.
+	Skip func(Source)
 	// Reload checks changed settings and puts in force what can change while the program
 	// runs. Its error lists every fault; the settings in force then stay.
 	Reload func(Source) error
--- a/core/starter/watcher.go
+++ b/core/starter/watcher.go
@@ -68,7 +68,11 @@
 		return
 	}
 	w.seen = b
-	if err := w.program.Reload(loader.Parse(b)); err != nil {
+	settings := loader.Parse(b)
+	if w.program.Skip != nil {
+		w.program.Skip(settings)
+	}
+	if err := w.program.Reload(settings); err != nil {
 		w.program.Logger().Log(logger.ReloadRefused, logger.F("error", err))
 		return
 	}
--- a/entry/acceptor/acceptor_test.go
+++ b/entry/acceptor/acceptor_test.go
@@ -20,13 +20,19 @@
 
 // newServer serves a handler and returns a connection to it.
 func newServer(t *testing.T, h http.HandlerFunc) (*Acceptor, net.Conn, *bufio.Reader) {
+	t.Helper()
+	return newCrowded(t, h, 0)
+}
+
+// newCrowded is the same with a number of connections above which callers are asked to close.
+func newCrowded(t *testing.T, h http.HandlerFunc, crowd int) (*Acceptor, net.Conn, *bufio.Reader) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	limits := Limits{HeaderBytes: 4096, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: waitLimit}
-	a := NewAcceptor(Config{Handler: h, Limits: func() Limits { return limits }})
+	a := NewAcceptor(Config{Handler: h, Limits: func() Limits { return limits }, Crowd: crowd})
 	go func() { _ = a.Serve(l) }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -230,8 +236,7 @@
 // callers to close, and the connections end; below it they are kept.
 func TestCrowd(t *testing.T) {
 	is := is.New(t)
-	a, first, b := newServer(t, echo)
-	a.config.Crowd = 2 // before the first connection is looked at
+	a, first, b := newCrowded(t, echo, 2)
 	ask := func(c net.Conn, b *bufio.Reader) bool {
 		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 		is.NoErr(err)
--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -52,7 +52,7 @@
 		e.request.Body = http.NoBody
 		return
 	}
-	e.body = &body{Reader: from, connection: c, state: make(chan bool, 1)}
+	e.body = &body{Reader: from, state: make(chan bool, 1)}
 	if r.Header.Get("Expect") != "" {
 		e.body.expected = e.invite
 	}
--- a/entry/acceptor/head.go
+++ b/entry/acceptor/head.go
@@ -83,7 +83,6 @@
 // body is the part of a request behind its head.
 type body struct {
 	io.Reader
-	connection *connection
 	// state is told once: true if the body was read to its end.
 	state chan bool
 	told  bool
