Let requests that wait for tokens stand in one kind of line

The borrower wrote the account's waiters again: a place in line, a bounded wait with the verdict that comes at the last moment, and dropping those that left. Both use line and waiter.

--- a/control/mover/plan.go
+++ b/control/mover/plan.go
@@ -64,9 +64,7 @@
 	}
 	forced := !now.Before(begun.Add(list[step+1].Forced))
 	last := !now.Before(lastChance(m, list, step, begun))
-	trial := j.inTrial(r)
-	inDoubt := m.Exposure > 0 && (forced || trial) && against >= trialDoubt
-	if inDoubt || (trial && j.failsTrial()) {
+	if j.fails(r, against, forced) {
 		return takeBack(r, j, now), "" // what can't be undone needs more than a deadline
 	}
 	if why := j.objection(list[step], forced, last); why != "" {
@@ -93,6 +91,13 @@
 	return j.limit
 }
 
+// fails tells whether a guarded move must not go on, now that its time has come.
+func (j *Judge) fails(r *wire.MoveRecord, against float64, forced bool) bool {
+	trial := j.inTrial(r)
+	inDoubt := j.move.Exposure > 0 && (forced || trial) && against >= trialDoubt
+	return inDoubt || (trial && j.failsTrial())
+}
+
 // inTrial tells whether the new side of a guarded move has more than its first exposure.
 func (j *Judge) inTrial(r *wire.MoveRecord) bool {
 	return j.move.Exposure > 0 && r.GetShare() > j.move.Exposure
--- a/entry/limiter/account.go
+++ b/entry/limiter/account.go
@@ -29,7 +29,7 @@
 	wake      chan struct{}
 	mutex     sync.Mutex
 	allowance Allowance
-	waiters   []*waiter
+	waiters   line
 	epoch     uint64
 	sequence  uint64
 	// settled is set once the owner of this epoch knows that no earlier token is held.
@@ -38,13 +38,6 @@
 	pending *call
 }
 
-// waiter is a request that waits for tokens.
-type waiter struct {
-	need    float64
-	granted chan struct{}
-	gone    bool
-}
-
 // call is one request to the owner.
 type call struct {
 	request *wire.GrantRequest
@@ -70,29 +63,14 @@
 
 // wait waits for n tokens for a bounded time and tells whether it got them.
 func (a *account) wait(ctx context.Context, n float64, bound time.Duration) bool {
-	w := &waiter{need: n, granted: make(chan struct{})}
+	w := newWaiter(n)
 	a.mutex.Lock()
 	a.waiters = append(a.waiters, w)
 	a.mutex.Unlock()
 	a.signal()
-	timer := time.NewTimer(bound)
-	defer timer.Stop()
-	select {
-	case <-w.granted:
-		// A process that was stopped since then finds its lease over.
-		return a.limiter.config.MaySpend()
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	w.gone = true
-	select {
-	case <-w.granted: // it came at the last moment
-		return a.limiter.config.MaySpend()
-	default:
-		return false
-	}
+	v, ok := w.await(ctx, &a.mutex, bound)
+	// A process that was stopped since then finds its lease over.
+	return ok && v.Admitted && a.limiter.config.MaySpend()
 }
 
 // spend takes tokens of the owner that the view names. The lease is looked at first: a
@@ -176,7 +154,7 @@
 		return a.pending
 	}
 	now := a.limiter.config.Clock.Now()
-	a.dropGone()
+	a.waiters.dropGone()
 	waiting := 0.0
 	for _, w := range a.waiters {
 		waiting += w.need
@@ -220,21 +198,10 @@
 
 // serve hands tokens to the requests that wait, in their order.
 func (a *account) serve(now time.Duration) {
-	a.dropGone()
+	a.waiters.dropGone()
 	for len(a.waiters) > 0 && a.spend(now, a.waiters[0].need) {
-		close(a.waiters[0].granted)
-		a.waiters = a.waiters[1:]
-	}
-}
-
-func (a *account) dropGone() {
-	live := a.waiters[:0]
-	for _, w := range a.waiters {
-		if !w.gone {
-			live = append(live, w)
-		}
+		a.waiters.next(Verdict{Admitted: true})
 	}
-	a.waiters = live
 }
 
 func (a *account) pause(ctx context.Context) {
--- a/entry/limiter/borrower.go
+++ b/entry/limiter/borrower.go
@@ -68,7 +68,7 @@
 	rate float64
 	// habit is the rate of the team's requests here.
 	habit   timekeeper.Rate
-	waiters []*borrow
+	waiters line
 	// emptyUntil is the time before which the bucket is not asked again.
 	emptyUntil time.Duration
 	// dividedUntil is the time before which the team's rate is taken for divided.
@@ -77,12 +77,6 @@
 	sparedUntil time.Duration
 }
 
-// borrow is a request that waits for a token.
-type borrow struct {
-	done chan Verdict
-	gone bool
-}
-
 // Verdict is what came of a wait for a token.
 type Verdict struct {
 	Admitted bool
@@ -128,27 +122,15 @@
 		return v
 	}
 	b.waits.Inc(1)
-	timer := time.NewTimer(min(longestLoan, time.Duration(loanPart*float64(left))))
-	defer timer.Stop()
-	select {
-	case v = <-w.done:
-		return v
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	w.gone = true
-	select {
-	case v = <-w.done: // it came at the last moment
-		return v
-	default:
+	v, ok := w.await(ctx, &b.mutex, min(longestLoan, time.Duration(loanPart*float64(left))))
+	if !ok {
 		return Verdict{Wait: longestLoan, Unreachable: true}
 	}
+	return v
 }
 
 // take returns a verdict, or a wait.
-func (b *Borrower) take(t *parser.Team) (*borrow, Verdict) {
+func (b *Borrower) take(t *parser.Team) (*waiter, Verdict) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.config.Clock.Now()
@@ -170,7 +152,7 @@
 	case now < l.emptyUntil:
 		return nil, Verdict{Wait: l.emptyUntil - now + time.Duration(float64(time.Second)/max(1, l.rate))}
 	}
-	w := &borrow{done: make(chan Verdict, 1)}
+	w := newWaiter(1)
 	l.waiters = append(l.waiters, w)
 	select {
 	case b.wake <- struct{}{}:
@@ -243,7 +225,7 @@
 }
 
 func (l *loan) demand(now time.Duration) *wire.TokenDemand {
-	l.dropGone()
+	l.waiters.dropGone()
 	d := &wire.TokenDemand{Needed: uint32(len(l.waiters))}
 	target := 0
 	if habit := l.habit.At(now); habit >= leastHabit {
@@ -273,10 +255,10 @@
 			continue
 		}
 		l.tokens += int(n.GetTokens())
-		l.dropGone()
+		l.waiters.dropGone()
 		for l.tokens > 0 && len(l.waiters) > 0 {
 			l.tokens--
-			l.next(Verdict{Admitted: true})
+			l.waiters.next(Verdict{Admitted: true})
 		}
 		l.sparedUntil = now + askAgain
 		wait := time.Duration(n.GetWaitMilliseconds()) * time.Millisecond
@@ -289,35 +271,19 @@
 			continue
 		}
 		for len(l.waiters) > 0 {
-			l.next(Verdict{Wait: max(wait, askAgain), Divided: n.GetDivided()})
+			l.waiters.next(Verdict{Wait: max(wait, askAgain), Divided: n.GetDivided()})
 		}
 	}
 }
 
-// next gives the first request that waits its verdict.
-func (l *loan) next(v Verdict) {
-	l.waiters[0].done <- v
-	l.waiters = l.waiters[1:]
-}
-
 func (b *Borrower) waiting() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	for _, l := range b.loans {
-		l.dropGone()
+		l.waiters.dropGone()
 		if len(l.waiters) > 0 {
 			return true
 		}
 	}
 	return false
 }
-
-func (l *loan) dropGone() {
-	live := l.waiters[:0]
-	for _, w := range l.waiters {
-		if !w.gone {
-			live = append(live, w)
-		}
-	}
-	l.waiters = live
-}
--- a/entry/limiter/limiter_test.go
+++ b/entry/limiter/limiter_test.go
@@ -190,7 +190,7 @@
 		if m.account.take(1) {
 			s.admit()
 		} else if len(m.waiting) < 10 {
-			w := &waiter{need: 1, granted: make(chan struct{})}
+			w := newWaiter(1)
 			m.waiting = append(m.waiting, w)
 			m.account.waiters = append(m.account.waiters, w)
 		}
@@ -218,7 +218,7 @@
 	kept := m.waiting[:0]
 	for _, w := range m.waiting {
 		select {
-		case <-w.granted:
+		case <-w.told:
 			m.simulation.admit()
 			continue
 		default:
@@ -560,7 +560,7 @@
 			for waiting := 0; waiting == 0; {
 				a.mutex.Lock()
 				if waiting = len(a.waiters); waiting > 0 {
-					close(a.waiters[0].granted)
+					a.waiters.next(Verdict{Admitted: true})
 				}
 				a.mutex.Unlock()
 			}
