--- a/bench/experimenter/moves.go
+++ b/bench/experimenter/moves.go
@@ -338,10 +338,10 @@
 	return known[n]
 }
 
-func evidenceOf(entries []*shifter.Shifter) map[distributor.CallerName]distributor.Caller {
-	out := map[distributor.CallerName]distributor.Caller{}
+func evidenceOf(entries []*shifter.Shifter) map[wire.Caller]distributor.Caller {
+	out := map[wire.Caller]distributor.Caller{}
 	for i, e := range entries {
-		out[distributor.CallerName{Name: fmt.Sprint("entry", i)}] = distributor.Caller{Evidence: e.Evidence()}
+		out[wire.Caller{Name: fmt.Sprint("entry", i)}] = distributor.Caller{Evidence: e.Evidence()}
 	}
 	return out
 }
