--- a/bench/endtoend/deployment_test.go
+++ b/bench/endtoend/deployment_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/filberthoist/filberthoist/bench/faker"
 	"github.com/filberthoist/filberthoist/bench/generator"
+	"github.com/filberthoist/filberthoist/bench/relayer"
 	"github.com/filberthoist/filberthoist/cli/commander"
 	"github.com/filberthoist/filberthoist/core/digester"
 )
@@ -72,7 +73,7 @@
 	// administration, peers and relays are addresses by control member.
 	administration []string
 	peers          []string
-	relays         []*relay
+	relays         []*relayer.Relay
 	callers        []string
 	fakes          map[string]*faker.Fake
 	text           text
@@ -150,7 +151,11 @@
 func (d *deployment) addControls() {
 	for range 3 {
 		peer := freeAddress(d.t)
-		r := newRelay(d.t, peer)
+		r, err := relayer.NewRelay("127.0.0.1:0", peer)
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		d.t.Cleanup(r.Close)
 		d.peers, d.relays = append(d.peers, peer), append(d.relays, r)
 		d.administration = append(d.administration, freeAddress(d.t))
 	}
@@ -163,12 +168,12 @@
 	var others []string
 	for j, r := range d.relays {
 		if j != i {
-			others = append(others, r.address)
+			others = append(others, r.Address())
 		}
 	}
 	settings := fmt.Sprintf("[member]\nname = control%d\nregion = north\navailabilityZone = north1\n"+
 		"[listen]\npeer = %s\nadvertised = %s\nadministration = %s\nreport = %s\n[storage]\nfolder = %s\n[peers]\naddresses = %s\n",
-		i, d.peers[i], d.relays[i].address, d.administration[i], freeAddress(d.t), d.dataFolder(i), strings.Join(others, ", ")) + d.security.settings + d.security.control
+		i, d.peers[i], d.relays[i].Address(), d.administration[i], freeAddress(d.t), d.dataFolder(i), strings.Join(others, ", ")) + d.security.settings + d.security.control
 	return d.start(fmt.Sprintf("control%d", i), "filberthoist-control", settings)
 }
 
@@ -179,7 +184,7 @@
 func (d *deployment) addEntry(i int) {
 	var controls []string
 	for _, r := range d.relays {
-		controls = append(controls, r.address)
+		controls = append(controls, r.Address())
 	}
 	callers := freeAddress(d.t)
 	settings := fmt.Sprintf("[member]\nname = entry%d\nregion = north\navailabilityZone = north1\n"+
--- a/bench/endtoend/endtoend_test.go
+++ b/bench/endtoend/endtoend_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/filberthoist/filberthoist/bench/faker"
+	"github.com/filberthoist/filberthoist/bench/relayer"
 )
 
 // TestWholePath serves through look-up and entry, loses the leader and an entry, and goes on.
@@ -106,7 +107,7 @@
 	is.NoErr(os.RemoveAll(d.dataFolder(lost)))
 	d.controls[lost] = d.startControl(lost)
 	name := "control" + string(rune('0'+lost))
-	d.must("members", "replace", name, d.relays[lost].address)
+	d.must("members", "replace", name, d.relays[lost].Address())
 	d.wait("the repair is done", func() bool {
 		out := d.must("members", "list")
 		return strings.Count(out, "voter") == 3 && strings.Count(out, "\n") == 3 && !strings.Contains(out, "replacing")
@@ -125,7 +126,7 @@
 	d := newDeployment(t, 1)
 	leader := d.leader()
 	cut := (leader + 1) % 3
-	d.relays[cut].setCut(true)
+	d.relays[cut].Set(relayer.Swallowing, 0)
 	c := newCaller(t, d.callers[0])
 	for range 20 {
 		d.text.revision++
@@ -133,7 +134,7 @@
 		d.checkServed(c, goodKey)
 	}
 	is.Equal(d.leader(), leader) // the cut member did not force an election
-	d.relays[cut].setCut(false)
+	d.relays[cut].Set(relayer.Passing, 0)
 	d.controls[leader].kill()
 	out := d.must("fetch")
 	is.True(strings.Contains(out, "revision = 21"))
