--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -28,10 +28,9 @@
 // Times of the polls.
 const (
 	// pollTimeout bounds a poll, so that a silent connection costs less than a lease. It
-	// doubles, up to longestPoll, while answers begin and don't end in time, since a whole
-	// state takes long on a thin link.
+	// doubles, at most longestCut times, while answers begin and don't end in time, since a
+	// whole state takes long on a thin link.
 	pollTimeout = timekeeper.PollHold + 350*time.Millisecond
-	longestPoll = 4 * pollTimeout
 	longestCut  = 2
 	retryPause  = 50 * time.Millisecond
 	// borrowTimeout bounds a call for tokens: two trips between distant regions and a pause
@@ -286,7 +285,7 @@
 
 // call makes a poll and unpacks its answer.
 func (r *Receiver) call(ctx context.Context, address string, q *wire.PollRequest) (*wire.PollResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(longestPoll, pollTimeout<<r.cut))
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout<<r.cut)
 	defer cancel()
 	begun := &atomic.Bool{}
 	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { begun.Store(true) }}
