--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -84,7 +84,7 @@
 	// settled are the addresses of the settings, which may be read again.
 	settled atomic.Pointer[[]string]
 	targets targetList
-	shares  shares
+	shares  Shares
 	// allocation is the number of the allocation in use.
 	allocation uint64
 	lapsed     bool
@@ -160,12 +160,12 @@
 
 // Share returns the part of a team's rate and burst that this entry may admit, from 0 to 1.
 func (r *Receiver) Share(team string) float64 {
-	return r.shares.of(team, r.config.Clock.Now())
+	return r.shares.Of(team, r.config.Clock.Now())
 }
 
 // ShareChanged is closed when there are newer shares than at the time of the call.
 func (r *Receiver) ShareChanged() <-chan struct{} {
-	return r.shares.changes()
+	return r.shares.Changes()
 }
 
 // Borrow asks the control leader for tokens of teams' rates.
@@ -187,7 +187,7 @@
 	}
 	for _, n := range answer.Msg.GetLoans() {
 		if n.GetDivided() {
-			r.shares.divide(n.GetTeam())
+			r.shares.Divide(n.GetTeam())
 		}
 	}
 	return answer.Msg, nil
@@ -274,7 +274,7 @@
 	if len(answer.GetControlAddresses()) > 0 {
 		r.learned = answer.GetControlAddresses()
 	}
-	if changed := r.shares.take(answer, start, reported, address); len(changed) > 0 {
+	if changed := r.shares.Take(answer, start, reported, address); len(changed) > 0 {
 		r.config.Logger.Log(logger.SharesInUse, logger.F("number", answer.GetSharesNumber()), logger.F("shares", changed))
 	}
 	r.take(answer, start)
@@ -319,10 +319,10 @@
 		q.Evidence = r.config.Evidence()
 	}
 	q.Targets = r.targets.version
-	q.SharesInUse = r.shares.inUse()
-	reported = r.config.Rates != nil && r.shares.due(address, now)
+	q.SharesInUse = r.shares.InUse()
+	reported = r.config.Rates != nil && r.shares.Due(address, now)
 	if reported {
-		q.Demands = r.shares.demands(r.config.Rates(), now)
+		q.Demands = r.shares.Demands(r.config.Rates(), now)
 		q.Services = servicesOf(r.config.Demands)
 	}
 	q.Allocation = r.allocation
--- a/entry/receiver/receiver_test.go
+++ b/entry/receiver/receiver_test.go
@@ -67,19 +67,19 @@
 // back with the next answer.
 func TestShares(t *testing.T) {
 	is := is.New(t)
-	var s shares
+	var s Shares
 	now := time.Hour
 	told := &wire.PollResponse{SharesNumber: 7, Shares: []*wire.TeamShare{{Team: "t", Share: 0.4}}}
-	is.Equal(s.of("t", now), 0.0)
-	s.take(told, now, true, "leader")
-	is.Equal(s.of("t", now), 0.4)
-	is.Equal(s.inUse(), uint64(7))
-	is.True(!s.due("leader", now) && s.due("another", now) && s.due("leader", now+demandInterval))
+	is.Equal(s.Of("t", now), 0.0)
+	s.Take(told, now, true, "leader")
+	is.Equal(s.Of("t", now), 0.4)
+	is.Equal(s.InUse(), uint64(7))
+	is.True(!s.Due("leader", now) && s.Due("another", now) && s.Due("leader", now+demandInterval))
 	now += timekeeper.ShareLease + 1
-	is.Equal(s.of("t", now), timekeeper.SilentShare)
-	s.take(&wire.PollResponse{}, now, false, "leader")
-	is.Equal(s.of("t", now), timekeeper.SilentShare)
-	is.Equal(s.demands(map[string]float64{"t": 5}, now)[0].GetShare(), timekeeper.SilentShare)
+	is.Equal(s.Of("t", now), timekeeper.SilentShare)
+	s.Take(&wire.PollResponse{}, now, false, "leader")
+	is.Equal(s.Of("t", now), timekeeper.SilentShare)
+	is.Equal(s.Demands(map[string]float64{"t": 5}, now)[0].GetShare(), timekeeper.SilentShare)
 }
 
 // TestLargeAnswer: an answer that takes longer than a poll's time-out is waited for with the
--- a/entry/receiver/shares.go
+++ b/entry/receiver/shares.go
@@ -22,8 +22,8 @@
 	lentTold = -1
 )
 
-// shares are the parts of teams' rates that this entry may admit.
-type shares struct {
+// Shares are the parts of teams' rates that this entry may admit, and until when. The zero value has none.
+type Shares struct {
 	mutex  sync.Mutex
 	number uint64
 	byTeam map[string]float64
@@ -40,8 +40,8 @@
 	told map[string]float64
 }
 
-// of returns the share of a team; past the lease only a small one is left.
-func (s *shares) of(team string, now time.Duration) float64 {
+// Of returns the share of a team; past the lease only a small one is left.
+func (s *Shares) Of(team string, now time.Duration) float64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lapse(now)
@@ -50,7 +50,7 @@
 
 // lapse gives up shares whose lease has run out, since control may have given them to
 // others meanwhile. They don't come back with the next answer.
-func (s *shares) lapse(now time.Duration) {
+func (s *Shares) lapse(now time.Duration) {
 	if now-s.asked <= timekeeper.ShareLease {
 		return
 	}
@@ -61,21 +61,23 @@
 	s.byTeam = next
 }
 
-func (s *shares) inUse() uint64 {
+// InUse returns the number of the last answer whose shares are used.
+func (s *Shares) InUse() uint64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.number
 }
 
-// due tells whether a member is to be told the demands: one that was not told before needs
+// Due tells whether a member is to be told the demands: one that was not told before needs
 // to know the shares that are in use.
-func (s *shares) due(address string, now time.Duration) bool {
+func (s *Shares) Due(address string, now time.Duration) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.reportedTo != address || now-s.reportedAt >= demandInterval
 }
 
-func (s *shares) demands(rates map[string]float64, now time.Duration) []*wire.TeamDemand {
+// Demands reports what teams asked for here, and the shares in use.
+func (s *Shares) Demands(rates map[string]float64, now time.Duration) []*wire.TeamDemand {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lapse(now)
@@ -89,9 +91,9 @@
 	return out
 }
 
-// take uses the shares of an answer from now on, and returns those that changed much since
+// Take uses the shares of an answer from now on, and returns those that changed much since
 // they were last returned, for a log line.
-func (s *shares) take(p *wire.PollResponse, start time.Duration, reported bool, address string) (changed []string) {
+func (s *Shares) Take(p *wire.PollResponse, start time.Duration, reported bool, address string) (changed []string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lapse(start)
@@ -122,8 +124,8 @@
 	return changed
 }
 
-// changes is closed when there are newer shares.
-func (s *shares) changes() <-chan struct{} {
+// Changes is closed when there are newer shares.
+func (s *Shares) Changes() <-chan struct{} {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.wake == nil {
@@ -133,7 +135,7 @@
 }
 
 // tell returns a share as text if it differs much from the one told last.
-func (s *shares) tell(t *wire.TeamShare) []string {
+func (s *Shares) tell(t *wire.TeamShare) []string {
 	value := t.GetShare()
 	if t.GetLent() {
 		value = lentTold
@@ -151,8 +153,8 @@
 	return []string{fmt.Sprintf("%s %.3f", t.GetTeam(), t.GetShare())}
 }
 
-// divide notes that a team's rate is divided now.
-func (s *shares) divide(team string) {
+// Divide notes that a team's rate is divided now.
+func (s *Shares) Divide(team string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.lent[team] {
--- a/entry/receiver/shares_test.go
+++ b/entry/receiver/shares_test.go
@@ -18,27 +18,27 @@
 	rates := map[string]float64{"large": 50, "thin": 1}
 	t.Run("teams whose tokens are lent are not reported", func(t *testing.T) {
 		is := is.New(t)
-		s := &shares{}
-		is.Equal(len(s.demands(rates, 0)), 2)
-		s.take(answer(1, &wire.TeamShare{Team: "large", Share: 0.3}, &wire.TeamShare{Team: "thin", Lent: true}), 0, true, "control1")
-		is.Equal(len(s.demands(rates, 0)), 1)
-		is.Equal(s.demands(rates, 0)[0].GetShare(), 0.3)
-		s.divide("thin")
-		is.Equal(len(s.demands(rates, 0)), 2)
+		s := &Shares{}
+		is.Equal(len(s.Demands(rates, 0)), 2)
+		s.Take(answer(1, &wire.TeamShare{Team: "large", Share: 0.3}, &wire.TeamShare{Team: "thin", Lent: true}), 0, true, "control1")
+		is.Equal(len(s.Demands(rates, 0)), 1)
+		is.Equal(s.Demands(rates, 0)[0].GetShare(), 0.3)
+		s.Divide("thin")
+		is.Equal(len(s.Demands(rates, 0)), 2)
 	})
 	t.Run("small changes get no line", func(t *testing.T) {
 		is := is.New(t)
-		s := &shares{}
-		is.Equal(s.take(answer(1, &wire.TeamShare{Team: "large", Share: 0.3}), 0, true, "control1"), []string{"large 0.300"})
-		is.Equal(len(s.take(answer(2, &wire.TeamShare{Team: "large", Share: 0.35}), 0, true, "control1")), 0)
-		is.Equal(s.take(answer(3, &wire.TeamShare{Team: "large", Share: 0.41}), 0, true, "control1"), []string{"large 0.410"})
-		is.Equal(s.take(answer(4, &wire.TeamShare{Team: "large", Lent: true}), 0, true, "control1"), []string{"large lent"})
+		s := &Shares{}
+		is.Equal(s.Take(answer(1, &wire.TeamShare{Team: "large", Share: 0.3}), 0, true, "control1"), []string{"large 0.300"})
+		is.Equal(len(s.Take(answer(2, &wire.TeamShare{Team: "large", Share: 0.35}), 0, true, "control1")), 0)
+		is.Equal(s.Take(answer(3, &wire.TeamShare{Team: "large", Share: 0.41}), 0, true, "control1"), []string{"large 0.410"})
+		is.Equal(s.Take(answer(4, &wire.TeamShare{Team: "large", Lent: true}), 0, true, "control1"), []string{"large lent"})
 	})
 	t.Run("past the lease a small share is left", func(t *testing.T) {
 		is := is.New(t)
-		s := &shares{}
-		s.take(answer(1, &wire.TeamShare{Team: "large", Share: 0.3}), 0, true, "control1")
-		is.Equal(s.of("large", timekeeper.ShareLease), 0.3)
-		is.Equal(s.of("large", timekeeper.ShareLease+time.Millisecond), timekeeper.SilentShare)
+		s := &Shares{}
+		s.Take(answer(1, &wire.TeamShare{Team: "large", Share: 0.3}), 0, true, "control1")
+		is.Equal(s.Of("large", timekeeper.ShareLease), 0.3)
+		is.Equal(s.Of("large", timekeeper.ShareLease+time.Millisecond), timekeeper.SilentShare)
 	})
 }
