Tell what shares of teams' rates are held back, overdrawn and begun

702 names shares that an entry got; nothing told whether all of them add up to more than the whole, what a new leader holds back and for whom, or what a bucket begins with, so the hypotheses could only be told apart by adding lines up by hand. Now: 705 sharesAwaited, 706 sharesOverdrawn with each entry's share and when it last asked, 707 sharesCovered, 708 allowanceBegun, and dumps of shares, loans and allowances.

--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
 )
@@ -30,7 +31,8 @@
 
 // Config sets up an Apportioner.
 type Config struct {
-	Clock timekeeper.Clock
+	Clock  timekeeper.Clock
+	Logger logger.Logger
 	// Entries are the entries of the deployment, by name.
 	Entries func() map[string]*wire.EntryMember
 	// Lends tells whether a team's tokens are lent instead; nil means that none are.
@@ -45,6 +47,7 @@
 	since   time.Duration
 	number  uint64
 	callers map[wire.Caller]*account
+	watch   watch
 }
 
 // account is what is known of one entry.
@@ -67,7 +70,7 @@
 
 // NewApportioner returns an Apportioner that knows no entry.
 func NewApportioner(c Config) *Apportioner {
-	return &Apportioner{config: c, callers: map[wire.Caller]*account{}}
+	return &Apportioner{config: c, callers: map[wire.Caller]*account{}, watch: newWatch()}
 }
 
 // Answer takes in an entry's demands and returns its shares that change, under a number
@@ -91,7 +94,9 @@
 	reported, out := a.takeDemands(n, r)
 	a.forget(now)
 	limit := a.limit()
-	awaited := float64(a.awaited(now)) * limit
+	missing := a.awaited(now)
+	awaited := float64(len(missing)) * limit
+	a.tell(now, missing, n)
 	for _, team := range slices.Sorted(maps.Keys(n.demands)) {
 		if s, changes := a.next(now, n, team, reported, limit, awaited); changes {
 			out = append(out, &wire.TeamShare{Team: team, Share: s})
@@ -186,22 +191,23 @@
 	return max(0, 1-brought)
 }
 
-// awaited is the number of entries of the deployment that have not asked this leader yet and
-// may hold shares.
-func (a *Apportioner) awaited(now time.Duration) int {
+// awaited are the entries of the deployment that have not asked this leader yet and may hold
+// shares, in order.
+func (a *Apportioner) awaited(now time.Duration) []string {
 	if now-a.since > timekeeper.ShareLease+timekeeper.DriftMargin {
-		return 0
+		return nil
 	}
 	asked := map[string]bool{}
 	for c := range a.callers {
 		asked[c.Name] = true
 	}
-	out := 0
+	var out []string
 	for name := range a.config.Entries() {
 		if !asked[name] {
-			out++
+			out = append(out, name)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
--- a/control/apportioner/apportioner_test.go
+++ b/control/apportioner/apportioner_test.go
@@ -1,14 +1,17 @@
 package apportioner
 
 import (
+	"bytes"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/seeder"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
@@ -146,3 +149,30 @@
 	t.Logf("%.3f of the rate in use", sum)
 	is.True(sum >= 0.7 && sum <= 1-mostShare/12.0+1e-9)
 }
+
+// TestLines: the log tells which entries' shares a new leader holds back, and when shares add
+// up to more than the whole; the dump tells who has them.
+func TestLines(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	members := map[string]*wire.EntryMember{"a": {Name: "a", Incarnation: 1}, "b": {Name: "b", Incarnation: 1}}
+	out := &bytes.Buffer{}
+	a := NewApportioner(Config{
+		Clock:   timekeeper.Clock{Now: func() time.Duration { return now }},
+		Logger:  logger.NewLogger(logger.Config{Writer: out, Level: "info"}),
+		Entries: func() map[string]*wire.EntryMember { return members },
+	})
+	poll := func(e string, share float64) {
+		now += time.Second
+		r := &wire.PollRequest{Member: members[e], Demands: []*wire.TeamDemand{{Team: "t", Rate: 5, Share: share}}}
+		a.Answer(7, time.Hour, r)
+	}
+	poll("a", 0.7)
+	is.True(strings.Contains(out.String(), `"event":705,"term":7,"entries":["b"],"asked":1`))
+	poll("b", 0.7)
+	is.True(strings.Contains(out.String(), `"event":706,"team":"t","sum":1.4,"term":7,"shares":["a 0.700 asked 1s ago","b 0.700 asked 0s ago"]`))
+	is.Equal(a.Dump().(Dump).Shares["t"], []string{"a 0.700 asked 1s ago", "b 0.700 asked 0s ago"})
+	now += 2 * timekeeper.ShareLease
+	poll("b", 0.7)
+	is.True(strings.Contains(out.String(), `"event":707`))
+}
--- a/control/control.go
+++ b/control/control.go
@@ -165,11 +165,11 @@
 }
 
 // newApportioner returns nil where entries own the accounts of teams.
-func newApportioner(s Settings, c timekeeper.Clock, t *applier.State, l *lender.Lender) *apportioner.Apportioner {
+func newApportioner(s Settings, c timekeeper.Clock, o logger.Logger, t *applier.State, l *lender.Lender) *apportioner.Apportioner {
 	if s.Roles {
 		return nil
 	}
-	return apportioner.NewApportioner(apportioner.Config{Clock: c, Entries: t.Entries, Lends: l.Lends})
+	return apportioner.NewApportioner(apportioner.Config{Clock: c, Logger: o, Entries: t.Entries, Lends: l.Lends})
 }
 
 // newLender returns nil where entries own the accounts of teams.
@@ -275,6 +275,8 @@
 	Administrator *administrator.Administrator
 	State         *applier.State
 	Surveyor      *surveyor.Surveyor
+	Apportioner   *apportioner.Apportioner
+	Lender        *lender.Lender
 	Founder       *founder.Founder
 	Seams         Seams
 	Lifecycle     fx.Lifecycle
@@ -353,5 +355,9 @@
 	p.Reporter.Add("entries", func() any { return p.State.Entries() })
 	p.Reporter.Add("roles", func() any { return p.State.Roles() })
 	p.Reporter.Add("revision", func() any { return p.State.Head() })
+	if p.Apportioner != nil {
+		p.Reporter.Add("shares", p.Apportioner.Dump)
+		p.Reporter.Add("loans", p.Lender.Dump)
+	}
 	p.Reporter.SetHealth(p.Sequencer.Healthy)
 }
--- a/control/lender/lender.go
+++ b/control/lender/lender.go
@@ -194,3 +194,27 @@
 	wait := time.Duration(p.refused.At(now) / max(p.rate, 1) * float64(refusalSpan))
 	return min(mostWait, max(leastWait, wait))
 }
+
+// PotDump describes the bucket of one team.
+type PotDump struct {
+	Rate   float64
+	Tokens float64
+	Room   float64
+	// Held are the tokens in entries' hands.
+	Held map[string]float64
+}
+
+// Dump describes the buckets of the teams whose tokens are lent.
+func (l *Lender) Dump() any {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	out := map[string]PotDump{}
+	for team, p := range l.pots {
+		d := PotDump{Rate: p.rate, Tokens: p.tokens, Room: p.room(), Held: map[string]float64{}}
+		for c, n := range p.held {
+			d.Held[c.Name] = n
+		}
+		out[team] = d
+	}
+	return out
+}
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -73,6 +73,10 @@
 	SharesInUse        = Event{702, "sharesInUse", log.InfoLevel, "This entry's shares of teams' rates changed, or tokens are lent instead."}
 	TokensUnavailable  = Event{703, "tokensUnavailable", log.WarnLevel, "Control lends no tokens; requests of the teams concerned wait and are refused."}
 	TokensAvailable    = Event{704, "tokensAvailable", log.InfoLevel, "Control lends tokens again."}
+	SharesAwaited      = Event{705, "sharesAwaited", log.InfoLevel, "The entries changed that may use shares of an earlier leader; this one holds back what they may have."}
+	SharesOverdrawn    = Event{706, "sharesOverdrawn", log.WarnLevel, "The shares that entries may use of a team's rate add up to more than the whole."}
+	SharesCovered      = Event{707, "sharesCovered", log.InfoLevel, "The shares of a team's rate add up to no more than the whole again."}
+	AllowanceBegun     = Event{708, "allowanceBegun", log.InfoLevel, "This entry begins to admit a team by a share; the line tells the tokens that it begins with."}
 	InvariantBroken    = Event{901, "invariantBroken", log.FatalLevel, "An invariant does not hold; the process stops."}
 )
 
@@ -91,5 +95,6 @@
 	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed,
 	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
-	OwnerStarted, SharesInUse, TokensUnavailable, TokensAvailable, InvariantBroken,
+	OwnerStarted, SharesInUse, TokensUnavailable, TokensAvailable, SharesAwaited, SharesOverdrawn, SharesCovered, AllowanceBegun,
+	InvariantBroken,
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -217,9 +217,10 @@
 	return limiter.NewBorrower(limiter.BorrowerConfig{Clock: c, Logger: l, Scope: r.Scope, Call: v.Borrow})
 }
 
-func newDivided(s Settings, c timekeeper.Clock, v *receiver.Receiver, d *dividedSlot, b *limiter.Borrower) *limiter.Divided {
+func newDivided(s Settings, c timekeeper.Clock, l logger.Logger, v *receiver.Receiver, d *dividedSlot, b *limiter.Borrower) *limiter.Divided {
 	m := limiter.NewDivided(limiter.DividedConfig{
-		Clock: c, View: v.View, Share: v.Share, ShareChanged: v.ShareChanged, Borrower: b, Overdraft: s.Overdraft, Entries: func() int { return len(v.View().Entries) },
+		Clock: c, Logger: l, View: v.View, Share: v.Share, ShareChanged: v.ShareChanged, Borrower: b, Overdraft: s.Overdraft,
+		Entries: func() int { return len(v.View().Entries) },
 	})
 	if !s.Roles {
 		d.value = m
@@ -329,6 +330,7 @@
 	Receiver   *receiver.Receiver
 	Owner      *limiter.Owner
 	Limiter    *limiter.Limiter
+	Divided    *limiter.Divided
 	Borrower   *limiter.Borrower
 	Granter    *dispatcher.Granter
 	Client     *dispatcher.Client
@@ -470,6 +472,8 @@
 	p.Reporter.Add("buckets", p.Owner.Dump)
 	p.Reporter.Add("pools", p.Granter.Dump)
 	p.Reporter.Add("moves", p.Shifter.Dump)
+	p.Reporter.Add("allowances", p.Divided.Dump)
+	p.Reporter.Add("loans", p.Borrower.Dump)
 	p.Reporter.Add("targets", p.Picker.Dump)
 	p.Reporter.SetHealth(p.Receiver.Healthy)
 }
--- a/entry/limiter/borrower.go
+++ b/entry/limiter/borrower.go
@@ -287,3 +287,22 @@
 	}
 	return false
 }
+
+// LoanDump describes what this entry holds of one team.
+type LoanDump struct {
+	Tokens  int
+	Waiting int
+	// Habit is the rate of the team's requests here, per second.
+	Habit float64
+}
+
+// Dump describes the teams whose tokens are lent.
+func (b *Borrower) Dump() any {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now, out := b.config.Clock.Now(), map[string]LoanDump{}
+	for team, l := range b.loans {
+		out[team] = LoanDump{Tokens: l.tokens, Waiting: len(l.waiters), Habit: l.habit.At(now)}
+	}
+	return out
+}
--- a/entry/limiter/divided.go
+++ b/entry/limiter/divided.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/entry/handler"
@@ -23,8 +24,9 @@
 
 // DividedConfig sets up a Divided.
 type DividedConfig struct {
-	Clock timekeeper.Clock
-	View  func() *receiver.View
+	Clock  timekeeper.Clock
+	Logger logger.Logger
+	View   func() *receiver.View
 	// Share is the part of a team's rate and burst that this entry may admit, from 0 to 1.
 	Share func(team string) float64
 	// ShareChanged is closed when shares are newer than at its call; it goes with Borrower.
@@ -100,6 +102,25 @@
 	return out
 }
 
+// AllowanceDump describes what this entry may admit of one team.
+type AllowanceDump struct {
+	Share  float64
+	Tokens float64
+	// Age is the time since the tokens were counted.
+	Age time.Duration
+}
+
+// Dump describes the teams that are admitted by shares.
+func (d *Divided) Dump() any {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now, out := d.config.Clock.Now(), map[string]AllowanceDump{}
+	for team, b := range d.teams {
+		out[team] = AllowanceDump{Share: d.config.Share(team), Tokens: b.tokens, Age: now - b.filled}
+	}
+	return out
+}
+
 func (d *Divided) limit(ctx context.Context, e *handler.Exchange) handler.Outcome {
 	if e.Team == nil || e.Team.Unlimited {
 		return handler.Outcome{}
@@ -187,7 +208,9 @@
 	b := d.bucket(t)
 	b.rate.Add(now, 1)
 	share := d.config.Share(t.Name)
-	b.fill(now, t.Rate*share, t.Burst*share+d.overdraft(t, share))
+	if b.fill(now, t.Rate*share, t.Burst*share+d.overdraft(t, share)) {
+		d.config.Logger.Log(logger.AllowanceBegun, logger.F("team", t.Name), logger.F("share", share), logger.F("tokens", b.tokens))
+	}
 	if b.tokens >= 1 {
 		b.tokens--
 		return 0, true
@@ -226,11 +249,12 @@
 }
 
 // fill adds what came since the last time. A share that grows brings no tokens at once,
-// since those that gave it up may have spent theirs.
-func (b *dividedBucket) fill(now time.Duration, rate, burst float64) {
+// since those that gave it up may have spent theirs. begins tells that the bucket begins.
+func (b *dividedBucket) fill(now time.Duration, rate, burst float64) (begins bool) {
 	if !b.known && burst > 0 {
-		b.tokens, b.known = burst, true
+		b.tokens, b.known, begins = burst, true, true
 	}
 	b.tokens = min(burst, b.tokens+rate*(now-b.filled).Seconds())
 	b.filled = now
+	return begins
 }
