Hold back the shares of removed entries after a change of leader

Callers saw a team served beyond its limit: entries that lose touch with control are taken out of the members after 2.25 s, and may use their shares for 10 s. A new leader holds back shares of members that have not asked it, so it gave the shares of removed ones away a second time.

An entry that is taken out stays in the replicated state as silent until what it was granted has run out on the leader's own clock; a new leader awaits it like a member, and the largest share counts it. An entry gets no more than it holds before it is a member, so that every leader knows all who hold shares.

Ruled out: a shorter lease of shares (entries would refuse all during an election), holding back all that nobody brought along (an entry that stays away after a power loss would stop all others for 10 s).

--- a/bench/auditor/limits_test.go
+++ b/bench/auditor/limits_test.go
@@ -54,6 +54,8 @@
 	oneWay      = 10 * time.Millisecond
 	callTimeout = 400 * time.Millisecond
 	removeAfter = timekeeper.RoleLease + timekeeper.RoleLease/2
+	forgetAfter = timekeeper.ShareLease + timekeeper.DriftMargin
+	planPause   = 50 * time.Millisecond
 	patience    = 4 * time.Second
 	service     = "lamps"
 	hot         = "hot"
@@ -97,7 +99,9 @@
 	term    uint64
 	since   time.Duration
 	// known are the members of the replicated state.
-	known   map[string]*wire.EntryMember
+	known map[string]*wire.EntryMember
+	// silent were taken out of them and may still use what they hold.
+	silent  map[string]*wire.EntryMember
 	polled  map[string]time.Duration
 	teams   map[string]*parser.Team
 	cut     map[string]time.Duration
@@ -119,7 +123,7 @@
 
 func newDeployment(ctx context.Context, r *rand.Rand, entries int, rate, times float64) *deployment {
 	d := &deployment{
-		ctx: ctx, begun: time.Now(), random: r, known: map[string]*wire.EntryMember{}, polled: map[string]time.Duration{},
+		ctx: ctx, begun: time.Now(), random: r, known: map[string]*wire.EntryMember{}, silent: map[string]*wire.EntryMember{}, polled: map[string]time.Duration{},
 		cut: map[string]time.Duration{}, offered: rate * times,
 		teams: map[string]*parser.Team{hot: {Name: hot, Rate: rate, Burst: rate}},
 	}
@@ -150,6 +154,7 @@
 	m.apportioner = apportioner.NewApportioner(apportioner.Config{
 		Clock: d.clock(), Lends: m.lender.Lends,
 		Entries: func() map[string]*wire.EntryMember { return d.known },
+		Silent:  func() map[string]*wire.EntryMember { return d.silent },
 	})
 	return m
 }
@@ -261,7 +266,7 @@
 		return nil, nil, false
 	}
 	name := e.self.GetName()
-	d.known[name], d.polled[name] = e.self, d.now()
+	d.polled[name] = d.now()
 	p := &wire.PollResponse{}
 	p.Shares, p.SharesNumber = d.leader.apportioner.Answer(d.term, d.since, q)
 	v := &receiver.View{Configuration: &parser.Configuration{Teams: maps.Clone(d.teams)}, Entries: maps.Clone(d.known)}
@@ -314,14 +319,23 @@
 	}
 }
 
-// keepMembers takes silent entries out of the replicated state.
+// keepMembers takes entries into the replicated state and out of it as the coordinator does.
 func (d *deployment) keepMembers() {
-	if d.leader == nil {
+	if d.leader == nil || d.now()%planPause >= step {
 		return
 	}
-	for name := range d.known {
-		if d.now()-max(d.since, d.polled[name]) > removeAfter {
+	for _, e := range d.entries {
+		name := e.self.GetName()
+		silence := d.now() - max(d.since, d.polled[name])
+		switch {
+		case d.now()-d.polled[name] < removeAfter && d.polled[name] >= d.since:
+			d.known[name] = e.self
+			delete(d.silent, name)
+		case d.known[name] != nil && silence > removeAfter:
+			d.silent[name] = d.known[name]
 			delete(d.known, name)
+		case d.silent[name] != nil && silence > forgetAfter:
+			delete(d.silent, name)
 		}
 	}
 }
--- a/control/applier/applier_test.go
+++ b/control/applier/applier_test.go
@@ -56,6 +56,54 @@
 	is.Equal(s.Roles()["team/a"].GetHolder(), "two")
 }
 
+// TestSilentEntries: an entry that was taken out stays known, across a snapshot too, until it
+// is removed once more or comes back.
+func TestSilentEntries(t *testing.T) {
+	put := func(t *testing.T, s *State, incarnation uint64) {
+		t.Helper()
+		m := &wire.EntryMember{Name: "a", Incarnation: incarnation}
+		apply(t, s, &wire.Command{Kind: &wire.Command_PutEntry{PutEntry: &wire.PutEntryCommand{Member: m}}})
+	}
+	remove := func(t *testing.T, s *State, incarnation uint64) bool {
+		t.Helper()
+		c := &wire.RemoveEntryCommand{Name: "a", Incarnation: incarnation}
+		return apply(t, s, &wire.Command{Kind: &wire.Command_RemoveEntry{RemoveEntry: c}}).Done
+	}
+	newSilent := func(t *testing.T) *State {
+		t.Helper()
+		s := NewState(asserter.NewPanicking())
+		put(t, s, 7)
+		is.New(t).True(remove(t, s, 7))
+		return s
+	}
+	t.Run("stays known", func(t *testing.T) {
+		is := is.New(t)
+		s := newSilent(t)
+		is.Equal(len(s.Entries()), 0)
+		is.Equal(s.Silent()["a"].GetIncarnation(), uint64(7))
+		data, err := s.Snapshot()
+		is.NoErr(err)
+		next := NewState(asserter.NewPanicking())
+		is.NoErr(next.Restore(s.Index(), data))
+		is.Equal(next.Silent()["a"].GetIncarnation(), uint64(7))
+	})
+	t.Run("removed once more", func(t *testing.T) {
+		is := is.New(t)
+		s := newSilent(t)
+		is.True(!remove(t, s, 6)) // an earlier run
+		is.True(remove(t, s, 7))
+		is.Equal(len(s.Silent()), 0)
+		is.True(!remove(t, s, 7))
+	})
+	t.Run("comes back", func(t *testing.T) {
+		is := is.New(t)
+		s := newSilent(t)
+		put(t, s, 8)
+		is.Equal(len(s.Silent()), 0)
+		is.Equal(s.Entries()["a"].GetIncarnation(), uint64(8))
+	})
+}
+
 // TestDeltas checks that a follower of deltas ends with what a snapshot gives.
 func TestDeltas(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/control/applier/apply.go
+++ b/control/applier/apply.go
@@ -47,6 +47,7 @@
 	case *wire.Command_FinishOnce:
 		out.Done = s.finishOnce(k.FinishOnce)
 	case *wire.Command_PutEntry:
+		s.delete(wire.SilentRecords + k.PutEntry.GetMember().GetName())
 		out.Done = s.put(wire.EntryRecords+k.PutEntry.GetMember().GetName(), k.PutEntry.GetMember())
 	case *wire.Command_RemoveEntry:
 		out.Done = s.removeEntry(k.RemoveEntry)
@@ -103,19 +104,26 @@
 	}
 }
 
+// removeEntry takes an entry out of the members. It stays known as silent until it is removed
+// once more.
 func (s *State) removeEntry(c *wire.RemoveEntryCommand) bool {
-	key := wire.EntryRecords + c.GetName()
-	r := s.records[key]
-	if r == nil || r.GetDeleted() {
-		return false
-	}
-	var m wire.EntryMember
-	s.decode(r, &m)
-	if m.GetIncarnation() != c.GetIncarnation() {
-		return false
+	for _, prefix := range []string{wire.EntryRecords, wire.SilentRecords} {
+		r := s.records[prefix+c.GetName()]
+		if r == nil || r.GetDeleted() {
+			continue
+		}
+		m := &wire.EntryMember{}
+		s.decode(r, m)
+		if m.GetIncarnation() != c.GetIncarnation() {
+			return false
+		}
+		s.delete(prefix + c.GetName())
+		if prefix == wire.EntryRecords {
+			s.put(wire.SilentRecords+c.GetName(), m)
+		}
+		return true
 	}
-	s.delete(key)
-	return true
+	return false
 }
 
 // assignRole takes a role over if its epoch follows, or marks the same epoch vacant.
@@ -172,6 +180,7 @@
 	}
 	if !Distributed(key) {
 		delete(s.records, key)
+		s.silent = nil
 		return
 	}
 	s.tombstones++
@@ -184,6 +193,8 @@
 		s.itemsIndex = r.GetIndex()
 	case strings.HasPrefix(r.GetKey(), wire.EntryRecords):
 		s.entries = nil
+	case strings.HasPrefix(r.GetKey(), wire.SilentRecords):
+		s.silent = nil
 	}
 	s.records[r.GetKey()] = r
 	s.changes = append(s.changes, change{r.GetIndex(), r.GetKey()})
--- a/control/applier/keys.go
+++ b/control/applier/keys.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"github.com/filberthoist/filberthoist/core/wire"
 )
 
 // Prefixes of the keys of records that stay on control, and the key of the head.
@@ -18,7 +20,7 @@
 
 // Distributed tells whether entries need the record of a key.
 func Distributed(key string) bool {
-	for _, p := range []string{revisionPrefix, oncePrefix, formPrefix, orderPrefix} {
+	for _, p := range []string{revisionPrefix, oncePrefix, formPrefix, orderPrefix, wire.SilentRecords} {
 		if strings.HasPrefix(key, p) {
 			return false
 		}
--- a/control/applier/state.go
+++ b/control/applier/state.go
@@ -52,6 +52,8 @@
 	itemsIndex uint64
 	// entries are the entries by name, decoded; nil after one changed.
 	entries map[string]*wire.EntryMember
+	// silent is the same of the entries that were taken out.
+	silent map[string]*wire.EntryMember
 	// zones are the regions of the availability zones, for configurations of items.
 	zones map[string]string
 	// compiled is the configuration of compiledVersion, or compiledError says why there is none.
@@ -105,7 +107,7 @@
 	s.assert.That(index >= s.index, "appliedMonotonic", "restore at %d, applied %d", index, s.index)
 	s.index, s.floor = index, in.GetFloor()
 	s.records = map[string]*wire.Record{}
-	s.changes, s.tombstones, s.onceOrder, s.onceCount, s.itemsIndex, s.entries = nil, 0, nil, 0, 0, nil
+	s.changes, s.tombstones, s.onceOrder, s.onceCount, s.itemsIndex, s.entries, s.silent = nil, 0, nil, 0, 0, nil, nil
 	for _, r := range in.GetRecords() {
 		s.records[r.GetKey()] = r
 		s.changes = append(s.changes, change{r.GetIndex(), r.GetKey()})
@@ -200,17 +202,28 @@
 
 // Entries returns the entries by name. The map and its members must not be changed.
 func (s *State) Entries() map[string]*wire.EntryMember {
+	return s.members(wire.EntryRecords, &s.entries)
+}
+
+// Silent returns the entries that were taken out of the members and may still use what they
+// were granted, by name. The caller must not change them.
+func (s *State) Silent() map[string]*wire.EntryMember {
+	return s.members(wire.SilentRecords, &s.silent)
+}
+
+func (s *State) members(prefix string, kept *map[string]*wire.EntryMember) map[string]*wire.EntryMember {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.entries == nil {
-		s.entries = map[string]*wire.EntryMember{}
-		s.visit(wire.EntryRecords, func(r *wire.Record) {
+	if *kept == nil {
+		out := map[string]*wire.EntryMember{}
+		s.visit(prefix, func(r *wire.Record) {
 			m := &wire.EntryMember{}
 			s.decode(r, m)
-			s.entries[m.GetName()] = m
+			out[m.GetName()] = m
 		})
+		*kept = out
 	}
-	return s.entries
+	return *kept
 }
 
 // Roles returns the roles by name.
--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -35,6 +35,9 @@
 	Logger logger.Logger
 	// Entries are the entries of the deployment, by name.
 	Entries func() map[string]*wire.EntryMember
+	// Silent are entries that are members no more and may still use their shares, by name;
+	// nil means that there are none.
+	Silent func() map[string]*wire.EntryMember
 	// Lends tells whether a team's tokens are lent instead; nil means that none are.
 	Lends func(team string) bool
 }
@@ -52,6 +55,7 @@
 
 // account is what is known of one entry.
 type account struct {
+	name  string
 	asked time.Duration
 	// inUse is the last answer whose shares the entry uses.
 	inUse   uint64
@@ -140,7 +144,7 @@
 			delete(a.callers, o)
 		}
 	}
-	n := &account{asked: a.config.Clock.Now(), demands: map[string]float64{}, held: map[string][]told{}, brought: map[string]float64{}}
+	n := &account{name: c.Name, asked: a.config.Clock.Now(), demands: map[string]float64{}, held: map[string][]told{}, brought: map[string]float64{}}
 	for _, d := range r.GetDemands() {
 		n.brought[d.GetTeam()] = d.GetShare()
 		n.held[d.GetTeam()] = []told{{0, d.GetShare()}}
@@ -151,7 +155,16 @@
 
 // limit is the largest share of an entry.
 func (a *Apportioner) limit() float64 {
-	return min(1, mostShare/float64(max(1, len(a.config.Entries()))))
+	return min(1, mostShare/float64(max(1, len(a.holders()))))
+}
+
+// holders are the entries that may hold shares by the replicated state.
+func (a *Apportioner) holders() []string {
+	out := slices.Collect(maps.Keys(a.config.Entries()))
+	if a.config.Silent != nil {
+		out = slices.AppendSeq(out, maps.Keys(a.config.Silent()))
+	}
+	return out
 }
 
 // next returns the share that an entry should have now, and whether that is worth telling.
@@ -176,6 +189,9 @@
 	}
 	others += min(awaited, a.unbrought(team))
 	want = min(want, limit, max(0, 1-others))
+	if a.config.Entries()[n.name] == nil {
+		want = min(want, present) // a new leader must know every entry that has more
+	}
 	if d := want - present; d > -leastChange && d < leastChange && n.has(team) {
 		return present, false
 	}
@@ -201,12 +217,7 @@
 	for c := range a.callers {
 		asked[c.Name] = true
 	}
-	var out []string
-	for name := range a.config.Entries() {
-		if !asked[name] {
-			out = append(out, name)
-		}
-	}
+	out := slices.DeleteFunc(a.holders(), func(name string) bool { return asked[name] })
 	slices.Sort(out)
 	return out
 }
--- a/control/apportioner/apportioner_test.go
+++ b/control/apportioner/apportioner_test.go
@@ -150,6 +150,31 @@
 	is.True(sum >= 0.7 && sum <= 1-mostShare/12.0+1e-9)
 }
 
+// TestShareOfARemovedEntry: a new leader holds back what an entry may use that the leader before
+// took out of the members, and gives nothing to an entry that no later leader would know.
+func TestShareOfARemovedEntry(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	members := map[string]*wire.EntryMember{"a": {Name: "a", Incarnation: 1}, "c": {Name: "c", Incarnation: 1}}
+	silent := map[string]*wire.EntryMember{"b": {Name: "b", Incarnation: 1}}
+	n := NewApportioner(Config{
+		Clock:   timekeeper.Clock{Now: func() time.Duration { return now }},
+		Entries: func() map[string]*wire.EntryMember { return members }, Silent: func() map[string]*wire.EntryMember { return silent },
+	})
+	ask := func(name string, share float64) float64 {
+		r := &wire.PollRequest{Member: &wire.EntryMember{Name: name, Incarnation: 1}, Demands: []*wire.TeamDemand{{Team: "t", Rate: 50, Share: share}}}
+		out, _ := n.Answer(2, time.Hour, r)
+		if len(out) == 0 {
+			return share
+		}
+		return out[0].GetShare()
+	}
+	is.True(ask("a", 0.2)+ask("c", 0.2) <= 0.4+1e-9) // the third may have the rest
+	is.Equal(ask("newcomer", 0), 0.0)
+	now += timekeeper.ShareLease + timekeeper.DriftMargin + 1
+	is.True(ask("a", 0.2) > 0.3) // a third of what is asked for
+}
+
 // TestLines: the log tells which entries' shares a new leader holds back, and when shares add
 // up to more than the whole; the dump tells who has them.
 func TestLines(t *testing.T) {
--- a/control/control.go
+++ b/control/control.go
@@ -169,7 +169,7 @@
 	if s.Roles {
 		return nil
 	}
-	return apportioner.NewApportioner(apportioner.Config{Clock: c, Logger: o, Entries: t.Entries, Lends: l.Lends})
+	return apportioner.NewApportioner(apportioner.Config{Clock: c, Logger: o, Entries: t.Entries, Silent: t.Silent, Lends: l.Lends})
 }
 
 // newLender returns nil where entries own the accounts of teams.
--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -81,6 +81,7 @@
 	return Picture{
 		LeaderSince: v.LeaderSince,
 		Entries:     c.config.State.Entries(),
+		Silent:      c.config.State.Silent(),
 		Roles:       c.config.State.Roles(),
 		Callers:     c.config.Distributor.Callers(),
 		Wanted:      c.wantedRoles(),
@@ -129,7 +130,9 @@
 	case *wire.Command_PutEntry:
 		c.config.Logger.Log(logger.EntryJoined, logger.F("entry", k.PutEntry.GetMember().GetName()))
 	case *wire.Command_RemoveEntry:
-		c.config.Logger.Log(logger.EntryRemoved, logger.F("entry", k.RemoveEntry.GetName()))
+		if c.config.State.Silent()[k.RemoveEntry.GetName()] != nil { // the first of its two removals
+			c.config.Logger.Log(logger.EntryRemoved, logger.F("entry", k.RemoveEntry.GetName()))
+		}
 	case *wire.Command_AssignRole:
 		a := k.AssignRole.GetRole()
 		c.config.Logger.Log(logger.RoleAssigned, logger.F("role", a.GetName()), logger.F("holder", a.GetHolder()),
--- a/control/coordinator/coordinator_test.go
+++ b/control/coordinator/coordinator_test.go
@@ -109,6 +109,27 @@
 	})
 }
 
+// TestSilentEntries: an entry is kept as silent until it can use nothing any more that any
+// leader granted it.
+func TestSilentEntries(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		silence time.Duration
+		removed bool
+	}{{"may use its shares", forgetAfter, false}, {"can use nothing", forgetAfter + 1, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := picture(2)
+			p.Wanted, p.LeaderSince = nil, now-c.silence
+			p.Silent = map[string]*wire.EntryMember{"entry0": p.Entries["entry0"]}
+			delete(p.Entries, "entry0")
+			delete(p.Callers, wire.Caller{Name: "entry0", Incarnation: 1})
+			commands := Plan(p)
+			is.Equal(len(commands) == 1 && commands[0].GetRemoveEntry().GetName() == "entry0", c.removed)
+		})
+	}
+}
+
 func BenchmarkPlan(b *testing.B) {
 	for _, n := range []int{12, 100, 1000, 5700} {
 		b.Run(fmt.Sprintf("%d entries", n), func(b *testing.B) {
--- a/control/coordinator/plan.go
+++ b/control/coordinator/plan.go
@@ -17,6 +17,9 @@
 // removeAfter is the silence after which an entry is taken out of the members.
 const removeAfter = timekeeper.RoleLease + timekeeper.RoleLease/2
 
+// forgetAfter is the silence after which an entry can use nothing that it was granted.
+const forgetAfter = timekeeper.ShareLease + timekeeper.DriftMargin
+
 // lapsed is the silence after which an entry's role lease has surely run out.
 const lapsed = timekeeper.RoleLease + timekeeper.DriftMargin
 
@@ -26,8 +29,10 @@
 	// LeaderSince is when this member began to lead.
 	LeaderSince time.Duration
 	Entries     map[string]*wire.EntryMember
-	Roles       map[string]*wire.Role
-	Callers     map[wire.Caller]distributor.Caller
+	// Silent are entries that are members no more and may still use what they were granted.
+	Silent  map[string]*wire.EntryMember
+	Roles   map[string]*wire.Role
+	Callers map[wire.Caller]distributor.Caller
 	// Wanted lists the roles that the text calls for, with the region they prefer.
 	Wanted []WantedRole
 }
@@ -77,9 +82,15 @@
 			}})
 		}
 	}
-	for _, n := range slices.Sorted(maps.Keys(p.Entries)) {
-		m := p.Entries[n]
-		if p.silence(m.GetName(), m.GetIncarnation()) > removeAfter && !p.present(m.GetName()) {
+	return append(append(out, p.removals(p.Entries, removeAfter)...), p.removals(p.Silent, forgetAfter)...)
+}
+
+// removals are the commands that remove entries after a silence.
+func (p Picture) removals(members map[string]*wire.EntryMember, after time.Duration) []*wire.Command {
+	var out []*wire.Command
+	for _, n := range slices.Sorted(maps.Keys(members)) {
+		m := members[n]
+		if p.silence(m.GetName(), m.GetIncarnation()) > after && !p.present(m.GetName()) {
 			out = append(out, &wire.Command{Kind: &wire.Command_RemoveEntry{
 				RemoveEntry: &wire.RemoveEntryCommand{Name: m.GetName(), Incarnation: m.GetIncarnation()},
 			}})
--- a/core/wire/records.go
+++ b/core/wire/records.go
@@ -9,4 +9,7 @@
 	ItemRecords  = "item/"
 	// EvacuationRecords name the availability zones that are to get no work.
 	EvacuationRecords = "evacuation/"
+	// SilentRecords are entries that were taken out of the members and may still use what
+	// they were granted. They are not distributed.
+	SilentRecords = "silent/"
 )
