Count the shares of silent entries as long as they may use them

An entry without word from control went on with 0.02 of each team's rate for as long as the silence lasted; the leader counted that for 20 s, then forgot the entry and gave its part to others, and a new leader never knew of it. Eight of twelve entries cut off for long served 0.16 of every team's rate beyond the whole. The test of the shares allowed for just that: its bound was one and 0.02 an entry.

Now an entry keeps a quarter of its shares past the lease, and nothing past two minutes; the leader, and a new one for the entries that it has not heard, count exactly that. A quarter scales with the number of entries, where 0.02 was more than a whole share from 50 entries on. A share that may have lapsed already, since an answer was lost or an earlier leader gave it, is counted as not lapsing further.

--- a/bench/auditor/limits_test.go
+++ b/bench/auditor/limits_test.go
@@ -54,7 +54,7 @@
 	oneWay      = 10 * time.Millisecond
 	callTimeout = 400 * time.Millisecond
 	removeAfter = timekeeper.RoleLease + timekeeper.RoleLease/2
-	forgetAfter = timekeeper.ShareLease + timekeeper.DriftMargin
+	forgetAfter = timekeeper.SilentLease + timekeeper.DriftMargin
 	planPause   = 50 * time.Millisecond
 	patience    = 4 * time.Second
 	service     = "lamps"
--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -24,7 +24,7 @@
 	// leastChange is the change of a share that is worth telling.
 	leastChange = 0.005
 	// forgetAfter is the silence after which nothing is kept for an entry any more.
-	forgetAfter = 2 * timekeeper.ShareLease
+	forgetAfter = timekeeper.SilentLease + timekeeper.DriftMargin
 	// termBits leaves room below a term for the answers of its leader.
 	termBits = 32
 )
@@ -70,6 +70,18 @@
 type told struct {
 	number uint64
 	share  float64
+	// lapsed tells that the entry may have given up a part of the share already, so that it
+	// gives up no more before all.
+	lapsed bool
+}
+
+// mayUse is the part of the share that an entry may use at a time after it asked.
+func (t told) mayUse(age time.Duration) float64 {
+	part := keptPart(age)
+	if t.lapsed && part > 0 {
+		part = 1
+	}
+	return t.share * part
 }
 
 // NewApportioner returns an Apportioner that knows no entry.
@@ -99,7 +111,7 @@
 	a.forget(now)
 	limit := a.limit()
 	missing := a.awaited(now)
-	awaited := float64(len(missing)) * limit
+	awaited := float64(len(missing)) * limit * keptPart(now-a.since)
 	a.tell(now, missing, n)
 	for _, team := range slices.Sorted(maps.Keys(n.demands)) {
 		if s, changes := a.next(now, n, team, reported, limit, awaited); changes {
@@ -112,7 +124,7 @@
 	a.number++
 	number := a.term<<termBits + a.number
 	for _, s := range out {
-		n.held[s.GetTeam()] = append(n.held[s.GetTeam()], told{number, s.GetShare()})
+		n.held[s.GetTeam()] = append(n.held[s.GetTeam()], told{number: number, share: s.GetShare()})
 	}
 	return out, number
 }
@@ -147,7 +159,7 @@
 	n := &account{name: c.Name, asked: a.config.Clock.Now(), demands: map[string]float64{}, held: map[string][]told{}, brought: map[string]float64{}}
 	for _, d := range r.GetDemands() {
 		n.brought[d.GetTeam()] = d.GetShare()
-		n.held[d.GetTeam()] = []told{{0, d.GetShare()}}
+		n.held[d.GetTeam()] = []told{{0, d.GetShare(), true}}
 	}
 	a.callers[c] = n
 	return n
@@ -170,18 +182,21 @@
 // next returns the share that an entry should have now, and whether that is worth telling.
 // awaited is what entries that have not asked yet may hold.
 func (a *Apportioner) next(now time.Duration, n *account, team string, reported map[string]float64, limit, awaited float64) (float64, bool) {
-	total, others := 0.0, 0.0
+	total, others, live := 0.0, 0.0, 0
 	for _, o := range a.callers {
-		total += o.demands[team]
 		if o != n {
 			others += o.mayUse(now, team)
 		}
+		if keptPart(now-o.asked) == 1 {
+			total += o.demands[team]
+			live++
+		}
 	}
-	want := evenPart / float64(len(a.callers))
+	want := evenPart / float64(live)
 	if total > 0 {
 		want += (1 - evenPart) * n.demands[team] / total
 	} else {
-		want = 1 / float64(len(a.callers))
+		want = 1 / float64(live)
 	}
 	present, told := reported[team]
 	if !told {
@@ -210,7 +225,7 @@
 // awaited are the entries of the deployment that have not asked this leader yet and may hold
 // shares, in order.
 func (a *Apportioner) awaited(now time.Duration) []string {
-	if now-a.since > timekeeper.ShareLease+timekeeper.DriftMargin {
+	if keptPart(now-a.since) == 0 {
 		return nil
 	}
 	asked := map[string]bool{}
@@ -230,13 +245,18 @@
 	}
 }
 
-// lapse notes that an entry that was silent past its lease fell back to the silent share.
+// keptPart is the largest part of its shares that an entry may use at a time after it asked.
+func keptPart(age time.Duration) float64 {
+	return timekeeper.KeptPart(age - timekeeper.DriftMargin)
+}
+
+// lapse notes that an entry that was silent past its lease gave up a part of its shares.
 func (n *account) lapse(now time.Duration) {
-	if now-n.asked <= timekeeper.ShareLease+timekeeper.DriftMargin {
+	if keptPart(now-n.asked) == 1 {
 		return
 	}
 	for team, h := range n.held {
-		n.held[team] = []told{{h[len(h)-1].number, n.mayUse(now, team)}}
+		n.held[team] = []told{{h[len(h)-1].number, n.mayUse(now, team), true}}
 	}
 }
 
@@ -244,10 +264,7 @@
 func (n *account) mayUse(now time.Duration, team string) float64 {
 	most := 0.0
 	for _, t := range n.held[team] {
-		most = max(most, t.share)
-	}
-	if now-n.asked > timekeeper.ShareLease+timekeeper.DriftMargin {
-		return min(most, timekeeper.SilentShare)
+		most = max(most, t.mayUse(now-n.asked))
 	}
 	return most
 }
--- a/control/apportioner/apportioner_test.go
+++ b/control/apportioner/apportioner_test.go
@@ -27,19 +27,20 @@
 	share  float64
 	number uint64
 	asked  time.Duration
+	// kept is the part of the share that is left since it was answered.
+	kept float64
 }
 
 // use is the share that an entry admits by; one whose lease ran out gives it up for good.
 func (e *entry) use(now time.Duration) float64 {
-	if now-e.asked > timekeeper.ShareLease {
-		e.share = min(e.share, timekeeper.SilentShare)
+	if part := timekeeper.KeptPart(now - e.asked); part < e.kept {
+		e.share, e.kept = e.share*part/e.kept, part
 	}
 	return e.share
 }
 
-// TestSharesNeverExceedTheWhole: whatever answers are lost, entries fall silent or leaders
-// change, what the entries use together never exceeds the rate by more than what silent
-// ones are left with.
+// TestSharesNeverExceedTheWhole: whatever answers are lost, entries fall silent for however
+// long or leaders change, what the entries use together never exceeds the rate.
 func TestSharesNeverExceedTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now, term, since := time.Hour, uint64(1), time.Hour
@@ -62,7 +63,7 @@
 				term, since = term+1, now
 				a = newLeader()
 			case 1:
-				now += time.Duration(rapid.IntRange(0, 15).Draw(t, "pause")) * time.Second
+				now += time.Duration(rapid.IntRange(0, 150).Draw(t, "pause")) * time.Second
 			case 2: // the entry starts again
 				e.member = &wire.EntryMember{Name: e.member.GetName(), Incarnation: e.member.GetIncarnation() + 1}
 				members[e.member.GetName()] = e.member
@@ -77,7 +78,7 @@
 				if rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
 					break
 				}
-				e.asked = asked
+				e.asked, e.kept = asked, 1
 				if number > 0 {
 					e.share, e.number = shares[0].GetShare(), number
 				}
@@ -86,7 +87,7 @@
 			for _, o := range entries {
 				total += o.use(now)
 			}
-			if total > 1+float64(len(entries))*timekeeper.SilentShare+1e-9 {
+			if total > 1+1e-9 {
 				t.Fatalf("the entries use %v of the rate", total)
 			}
 		}
@@ -197,7 +198,7 @@
 	poll("b", 0.7)
 	is.True(strings.Contains(out.String(), `"event":706,"team":"t","sum":1.4,"term":7,"shares":["a 0.700 asked 1s ago","b 0.700 asked 0s ago"]`))
 	is.Equal(a.Dump().(Dump).Shares["t"], []string{"a 0.700 asked 1s ago", "b 0.700 asked 0s ago"})
-	now += 2 * timekeeper.ShareLease
+	now += timekeeper.SilentLease
 	poll("b", 0.7)
 	is.True(strings.Contains(out.String(), `"event":707`))
 }
--- a/control/coordinator/plan.go
+++ b/control/coordinator/plan.go
@@ -18,7 +18,7 @@
 const removeAfter = timekeeper.RoleLease + timekeeper.RoleLease/2
 
 // forgetAfter is the silence after which an entry can use nothing that it was granted.
-const forgetAfter = timekeeper.ShareLease + timekeeper.DriftMargin
+const forgetAfter = timekeeper.SilentLease + timekeeper.DriftMargin
 
 // lapsed is the silence after which an entry's role lease has surely run out.
 const lapsed = timekeeper.RoleLease + timekeeper.DriftMargin
--- a/core/timekeeper/lease.go
+++ b/core/timekeeper/lease.go
@@ -16,9 +16,22 @@
 	// SlotGrace is how long a slot stays taken past the deadline of a silent holder.
 	SlotGrace = 500 * time.Millisecond
 	// ShareLease is how long an entry may use its shares of teams' rates after it asked; then
-	// it falls back to SilentShare of each.
-	ShareLease = 10 * time.Second
+	// it keeps silentPart of each, until SilentLease after it asked.
+	ShareLease  = 10 * time.Second
+	SilentLease = 2 * time.Minute
 )
 
-// SilentShare is the share of a team's rate that an entry may use without word from control.
-const SilentShare = 0.02
+// silentPart is the part of its shares that an entry may use past the ShareLease. Control holds
+// as much back, so it is small.
+const silentPart = 0.25
+
+// KeptPart returns the part of its shares that an entry may use at a time after it asked control.
+func KeptPart(age time.Duration) float64 {
+	switch {
+	case age <= ShareLease:
+		return 1
+	case age <= SilentLease:
+		return silentPart
+	}
+	return 0
+}
--- a/entry/receiver/receiver_test.go
+++ b/entry/receiver/receiver_test.go
@@ -76,10 +76,12 @@
 	is.Equal(s.InUse(), uint64(7))
 	is.True(!s.Due("leader", now) && s.Due("another", now) && s.Due("leader", now+demandInterval))
 	now += timekeeper.ShareLease + 1
-	is.Equal(s.Of("t", now), timekeeper.SilentShare)
+	is.Equal(s.Of("t", now), 0.1)
+	is.Equal(s.Of("t", now+timekeeper.SilentLease-timekeeper.ShareLease-1), 0.1)
 	s.Take(&wire.PollResponse{}, now, false, "leader")
-	is.Equal(s.Of("t", now), timekeeper.SilentShare)
-	is.Equal(s.Demands(map[string]float64{"t": 5}, now)[0].GetShare(), timekeeper.SilentShare)
+	is.Equal(s.Of("t", now), 0.1)
+	is.Equal(s.Demands(map[string]float64{"t": 5}, now)[0].GetShare(), 0.1)
+	is.Equal(s.Of("t", now+timekeeper.SilentLease+1), 0.0)
 }
 
 // TestLargeAnswer: an answer that takes longer than a poll's time-out is waited for with the
--- a/entry/receiver/shares.go
+++ b/entry/receiver/shares.go
@@ -29,8 +29,10 @@
 	byTeam map[string]float64
 	// lent are the teams whose tokens are lent; their demand is not reported.
 	lent map[string]bool
-	// asked is when the last answered poll was sent; the lease counts from it.
+	// asked is when the last answered poll was sent; the leases count from it.
 	asked time.Duration
+	// kept is the part of the shares that is left since then.
+	kept float64
 	// reportedTo and reportedAt tell the last report of demands.
 	reportedTo string
 	reportedAt time.Duration
@@ -40,7 +42,7 @@
 	told map[string]float64
 }
 
-// Of returns the share of a team; past the lease only a small one is left.
+// Of returns the share of a team; past the lease only a part of it is left.
 func (s *Shares) Of(team string, now time.Duration) float64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -51,14 +53,15 @@
 // lapse gives up shares whose lease has run out, since control may have given them to
 // others meanwhile. They don't come back with the next answer.
 func (s *Shares) lapse(now time.Duration) {
-	if now-s.asked <= timekeeper.ShareLease {
+	part := timekeeper.KeptPart(now - s.asked)
+	if part >= s.kept {
 		return
 	}
 	next := make(map[string]float64, len(s.byTeam))
 	for team, share := range s.byTeam {
-		next[team] = min(share, timekeeper.SilentShare)
+		next[team] = share * part / s.kept
 	}
-	s.byTeam = next
+	s.byTeam, s.kept = next, part
 }
 
 // InUse returns the number of the last answer whose shares are used.
@@ -97,7 +100,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lapse(start)
-	s.asked = start
+	s.asked, s.kept = start, 1
 	if reported {
 		s.reportedTo, s.reportedAt = address, start
 	}
--- a/entry/receiver/shares_test.go
+++ b/entry/receiver/shares_test.go
@@ -34,11 +34,11 @@
 		is.Equal(s.Take(answer(3, &wire.TeamShare{Team: "large", Share: 0.41}), 0, true, "control1"), []string{"large 0.410"})
 		is.Equal(s.Take(answer(4, &wire.TeamShare{Team: "large", Lent: true}), 0, true, "control1"), []string{"large lent"})
 	})
-	t.Run("past the lease a small share is left", func(t *testing.T) {
+	t.Run("past the lease a part is left", func(t *testing.T) {
 		is := is.New(t)
 		s := &Shares{}
 		s.Take(answer(1, &wire.TeamShare{Team: "large", Share: 0.3}), 0, true, "control1")
 		is.Equal(s.Of("large", timekeeper.ShareLease), 0.3)
-		is.Equal(s.Of("large", timekeeper.ShareLease+time.Millisecond), timekeeper.SilentShare)
+		is.Equal(s.Of("large", timekeeper.ShareLease+time.Millisecond), 0.075)
 	})
 }
