Begin an entry's bucket of a team empty

The first share after a start, and a share that came back after a time without, filled the bucket to the share of the burst and the entry's part of the overdraft, although the run before may just have spent both, so each restart in a window let as much run once more. A share that had grown while no request came was also counted from the last request on, though others had it until then.

A bucket now begins empty and is filled by the smaller of the shares before and after; the report of demands fills idle buckets, so that a share is seen within 500 ms.

TestDivided had counted on the full bucket (240 to 260 of half of 100/s in 4 s); its bounds are now 200 and what 100 ms bring ahead, and cases for saved tokens and for a share that is gone for a while are new.

--- a/entry/limiter/divided.go
+++ b/entry/limiter/divided.go
@@ -62,8 +62,9 @@
 type dividedBucket struct {
 	tokens float64
 	filled time.Duration
-	rate   timekeeper.Rate
-	known  bool
+	// share is the part of the team's rate that it was filled by last.
+	share float64
+	rate  timekeeper.Rate
 }
 
 // NewDivided returns a Divided.
@@ -92,6 +93,7 @@
 		out[name] = 0
 		if b := d.teams[name]; b != nil {
 			out[name] = b.rate.At(now)
+			d.fill(now, t, b)
 		}
 	}
 	for name := range d.teams {
@@ -207,15 +209,12 @@
 	now := d.config.Clock.Now()
 	b := d.bucket(t)
 	b.rate.Add(now, 1)
-	share := d.config.Share(t.Name)
-	if b.fill(now, t.Rate*share, t.Burst*share+d.overdraft(t, share)) {
-		d.config.Logger.Log(logger.AllowanceBegun, logger.F("team", t.Name), logger.F("share", share), logger.F("tokens", b.tokens))
-	}
+	d.fill(now, t, b)
 	if b.tokens >= 1 {
 		b.tokens--
 		return 0, true
 	}
-	rate := t.Rate * share
+	rate := t.Rate * b.share
 	if rate <= 0 {
 		return rateSpan, false
 	}
@@ -248,13 +247,14 @@
 	return (o.Part*(t.Burst+t.Rate*o.Window.Seconds()) + o.Tokens) / float64(n)
 }
 
-// fill adds what came since the last time. A share that grows brings no tokens at once,
-// since those that gave it up may have spent theirs. begins tells that the bucket begins.
-func (b *dividedBucket) fill(now time.Duration, rate, burst float64) (begins bool) {
-	if !b.known && burst > 0 {
-		b.tokens, b.known, begins = burst, true, true
+// fill adds what came since the last time. A bucket begins empty, and a share that grows brings
+// no tokens for the time before: those that had it until then may have spent theirs.
+func (d *Divided) fill(now time.Duration, t *parser.Team, b *dividedBucket) {
+	share := d.config.Share(t.Name)
+	came := t.Rate * min(b.share, share) * (now - b.filled).Seconds()
+	b.tokens = min(t.Burst*share+d.overdraft(t, share), b.tokens+came)
+	if b.share == 0 && share > 0 {
+		d.config.Logger.Log(logger.AllowanceBegun, logger.F("team", t.Name), logger.F("share", share), logger.F("tokens", b.tokens))
 	}
-	b.tokens = min(burst, b.tokens+rate*(now-b.filled).Seconds())
-	b.filled = now
-	return begins
+	b.share, b.filled = share, now
 }
--- a/entry/limiter/divided_test.go
+++ b/entry/limiter/divided_test.go
@@ -13,30 +13,42 @@
 	"github.com/filberthoist/filberthoist/entry/receiver"
 )
 
-// TestDivided: over any span an entry admits at most its share of the rate and burst, and
-// a share that grows brings no tokens at once.
+// TestDivided: an entry admits its share of the rate, and of the burst what it saved up while it
+// had the share. A bucket begins empty, and a share that grows or comes back brings no tokens
+// at once.
 func TestDivided(t *testing.T) {
 	team := &parser.Team{Name: "t", Rate: 100, Burst: 100}
+	configuration := &parser.Configuration{Teams: map[string]*parser.Team{"t": team}}
 	cases := []struct {
 		name string
-		// share is the entry's share at a moment; most bounds the requests admitted in 4 s.
+		// share is the entry's share at a moment; requests come from a moment on, up to 4 s.
+		// least and most bound those admitted; 100 ms may be taken ahead.
 		share       func(at time.Duration) float64
+		from        time.Duration
 		least, most int
 	}{
-		{"none", func(time.Duration) float64 { return 0 }, 0, 0},
-		{"half", func(time.Duration) float64 { return 0.5 }, 240, 260},
+		{"none", func(time.Duration) float64 { return 0 }, 0, 0, 0},
+		{"half", func(time.Duration) float64 { return 0.5 }, 0, 200, 205},
+		{"half, with some saved up", func(time.Duration) float64 { return 0.5 }, 500 * time.Millisecond, 199, 205},
+		{"half, with a whole burst saved up", func(time.Duration) float64 { return 0.5 }, 2 * time.Second, 149, 155},
+		{"gone for a while", func(at time.Duration) float64 {
+			if at > time.Second && at < 2*time.Second {
+				return 0
+			}
+			return 0.5
+		}, 0, 148, 155},
 		{"shrinks", func(at time.Duration) float64 {
 			if at > time.Second {
 				return 0.1
 			}
 			return 0.5
-		}, 120, 135},
+		}, 0, 78, 85},
 		{"grows", func(at time.Duration) float64 {
 			if at > 2*time.Second {
 				return 0.5
 			}
 			return 0.1
-		}, 125, 145},
+		}, 0, 119, 126},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -45,15 +57,23 @@
 			now := begun
 			d := NewDivided(DividedConfig{
 				Clock: timekeeper.Clock{Now: func() time.Duration { return now }},
-				View:  func() *receiver.View { return &receiver.View{} },
+				View:  func() *receiver.View { return &receiver.View{Configuration: configuration} },
 				Share: func(string) float64 { return c.share(now - begun) },
 			})
-			admitted := 0
+			admitted, reported := 0, begun
+			_, _ = d.take(team) // the team is known here from the first request on
 			for now < begun+4*time.Second {
+				now += 2 * time.Millisecond
+				if now-reported >= 500*time.Millisecond {
+					reported = now
+					d.Rates()
+				}
+				if now < begun+c.from {
+					continue
+				}
 				if _, ok := d.take(team); ok {
 					admitted++
 				}
-				now += 2 * time.Millisecond
 			}
 			t.Log(admitted)
 			is.True(admitted >= c.least && admitted <= c.most)
