Report demands to control with the first configuration, not half a second later

An entry that starts asks before it has a configuration, so there is nothing to report; the poll counted as a report all the same, and the next one with the first demands went out 500 ms later. Until then requests waited up to 600 ms for a first share and were refused. A poll without demands is no report any more.

--- a/bench/auditor/limits_test.go
+++ b/bench/auditor/limits_test.go
@@ -204,10 +204,11 @@
 
 func (e *entry) poll() {
 	start := e.owner.now()
-	reported := e.shares.Due("leader", start)
+	reported := false
 	q := &wire.PollRequest{Member: e.self, SharesInUse: e.shares.InUse()}
-	if reported {
-		q.Demands = e.shares.Demands(e.divided.Rates(), start)
+	if e.shares.Due("leader", start) {
+		rates := e.divided.Rates()
+		q.Demands, reported = e.shares.Demands(rates, start), rates != nil
 	}
 	time.Sleep(oneWay)
 	answer, view, ok := e.owner.answer(e, q)
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -320,10 +320,11 @@
 	}
 	q.Targets = r.targets.version
 	q.SharesInUse = r.shares.InUse()
-	reported = r.config.Rates != nil && r.shares.Due(address, now)
-	if reported {
-		q.Demands = r.shares.Demands(r.config.Rates(), now)
+	if r.config.Rates != nil && r.shares.Due(address, now) {
+		rates := r.config.Rates()
+		q.Demands = r.shares.Demands(rates, now)
 		q.Services = servicesOf(r.config.Demands)
+		reported = rates != nil // before the first configuration there is nothing to report
 	}
 	q.Allocation = r.allocation
 	return q, reported
