--- a/entry/limiter/divided.go
+++ b/entry/limiter/divided.go
@@ -90,11 +90,9 @@
 		if t.Unlimited {
 			continue
 		}
-		out[name] = 0
-		if b := d.teams[name]; b != nil {
-			out[name] = b.rate.At(now)
-			d.fill(now, t, b)
-		}
+		b := d.bucket(t) // it fills up from here on, before the first request
+		d.fill(now, t, b)
+		out[name] = b.rate.At(now)
 	}
 	for name := range d.teams {
 		if c.Teams[name] == nil {
