Charge a team for each target that may run its request

A safe request whose answer is lost goes to a second target; the targets ran it twice and the limiter, which stands before the balancer, counted it once. The budget of repeats is a service's, so one team over its rate could use all of it.

The limiter leaves a function on the exchange that counts the request once more; the balancer, and the dispatcher where entries hold roles, call it before the request goes to a further target though one may have run it. A target that was not reached or said that it did not run the request costs nothing. Without a token the request ends with what it has, and the service's budget gets its repeat back.

--- a/bench/auditor/limits_test.go
+++ b/bench/auditor/limits_test.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -282,20 +281,26 @@
 	}
 	d := e.owner
 	x := &handler.Exchange{Team: v.Configuration.Teams[hot], View: v, Begun: d.now(), Deadline: d.now() + patience}
-	o := e.divided.Step().Handle(d.ctx, x)
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if o.Over() {
-		if o.Status == http.StatusTooManyRequests {
-			d.refused++
-		}
+	if o := e.divided.Step().Handle(d.ctx, x); o.Over() {
+		d.count(false)
 		return
 	}
-	d.runs = append(d.runs, d.now())
 	e.repeats.Earn(service)
-	if d.random.Float64() < d.repeats && e.repeats.Spend(service) {
-		d.runs = append(d.runs, d.now())
+	if d.count(true) && e.repeats.Spend(service) && x.Charge(d.ctx) {
+		d.count(true)
+	}
+}
+
+// count notes a request that ran or was refused, and tells whether its answer is lost.
+func (d *deployment) count(ran bool) (lost bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !ran {
+		d.refused++
+		return false
 	}
+	d.runs = append(d.runs, d.now())
+	return d.random.Float64() < d.repeats
 }
 
 // play lets time pass, with an action every so often.
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -70,9 +70,11 @@
 // way is a request on its way through targets.
 type way struct {
 	demand Demand
-	// ran counts the targets that may have run the request.
-	ran  int
-	sent int
+	// ran counts the targets that may have run the request, charged the runs that were counted
+	// towards the team's limit.
+	ran     int
+	charged int
+	sent    int
 	// arrived counts the targets that the request reached.
 	arrived int
 	// kept is an answer with a failure, for want of a better one.
@@ -82,11 +84,11 @@
 
 func (b *Balancer) balance(ctx context.Context, e *handler.Exchange) handler.Outcome {
 	b.config.Repeats.Earn(e.Service.Name)
-	w := &way{demand: b.demand(e)}
+	w := &way{demand: b.demand(e), charged: 1}
 	b.config.Meter.Count(e.Service.Name, b.config.Picker.Expect(w.demand))
 	for w.sent < maxSends {
 		w.demand.Left = e.Deadline - b.config.Clock.Now()
-		if w.sent > 0 && !b.mayRepeat(e, w) {
+		if w.sent > 0 && !b.mayRepeat(ctx, e, w) {
 			break
 		}
 		pick, busy := b.config.Picker.Pick(e.View, w.demand)
@@ -160,7 +162,7 @@
 }
 
 // mayRepeat tells whether a request may go to a further target.
-func (b *Balancer) mayRepeat(e *handler.Exchange, w *way) bool {
+func (b *Balancer) mayRepeat(ctx context.Context, e *handler.Exchange, w *way) bool {
 	attempts := e.Route.Attempts
 	if attempts == 0 {
 		attempts = defaultAttempts
@@ -175,6 +177,14 @@
 		b.spared.Inc(1)
 		return false
 	}
+	if w.ran >= w.charged && e.Charge != nil {
+		if !e.Charge(ctx) {
+			b.config.Repeats.Return(e.Service.Name)
+			b.spared.Inc(1)
+			return false
+		}
+		w.charged++
+	}
 	b.retries.Inc(1)
 	return true
 }
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -116,6 +116,49 @@
 	}
 }
 
+// TestRepeatsAreCharged: a request counts towards its team's limit once for each target that may
+// run it, and goes to no further one without a token.
+func TestRepeatsAreCharged(t *testing.T) {
+	type script = []func() *forwarder.Sending
+	cases := []struct {
+		name   string
+		script script
+		// tokens are those left after the admission; charged counts the tries for one more.
+		tokens, charged, sent int
+	}{
+		{"answered", script{answers}, 5, 0, 1},
+		{"refused by targets", script{refuses, refuses, answers}, 5, 0, 3},
+		{"not reached", script{unreachable, answers}, 5, 0, 2},
+		{"broken", script{breaks, answers}, 5, 1, 2},
+		{"broken twice", script{breaks, breaks, answers}, 5, 2, 3},
+		{"broken, then refused", script{breaks, refuses, answers}, 5, 1, 3},
+		{"failed", script{fails, answers}, 5, 1, 2},
+		{"broken without a token", script{breaks, answers}, 0, 1, 1},
+		{"broken twice with one token", script{breaks, breaks, answers}, 1, 2, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b, view, sent := newBalancer(10, c.script)
+			s := &parser.Service{Name: "drafts"}
+			own, charged, left := handler.Own(), 0, c.tokens
+			e := &handler.Exchange{
+				View: view, Request: httptest.NewRequest(http.MethodGet, "/", nil), Dialect: &own, ID: "r", Service: s,
+				Route:    &parser.Route{Name: "r", Service: s, Class: parser.ClassIdempotent, Attempts: 3, Timeout: time.Second},
+				Deadline: b.config.Clock.Now() + time.Second,
+				Charge: func(context.Context) bool {
+					charged++
+					left--
+					return left >= 0
+				},
+			}
+			b.balance(context.Background(), e)
+			is.Equal(charged, c.charged)
+			is.Equal(len(*sent), c.sent)
+		})
+	}
+}
+
 // TestStanding: which targets take work.
 func TestStanding(t *testing.T) {
 	cases := []struct {
--- a/entry/balancer/budget.go
+++ b/entry/balancer/budget.go
@@ -69,6 +69,13 @@
 	return true
 }
 
+// Return gives back a repeat that was not sent.
+func (b *Budget) Return(service string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.left[service] = min(b.reserve(), b.left[service]+1)
+}
+
 func (b *Budget) tell(service string) {
 	if b.config.Clock.Now == nil {
 		return
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -87,6 +87,7 @@
 	course := e.Course
 	var excluded []string
 	last := handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoRoom)
+	ran, charged := 0, 1
 	for attempt := range maxAttempts {
 		held := d.acquire(ctx, e, &course, excluded)
 		if held == nil {
@@ -96,9 +97,18 @@
 		if !again {
 			return o
 		}
+		if o.Run != handler.NotRun {
+			ran++
+		}
 		if !b.spend() {
 			return o
 		}
+		if ran >= charged && e.Charge != nil {
+			if !e.Charge(ctx) {
+				return o
+			}
+			charged++
+		}
 		d.retries.Inc(1)
 		last, excluded = o, append(excluded, held.Target)
 		if e.Fallback != nil {
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -1,6 +1,7 @@
 package handler
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -48,6 +49,10 @@
 	Observe func(c Course, latency time.Duration, failed bool)
 	// Team is nil on open routes.
 	Team *parser.Team
+	// Charge counts the request towards its team's limit once more, before it goes to a further
+	// target although one may have run it, and tells whether it may. It may wait for a token.
+	// nil means that nothing limits the team.
+	Charge func(ctx context.Context) bool
 	// Key is the digest-checked key's record; nil on open routes.
 	Key *parser.Key
 	// Body is the whole body of the request, read before the request is sent on.
--- a/entry/limiter/divided.go
+++ b/entry/limiter/divided.go
@@ -125,6 +125,12 @@
 	if e.Team == nil || e.Team.Unlimited {
 		return handler.Outcome{}
 	}
+	e.Charge = func(ctx context.Context) bool { return !d.admit(ctx, e).Over() }
+	return d.admit(ctx, e)
+}
+
+// admit spends a token of the exchange's team, or refuses.
+func (d *Divided) admit(ctx context.Context, e *handler.Exchange) handler.Outcome {
 	if d.config.Borrower != nil && d.config.Share(e.Team.Name) == 0 {
 		o, divided := d.borrow(ctx, e)
 		if !divided {
--- a/entry/limiter/limiter.go
+++ b/entry/limiter/limiter.go
@@ -108,6 +108,12 @@
 	if e.Team == nil {
 		return handler.Outcome{}
 	}
+	e.Charge = func(ctx context.Context) bool { return !l.admit(ctx, e).Over() }
+	return l.admit(ctx, e)
+}
+
+// admit spends a token of the exchange's team, or refuses.
+func (l *Limiter) admit(ctx context.Context, e *handler.Exchange) handler.Outcome {
 	a := l.account(wire.TeamRole(e.Team.Name))
 	if a.take(1) {
 		return handler.Outcome{}
