Keep one account of each team's rate for shares and lent tokens

Two books gave out the same rate. The lender lent a team's tokens at the whole rate while entries cut off from it still used shares of that rate, and a pot that was made anew, for a team that had been divided or dropped for a moment, counted as filled since the leader's term began.

The lender now lends what entries do not hold in shares, by the apportioner's account, and its bucket holds that part of the burst. Pots of all teams that are known to be lent fill from the moment that lending began. Entries tell a new leader for how long tokens have been lent (lentMilliseconds), so that it goes on as before and knows how old any share can be; what it has not heard of is held back as for shares.

TestAnswers and TestThinTeam in control/lender now tell that the team was lent before, as entries do; a team of which nothing is known begins with nothing.

--- a/bench/auditor/limits_test.go
+++ b/bench/auditor/limits_test.go
@@ -149,6 +149,9 @@
 	m := &member{}
 	m.lender = lender.NewLender(lender.Config{
 		Clock: d.clock(), Teams: func() map[string]*parser.Team { return d.teams }, Entries: func() int { return len(d.known) },
+		Shares: func(term uint64, since time.Duration, team string, lentFor time.Duration) float64 {
+			return m.apportioner.Outstanding(term, since, team, lentFor)
+		},
 	})
 	m.apportioner = apportioner.NewApportioner(apportioner.Config{
 		Clock: d.clock(), Lends: m.lender.Lends,
@@ -205,12 +208,12 @@
 	start := e.owner.now()
 	reported := false
 	q := &wire.PollRequest{Member: e.self, SharesInUse: e.shares.InUse()}
-	if e.shares.Due("leader", start) {
+	if e.shares.Due(e.owner.address(), start) {
 		rates := e.divided.Rates()
-		q.Demands, reported = e.shares.Demands(rates, start), rates != nil
+		q.Demands, reported = e.shares.Demands(rates, start, e.owner.address()), rates != nil
 	}
 	time.Sleep(oneWay)
-	answer, view, ok := e.owner.answer(e, q)
+	answer, view, address, ok := e.owner.answer(e, q)
 	time.Sleep(oneWay)
 	if !ok || e.owner.loses(e) {
 		return
@@ -218,12 +221,15 @@
 	e.mutex.Lock()
 	e.view = view
 	e.mutex.Unlock()
-	e.shares.Take(answer, start, reported, "leader")
+	e.shares.Take(answer, start, reported, address)
 }
 
 func (e *entry) borrow(ctx context.Context, demands []*wire.TokenDemand) (*wire.BorrowResponse, error) {
-	time.Sleep(oneWay)
 	d := e.owner
+	for _, n := range demands {
+		n.LentMilliseconds = e.shares.LentFor(n.GetTeam(), d.now())
+	}
+	time.Sleep(oneWay)
 	d.mutex.Lock()
 	var answer *wire.BorrowResponse
 	if d.reaches(e) {
@@ -259,18 +265,25 @@
 	return !d.reaches(e) || d.random.Float64() < d.lossy
 }
 
-func (d *deployment) answer(e *entry, q *wire.PollRequest) (*wire.PollResponse, *receiver.View, bool) {
+// address names the leader of a term; entries report in full to one that they did not know.
+func (d *deployment) address() string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return fmt.Sprint("leader of term ", d.term)
+}
+
+func (d *deployment) answer(e *entry, q *wire.PollRequest) (p *wire.PollResponse, v *receiver.View, address string, ok bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if !d.reaches(e) {
-		return nil, nil, false
+		return nil, nil, "", false
 	}
 	name := e.self.GetName()
 	d.polled[name] = d.now()
-	p := &wire.PollResponse{}
+	p = &wire.PollResponse{}
 	p.Shares, p.SharesNumber = d.leader.apportioner.Answer(d.term, d.since, q)
-	v := &receiver.View{Configuration: &parser.Configuration{Teams: maps.Clone(d.teams)}, Entries: maps.Clone(d.known)}
-	return p, v, true
+	v = &receiver.View{Configuration: &parser.Configuration{Teams: maps.Clone(d.teams)}, Entries: maps.Clone(d.known)}
+	return p, v, fmt.Sprint("leader of term ", d.term), true
 }
 
 // request is one request of the team at an entry.
@@ -523,6 +536,42 @@
 	})
 }
 
+// TestLoansBesideShares guards against a leader that lends a team's tokens at the whole rate while
+// entries cut off from it still use shares of that rate.
+func TestLoansBesideShares(t *testing.T) {
+	audit(t, 6, 12, 60, 20, func(d *deployment) func(time.Duration) {
+		return func(at time.Duration) {
+			switch at {
+			case 4 * time.Second:
+				d.setLimit(40) // the first leader divides it still
+			case 14 * time.Second: // too late to be taken out of the members
+				for i := range 6 {
+					d.cutOff(i, 12*time.Second)
+				}
+			case 15 * time.Second:
+				d.lose(true, 300*time.Millisecond, 1)
+			}
+		}
+	})
+}
+
+// TestTeamThatComesBack guards against buckets that are made anew, and full, for a team that was
+// dropped from the configuration and came back.
+func TestTeamThatComesBack(t *testing.T) {
+	audit(t, 7, 12, 40, 1, func(d *deployment) func(time.Duration) {
+		return func(at time.Duration) {
+			switch {
+			case at == 12*time.Second:
+				d.offered = 1000
+			case at > 12*time.Second && at < 17*time.Second && at%time.Second == 0:
+				d.teams = map[string]*parser.Team{}
+			case at > 12*time.Second && at < 18*time.Second && at%time.Second == 400*time.Millisecond:
+				d.setLimit(40)
+			}
+		}
+	})
+}
+
 // TestLongSilence guards against shares of silent entries that control forgets while the
 // entries go on using them.
 func TestLongSilence(t *testing.T) {
--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -38,8 +38,9 @@
 	// Silent are entries that are members no more and may still use their shares, by name;
 	// nil means that there are none.
 	Silent func() map[string]*wire.EntryMember
-	// Lends tells whether a team's tokens are lent instead; nil means that none are.
-	Lends func(team string) bool
+	// Lends tells in a term, which began at a moment, whether the tokens of a demand's team are
+	// lent instead; nil means that none are.
+	Lends func(term uint64, since time.Duration, d *wire.TeamDemand) bool
 }
 
 // Apportioner keeps account of the shares that entries may use. It is safe for concurrent use.
@@ -96,9 +97,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	now, c := a.config.Clock.Now(), wire.CallerOf(r.GetMember())
-	if term != a.term {
-		a.term, a.since, a.number, a.callers = term, since, 0, map[wire.Caller]*account{}
-	}
+	a.begin(term, since)
 	if a.callers[c] == nil && len(r.GetDemands()) == 0 {
 		return nil, 0 // it may hold shares that it has not told yet
 	}
@@ -129,13 +128,31 @@
 	return out, number
 }
 
+// Outstanding returns the part of a team's rate that entries may use by shares, from 0 to 1.
+// lentFor is how long the team's tokens have been lent instead.
+func (a *Apportioner) Outstanding(term uint64, since time.Duration, team string, lentFor time.Duration) float64 {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.begin(term, since)
+	now := a.config.Clock.Now()
+	awaited := float64(len(a.awaited(now))) * a.limit() * min(keptPart(now-a.since), keptPart(lentFor))
+	return a.outstanding(now, team) + min(awaited, a.unbrought(team))
+}
+
+// begin forgets what is known of an earlier term.
+func (a *Apportioner) begin(term uint64, since time.Duration) {
+	if term != a.term {
+		a.term, a.since, a.number, a.callers = term, since, 0, map[wire.Caller]*account{}
+	}
+}
+
 // takeDemands notes what an entry was asked for. It returns the shares that the entry uses, and
 // the answers for teams whose tokens are lent.
 func (a *Apportioner) takeDemands(n *account, r *wire.PollRequest) (reported map[string]float64, lent []*wire.TeamShare) {
 	reported = map[string]float64{}
 	for _, d := range r.GetDemands() {
 		reported[d.GetTeam()] = d.GetShare()
-		if a.config.Lends != nil && a.config.Lends(d.GetTeam()) {
+		if a.config.Lends != nil && a.config.Lends(a.term, a.since, d) {
 			delete(n.demands, d.GetTeam())
 			lent = append(lent, &wire.TeamShare{Team: d.GetTeam(), Lent: true})
 			continue
--- a/control/control.go
+++ b/control/control.go
@@ -80,6 +80,7 @@
 			newMessenger,
 			newSequencer,
 			newSurveyor,
+			newDividedSlot,
 			newLender,
 			newApportioner,
 			newAllocator,
@@ -165,21 +166,39 @@
 }
 
 // newApportioner returns nil where entries own the accounts of teams.
-func newApportioner(s Settings, c timekeeper.Clock, o logger.Logger, t *applier.State, l *lender.Lender) *apportioner.Apportioner {
+func newApportioner(s Settings, c timekeeper.Clock, o logger.Logger, t *applier.State, l *lender.Lender, d *dividedSlot) *apportioner.Apportioner {
 	if s.Roles {
 		return nil
 	}
-	return apportioner.NewApportioner(apportioner.Config{Clock: c, Logger: o, Entries: t.Entries, Silent: t.Silent, Lends: l.Lends})
+	d.value = apportioner.NewApportioner(apportioner.Config{Clock: c, Logger: o, Entries: t.Entries, Silent: t.Silent, Lends: l.Lends})
+	return d.value
+}
+
+// dividedSlot breaks the circle between the apportioner and the lender, which share each team's
+// rate out between them.
+type dividedSlot struct {
+	value *apportioner.Apportioner
+}
+
+func newDividedSlot() *dividedSlot {
+	return &dividedSlot{}
+}
+
+func (d *dividedSlot) outstanding(term uint64, since time.Duration, team string, lentFor time.Duration) float64 {
+	if d.value == nil {
+		return 1 // nothing is lent before the shares are known
+	}
+	return d.value.Outstanding(term, since, team, lentFor)
 }
 
 // newLender returns nil where entries own the accounts of teams.
-func newLender(s Settings, c timekeeper.Clock, l logger.Logger, t *applier.State) *lender.Lender {
+func newLender(s Settings, c timekeeper.Clock, l logger.Logger, t *applier.State, d *dividedSlot) *lender.Lender {
 	if s.Roles {
 		return nil
 	}
 	told := ""
 	return lender.NewLender(lender.Config{
-		Clock: c, Entries: func() int { return len(t.Entries()) },
+		Clock: c, Entries: func() int { return len(t.Entries()) }, Shares: d.outstanding,
 		Teams: func() map[string]*parser.Team {
 			n, err := t.Configuration()
 			if err != nil && err.Error() != told { // once for each fault
--- a/control/lender/lender.go
+++ b/control/lender/lender.go
@@ -15,12 +15,6 @@
 
 // Parameters of the loans.
 const (
-	// dividedRate is the rate in requests per second and entry from which a team's rate is
-	// divided: below, an entry's share often lacks the token that another holds unused.
-	dividedRate = 4
-	// hysteresis is the factor by which that must be passed to change over, since entries come
-	// and go, and each change gives a team a part of its burst anew.
-	hysteresis = 2
 	// heldPart is the part of a team's burst that may lie unspent in entries' hands; the
 	// bucket holds the rest, so that both together never exceed the burst.
 	heldPart = 0.5
@@ -28,6 +22,8 @@
 	sparedPart = 0.25
 	// refusalSpan is the time over which refusals are averaged.
 	refusalSpan = time.Second
+	// lookInterval is the least time between two looks at the pots of all teams.
+	lookInterval = 100 * time.Millisecond
 	// leastWait and mostWait bound what refused callers are asked to wait.
 	leastWait = 100 * time.Millisecond
 	mostWait  = 2 * time.Second
@@ -42,6 +38,9 @@
 	Teams func() map[string]*parser.Team
 	// Entries is the number of entries of the deployment.
 	Entries func() int
+	// Shares is the part of a team's rate that entries may use by shares, from 0 to 1; lentFor
+	// is how long the team's tokens have been lent. nil means none.
+	Shares func(term uint64, since time.Duration, team string, lentFor time.Duration) float64
 }
 
 // Lender holds the buckets of this leader's term. It is safe for concurrent use.
@@ -52,30 +51,34 @@
 	since  time.Duration
 	pots   map[string]*pot
 	asked  map[wire.Caller]time.Duration
-	// lent tells which teams' tokens are lent.
-	lent map[string]bool
+	// looked is when all pots were last looked at.
+	looked time.Duration
+	modes  *modes
 }
 
 // pot is the bucket of one team.
 type pot struct {
-	rate    float64
-	burst   float64
-	tokens  float64
-	filled  time.Duration
+	rate float64
+	// burst is the part of the team's burst that is not in use by shares.
+	burst  float64
+	tokens float64
+	filled time.Duration
+	// divided is the part of the rate that is in use by shares.
+	divided float64
 	held    map[wire.Caller]float64
 	refused timekeeper.Rate
 }
 
 // NewLender returns a Lender whose buckets are empty.
 func NewLender(c Config) *Lender {
-	return &Lender{config: c, pots: map[string]*pot{}, asked: map[wire.Caller]time.Duration{}, lent: map[string]bool{}}
+	return &Lender{config: c, pots: map[string]*pot{}, asked: map[wire.Caller]time.Duration{}, modes: newModes(c)}
 }
 
-// Lends tells whether a team's tokens are lent.
-func (l *Lender) Lends(team string) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.lends(team, l.config.Teams()[team])
+// Lends tells whether a team's tokens are lent, as far as an entry's demand helps to decide.
+func (l *Lender) Lends(term uint64, since time.Duration, d *wire.TeamDemand) bool {
+	l.modes.learn(term, since, d.GetTeam(), d.GetShare() > 0, d.GetLentMilliseconds())
+	_, lent := l.modes.decide(term, d.GetTeam())
+	return lent
 }
 
 // Answer lends what a request asks for, as far as there is. term and since tell since when
@@ -89,6 +92,10 @@
 	}
 	c := wire.Caller{Name: r.GetEntry(), Incarnation: r.GetIncarnation()}
 	l.note(now, c)
+	for _, d := range r.GetDemands() {
+		l.modes.learn(term, since, d.GetTeam(), false, d.GetLentMilliseconds())
+	}
+	l.keepPots(now)
 	out := &wire.BorrowResponse{}
 	for _, d := range r.GetDemands() {
 		out.Loans = append(out.Loans, l.lend(now, c, d))
@@ -98,13 +105,11 @@
 
 func (l *Lender) lend(now time.Duration, c wire.Caller, d *wire.TokenDemand) *wire.TokenLoan {
 	out := &wire.TokenLoan{Team: d.GetTeam()}
-	t := l.config.Teams()[d.GetTeam()]
-	if !l.lends(d.GetTeam(), t) {
-		delete(l.pots, d.GetTeam())
+	p := l.pot(now, l.config.Teams()[d.GetTeam()], d.GetTeam())
+	if p == nil {
 		out.Divided = true
 		return out
 	}
-	p := l.pot(now, t)
 	p.held[c] = float64(d.GetHeld())
 	p.tokens = min(p.tokens+float64(d.GetReturned()), p.room())
 	needed := min(float64(d.GetNeeded()), math.Floor(p.tokens))
@@ -125,29 +130,39 @@
 	return out
 }
 
-// lends is Lends for callers that hold the mutex; t is nil for a team that does not stand.
-func (l *Lender) lends(team string, t *parser.Team) bool {
-	if t == nil || t.Unlimited {
-		delete(l.lent, team)
-		return false
+// keepPots looks after the pots of all teams that are known to be lent, so that they fill up
+// before the first request.
+func (l *Lender) keepPots(now time.Duration) {
+	if now-l.looked < lookInterval {
+		return
 	}
-	bound := dividedRate * float64(l.config.Entries())
-	if lent, known := l.lent[team]; known && lent {
-		bound *= hysteresis
-	} else if known {
-		bound /= hysteresis
+	l.looked = now
+	teams := l.config.Teams()
+	for _, name := range l.modes.known() {
+		l.pot(now, teams[name], name)
 	}
-	l.lent[team] = t.Rate < bound
-	return l.lent[team]
 }
 
-func (l *Lender) pot(now time.Duration, t *parser.Team) *pot {
-	p := l.pots[t.Name]
+// pot returns the bucket of a team, filled up to now; nil if the team's rate is divided. t is
+// nil for a team that does not stand.
+func (l *Lender) pot(now time.Duration, t *parser.Team, name string) *pot {
+	since, lent := l.modes.decide(l.term, name)
+	if !lent {
+		delete(l.pots, name)
+		return nil
+	}
+	divided := 0.0
+	if l.config.Shares != nil {
+		divided = min(1, l.config.Shares(l.term, l.since, name, now-since))
+	}
+	p := l.pots[name]
 	if p == nil {
-		p = &pot{rate: t.Rate, filled: l.since, held: map[wire.Caller]float64{}, refused: timekeeper.Rate{Span: refusalSpan}}
-		l.pots[t.Name] = p
+		// The leader before has lent until then, or the team's rate was divided.
+		begun := max(l.since, since)
+		p = &pot{rate: t.Rate, divided: divided, filled: begun, held: map[wire.Caller]float64{}, refused: timekeeper.Rate{Span: refusalSpan}}
+		l.pots[name] = p
 	}
-	p.fill(now, t.Rate, t.Burst)
+	p.fill(now, t.Rate, t.Burst, divided)
 	return p
 }
 
@@ -166,10 +181,11 @@
 	}
 }
 
-// fill adds what came since the last time. A changed limit holds at once for the bucket.
-func (p *pot) fill(now time.Duration, rate, burst float64) {
-	p.tokens += min(p.rate, rate) * (now - p.filled).Seconds()
-	p.rate, p.burst, p.filled = rate, burst, now
+// fill adds what came since the last time, without what entries may use by shares. A changed
+// limit holds at once for the bucket.
+func (p *pot) fill(now time.Duration, rate, burst, divided float64) {
+	p.tokens += min(p.rate, rate) * (1 - max(p.divided, divided)) * (now - p.filled).Seconds()
+	p.rate, p.burst, p.divided, p.filled = rate, burst*(1-divided), divided, now
 	p.tokens = min(p.tokens, p.room())
 }
 
--- a/control/lender/lender_test.go
+++ b/control/lender/lender_test.go
@@ -118,7 +118,7 @@
 	refused, asked := 0, 0
 	for i := range 25 * 20 { // 25 requests a second for 20 s, each at another entry
 		now += 40 * time.Millisecond
-		a := l.Answer(1, time.Hour-5*time.Second, &wire.BorrowRequest{Entry: fmt.Sprint("entry", i*7%80), Incarnation: 1, Demands: []*wire.TokenDemand{{Team: "lamps", Needed: 1}}})
+		a := l.Answer(1, time.Hour-5*time.Second, &wire.BorrowRequest{Entry: fmt.Sprint("entry", i*7%80), Incarnation: 1, Demands: []*wire.TokenDemand{{Team: "lamps", Needed: 1, LentMilliseconds: 60_000}}})
 		asked++
 		if a.GetLoans()[0].GetTokens() == 0 {
 			refused++
@@ -133,34 +133,39 @@
 	teams := map[string]*parser.Team{
 		"thin": {Name: "thin", Rate: 20, Burst: 20}, "large": {Name: "large", Rate: 900, Burst: 900}, "free": {Name: "free", Unlimited: true},
 	}
-	newLender := func() *Lender {
+	newLender := func(shares float64) *Lender {
 		return NewLender(Config{
 			Clock: timekeeper.Clock{Now: func() time.Duration { return now }},
 			Teams: func() map[string]*parser.Team { return teams }, Entries: func() int { return 80 },
+			Shares: func(uint64, time.Duration, string, time.Duration) float64 { return shares },
 		})
 	}
 	cases := []struct {
-		name    string
-		since   time.Duration
+		name  string
+		since time.Duration
+		// shares is the part of the rate that entries use by shares.
+		shares  float64
 		demand  *wire.TokenDemand
 		tokens  uint32
 		divided bool
 		waits   bool
 	}{
-		{"needed", time.Minute, &wire.TokenDemand{Team: "thin", Needed: 3}, 3, false, false},
-		{"more than there is", time.Minute, &wire.TokenDemand{Team: "thin", Needed: 30}, 10, false, true},
-		{"in hand", time.Minute, &wire.TokenDemand{Team: "thin", Wanted: 2}, 2, false, false},
-		{"in hand, up to what is spared", time.Minute, &wire.TokenDemand{Team: "thin", Wanted: 30}, 7, false, false},
-		{"in hand, just after a change of leader", 5 * time.Second, &wire.TokenDemand{Team: "thin", Wanted: 2}, 0, false, false},
-		{"at the moment of a change of leader", 0, &wire.TokenDemand{Team: "thin", Needed: 1}, 0, false, true},
-		{"a large team", time.Minute, &wire.TokenDemand{Team: "large", Needed: 1}, 0, true, false},
-		{"a team without a limit", time.Minute, &wire.TokenDemand{Team: "free", Needed: 1}, 0, true, false},
-		{"an unknown team", time.Minute, &wire.TokenDemand{Team: "gone", Needed: 1}, 0, true, false},
+		{"needed", time.Minute, 0, &wire.TokenDemand{Team: "thin", Needed: 3, LentMilliseconds: 60_000}, 3, false, false},
+		{"more than there is", time.Minute, 0, &wire.TokenDemand{Team: "thin", Needed: 30, LentMilliseconds: 60_000}, 10, false, true},
+		{"more than there is beside shares", time.Minute, 0.5, &wire.TokenDemand{Team: "thin", Needed: 30, LentMilliseconds: 60_000}, 5, false, true},
+		{"in hand", time.Minute, 0, &wire.TokenDemand{Team: "thin", Wanted: 2, LentMilliseconds: 60_000}, 2, false, false},
+		{"in hand, up to what is spared", time.Minute, 0, &wire.TokenDemand{Team: "thin", Wanted: 30, LentMilliseconds: 60_000}, 7, false, false},
+		{"in hand, just after a change of leader", 5 * time.Second, 0, &wire.TokenDemand{Team: "thin", Wanted: 2, LentMilliseconds: 60_000}, 0, false, false},
+		{"at the moment of a change of leader", 0, 0, &wire.TokenDemand{Team: "thin", Needed: 1, LentMilliseconds: 60_000}, 0, false, true},
+		{"not known to be lent before", time.Minute, 0, &wire.TokenDemand{Team: "thin", Needed: 1}, 0, false, true},
+		{"a large team", time.Minute, 0, &wire.TokenDemand{Team: "large", Needed: 1}, 0, true, false},
+		{"a team without a limit", time.Minute, 0, &wire.TokenDemand{Team: "free", Needed: 1}, 0, true, false},
+		{"an unknown team", time.Minute, 0, &wire.TokenDemand{Team: "gone", Needed: 1}, 0, true, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			a := newLender().Answer(1, now-c.since, &wire.BorrowRequest{Entry: "a", Incarnation: 1, Demands: []*wire.TokenDemand{c.demand}})
+			a := newLender(c.shares).Answer(1, now-c.since, &wire.BorrowRequest{Entry: "a", Incarnation: 1, Demands: []*wire.TokenDemand{c.demand}})
 			is.Equal(a.GetLoans()[0].GetTokens(), c.tokens)
 			is.Equal(a.GetLoans()[0].GetDivided(), c.divided)
 			is.Equal(a.GetLoans()[0].GetWaitMilliseconds() > 0, c.waits)
@@ -184,6 +189,38 @@
 		lends   bool
 	}{{80, true}, {36, true}, {80, true}, {20, false}, {60, false}, {110, true}} {
 		entries = c.entries
-		is.New(t).Equal(l.Lends("lamps"), c.lends)
+		is.New(t).Equal(l.Lends(1, time.Hour, &wire.TeamDemand{Team: "lamps"}), c.lends)
+	}
+}
+
+// TestModesAcrossLeaders: a new leader goes on with shares or loans as entries tell that it was,
+// though it would begin otherwise.
+func TestModesAcrossLeaders(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		rate  float64
+		told  *wire.TeamDemand
+		lends bool
+	}{
+		{"nothing told", 40, &wire.TeamDemand{}, true},
+		{"divided before", 40, &wire.TeamDemand{Share: 0.1}, false},
+		{"divided before, far too thin", 20, &wire.TeamDemand{Share: 0.1}, true},
+		{"nothing told of a large team", 60, &wire.TeamDemand{}, false},
+		{"lent before", 60, &wire.TeamDemand{LentMilliseconds: 5}, true},
+		{"lent before, far too large", 120, &wire.TeamDemand{LentMilliseconds: 5}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := NewLender(Config{
+				Clock: timekeeper.Clock{Now: func() time.Duration { return time.Hour }},
+				Teams: func() map[string]*parser.Team {
+					return map[string]*parser.Team{"lamps": {Name: "lamps", Rate: c.rate, Burst: c.rate}}
+				},
+				Entries: func() int { return 12 },
+			})
+			c.told.Team = "lamps"
+			is.Equal(l.Lends(2, time.Hour, c.told), c.lends)
+			is.Equal(l.Lends(2, time.Hour, &wire.TeamDemand{Team: "lamps"}), c.lends) // the others follow
+		})
 	}
 }
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -177,6 +177,9 @@
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	c := r.distribution(leader)
+	for _, d := range demands {
+		d.LentMilliseconds = r.shares.LentFor(d.GetTeam(), r.config.Clock.Now())
+	}
 	q := &wire.BorrowRequest{Entry: r.config.Self.GetName(), Incarnation: r.config.Self.GetIncarnation(), Demands: demands}
 	answer, err := c.Borrow(ctx, connect.NewRequest(q))
 	if err != nil {
@@ -322,7 +325,7 @@
 	q.SharesInUse = r.shares.InUse()
 	if r.config.Rates != nil && r.shares.Due(address, now) {
 		rates := r.config.Rates()
-		q.Demands = r.shares.Demands(rates, now)
+		q.Demands = r.shares.Demands(rates, now, address)
 		q.Services = servicesOf(r.config.Demands)
 		reported = rates != nil // before the first configuration there is nothing to report
 	}
--- a/entry/receiver/receiver_test.go
+++ b/entry/receiver/receiver_test.go
@@ -80,7 +80,7 @@
 	is.Equal(s.Of("t", now+timekeeper.SilentLease-timekeeper.ShareLease-1), 0.1)
 	s.Take(&wire.PollResponse{}, now, false, "leader")
 	is.Equal(s.Of("t", now), 0.1)
-	is.Equal(s.Demands(map[string]float64{"t": 5}, now)[0].GetShare(), 0.1)
+	is.Equal(s.Demands(map[string]float64{"t": 5}, now, "control1")[0].GetShare(), 0.1)
 	is.Equal(s.Of("t", now+timekeeper.SilentLease+1), 0.0)
 }
 
--- a/entry/receiver/shares.go
+++ b/entry/receiver/shares.go
@@ -27,8 +27,8 @@
 	mutex  sync.Mutex
 	number uint64
 	byTeam map[string]float64
-	// lent are the teams whose tokens are lent; their demand is not reported.
-	lent map[string]bool
+	// lent tells since when a team's tokens are lent; its demand is reported once to each member.
+	lent map[string]time.Duration
 	// asked is when the last answered poll was sent; the leases count from it.
 	asked time.Duration
 	// kept is the part of the shares that is left since then.
@@ -79,17 +79,18 @@
 	return s.reportedTo != address || now-s.reportedAt >= demandInterval
 }
 
-// Demands reports what teams asked for here, and the shares in use.
-func (s *Shares) Demands(rates map[string]float64, now time.Duration) []*wire.TeamDemand {
+// Demands reports to a member what teams asked for here, and the shares in use.
+func (s *Shares) Demands(rates map[string]float64, now time.Duration, address string) []*wire.TeamDemand {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lapse(now)
 	var out []*wire.TeamDemand
 	for _, team := range slices.Sorted(maps.Keys(rates)) {
-		if s.lent[team] && s.byTeam[team] == 0 {
+		age := s.lentFor(team, now)
+		if age > 0 && s.byTeam[team] == 0 && s.reportedTo == address {
 			continue
 		}
-		out = append(out, &wire.TeamDemand{Team: team, Rate: rates[team], Share: s.byTeam[team]})
+		out = append(out, &wire.TeamDemand{Team: team, Rate: rates[team], Share: s.byTeam[team], LentMilliseconds: age})
 	}
 	return out
 }
@@ -113,10 +114,15 @@
 	}
 	lent := maps.Clone(s.lent)
 	if lent == nil {
-		lent = map[string]bool{}
+		lent = map[string]time.Duration{}
 	}
 	for _, t := range p.GetShares() {
-		next[t.GetTeam()], lent[t.GetTeam()] = t.GetShare(), t.GetLent()
+		next[t.GetTeam()] = t.GetShare()
+		if _, known := lent[t.GetTeam()]; !t.GetLent() {
+			delete(lent, t.GetTeam())
+		} else if !known {
+			lent[t.GetTeam()] = start
+		}
 		changed = append(changed, s.tell(t)...)
 	}
 	s.number, s.byTeam, s.lent = p.GetSharesNumber(), next, lent
@@ -160,8 +166,25 @@
 func (s *Shares) Divide(team string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.lent[team] {
+	if _, lent := s.lent[team]; lent {
 		s.lent = maps.Clone(s.lent)
 		delete(s.lent, team)
 	}
 }
+
+// LentFor returns how long a team's tokens are known to be lent, in milliseconds; 0 if they
+// are not.
+func (s *Shares) LentFor(team string, now time.Duration) uint32 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lentFor(team, now)
+}
+
+// lentFor is LentFor for callers that hold the mutex.
+func (s *Shares) lentFor(team string, now time.Duration) uint32 {
+	since, lent := s.lent[team]
+	if !lent {
+		return 0
+	}
+	return uint32(min(max(1, (now-since)/time.Millisecond), math.MaxUint32))
+}
--- a/entry/receiver/shares_test.go
+++ b/entry/receiver/shares_test.go
@@ -19,12 +19,16 @@
 	t.Run("teams whose tokens are lent are not reported", func(t *testing.T) {
 		is := is.New(t)
 		s := &Shares{}
-		is.Equal(len(s.Demands(rates, 0)), 2)
+		is.Equal(len(s.Demands(rates, 0, "control1")), 2)
 		s.Take(answer(1, &wire.TeamShare{Team: "large", Share: 0.3}, &wire.TeamShare{Team: "thin", Lent: true}), 0, true, "control1")
-		is.Equal(len(s.Demands(rates, 0)), 1)
-		is.Equal(s.Demands(rates, 0)[0].GetShare(), 0.3)
+		is.Equal(len(s.Demands(rates, 0, "control1")), 1)
+		is.Equal(s.Demands(rates, 0, "control1")[0].GetShare(), 0.3)
+		is.Equal(s.LentFor("thin", 3*time.Second), uint32(3000))
+		again := s.Demands(rates, 3*time.Second, "control2") // a member that does not know it
+		is.Equal(len(again), 2)
+		is.Equal(again[1].GetLentMilliseconds(), uint32(3000))
 		s.Divide("thin")
-		is.Equal(len(s.Demands(rates, 0)), 2)
+		is.Equal(len(s.Demands(rates, 0, "control1")), 2)
 	})
 	t.Run("small changes get no line", func(t *testing.T) {
 		is := is.New(t)
