--- a/bench/auditor/limits_test.go
+++ b/bench/auditor/limits_test.go
@@ -132,7 +132,7 @@
 	d.leader, d.term, d.since = d.members[0], 1, d.now()
 	for i := range entries {
 		d.weights = append(d.weights, 1)
-		d.entries = append(d.entries, d.newEntry(fmt.Sprint("entry", i), 1))
+		d.entries = append(d.entries, d.newEntry(entries, fmt.Sprint("entry", i), 1))
 	}
 	return d
 }
@@ -162,12 +162,14 @@
 }
 
 // newEntry starts a run of an entry; an earlier one of the same name ends.
-func (d *deployment) newEntry(name string, incarnation uint64) *entry {
+func (d *deployment) newEntry(entries int, name string, incarnation uint64) *entry {
 	ctx, cancel := context.WithCancel(d.ctx)
 	e := &entry{
 		owner: d, cancel: cancel, self: &wire.EntryMember{Name: name, Incarnation: incarnation}, view: &receiver.View{},
-		random:  rand.New(rand.NewPCG(d.random.Uint64(), incarnation)),
-		repeats: balancer.NewBudget(balancer.BudgetConfig{Share: 0.1, Reserve: 32, Entries: func() int { return len(d.entries) }}),
+		random: rand.New(rand.NewPCG(d.random.Uint64(), incarnation)),
+		repeats: balancer.NewBudget(balancer.BudgetConfig{
+			Share: 0.1, Reserve: 32, Window: 10 * time.Second, Clock: d.clock(), Entries: func() int { return entries },
+		}),
 	}
 	e.borrower = limiter.NewBorrower(limiter.BorrowerConfig{Clock: d.clock(), Scope: tally.NoopScope, Call: e.borrow})
 	e.divided = limiter.NewDivided(limiter.DividedConfig{
@@ -379,7 +381,7 @@
 func (d *deployment) restart(i int) {
 	old := d.entries[i]
 	old.cancel()
-	d.entries[i] = d.newEntry(old.self.GetName(), old.self.GetIncarnation()+1)
+	d.entries[i] = d.newEntry(len(d.entries), old.self.GetName(), old.self.GetIncarnation()+1)
 }
 
 // lose ends the leader's term; after a gap another member leads, or the same one again. kill
--- a/entry/balanced_test.go
+++ b/entry/balanced_test.go
@@ -43,7 +43,7 @@
 	p := balancer.NewPicker(balancer.PickerConfig{Clock: clock, Entry: "entry1", Zone: "north1", Region: "north", Regions: 1, Reachable: fresh})
 	b := balancer.NewBalancer(balancer.Config{
 		Clock: clock, Scope: tally.NoopScope, Picker: p, Send: f.Send, Pass: f.Pass,
-		Repeats: balancer.NewBudget(balancer.BudgetConfig{Share: 0.1, Reserve: 10}), Meter: balancer.NewMeter(clock),
+		Repeats: balancer.NewBudget(balancer.BudgetConfig{Share: 0.1, Reserve: 10, Clock: clock}), Meter: balancer.NewMeter(clock),
 	})
 	d := limiter.NewDivided(limiter.DividedConfig{Clock: clock, View: look, Share: func(string) float64 { return 1 }})
 	k := classifier.NewClassifier(classifier.Config{Clock: clock})
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -51,8 +51,10 @@
 	m := newModel(map[string]int{"south": 6})
 	sent := &[]string{}
 	clock := timekeeper.NewClock()
+	budget := NewBudget(BudgetConfig{Share: 0, Reserve: reserve, Clock: clock})
+	budget.services["drafts"] = &savings{left: reserve}
 	b := NewBalancer(Config{
-		Clock: clock, Scope: tally.NoopScope, Meter: NewMeter(clock), Repeats: NewBudget(BudgetConfig{Share: 0, Reserve: reserve}),
+		Clock: clock, Scope: tally.NoopScope, Meter: NewMeter(clock), Repeats: budget,
 		Picker: NewPicker(PickerConfig{Clock: clock, Entry: "e", Zone: "south1", Region: "south", Regions: 1, Reachable: func() bool { return true }}),
 		Send: func(_ context.Context, _ *handler.Exchange, t *parser.Target) *forwarder.Sending {
 			*sent = append(*sent, t.Name)
--- a/entry/balancer/budget.go
+++ b/entry/balancer/budget.go
@@ -19,34 +19,56 @@
 	Reserve float64
 	// Entries is the number of entries that share the reserve; nil means that this one has it.
 	Entries func() int
-	// Clock and Logger serve the lines that tell of a spent budget.
+	// Window is the time in which the reserve comes anew; 0 means that it comes with requests only.
+	Window time.Duration
 	Clock  timekeeper.Clock
 	Logger logger.Logger
 }
 
+// savings are the repeats of one service that may be sent.
+type savings struct {
+	left   float64
+	filled time.Duration
+}
+
 // Budget bounds the requests that this entry sends to a further target, by service.
 type Budget struct {
-	config BudgetConfig
-	mutex  sync.Mutex
-	left   map[string]float64
+	config   BudgetConfig
+	mutex    sync.Mutex
+	services map[string]*savings
 	// told is when a line said that a service's budget is spent.
 	told map[string]time.Duration
 }
 
-// NewBudget returns a Budget with its reserve.
+// NewBudget returns a Budget that begins empty, since the run of the entry before may have
+// spent its reserve.
 func NewBudget(c BudgetConfig) *Budget {
-	return &Budget{config: c, left: map[string]float64{}, told: map[string]time.Duration{}}
+	return &Budget{config: c, services: map[string]*savings{}, told: map[string]time.Duration{}}
 }
 
 // Earn counts a request of a service.
 func (b *Budget) Earn(service string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	left, known := b.left[service]
-	if !known {
-		left = b.reserve()
+	b.add(b.savings(service), b.config.Share)
+}
+
+// savings returns a service's repeats, with what came of the reserve since the last time.
+func (b *Budget) savings(service string) *savings {
+	now, n := b.config.Clock.Now(), b.services[service]
+	if n == nil {
+		n = &savings{filled: now}
+		b.services[service] = n
+	}
+	if b.config.Window > 0 {
+		b.add(n, b.reserve()*(now-n.filled).Seconds()/b.config.Window.Seconds())
 	}
-	b.left[service] = min(b.reserve(), left+b.config.Share)
+	n.filled = now
+	return n
+}
+
+func (b *Budget) add(n *savings, repeats float64) {
+	n.left = min(b.reserve(), n.left+repeats)
 }
 
 // reserve is this entry's part of the reserve.
@@ -61,11 +83,12 @@
 func (b *Budget) Spend(service string) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.left[service] < 1 {
-		b.tell(service)
+	n := b.savings(service)
+	if n.left < 1 {
+		b.tell(service, n.left)
 		return false
 	}
-	b.left[service]--
+	n.left--
 	return true
 }
 
@@ -73,17 +96,14 @@
 func (b *Budget) Return(service string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.left[service] = min(b.reserve(), b.left[service]+1)
+	b.add(b.savings(service), 1)
 }
 
-func (b *Budget) tell(service string) {
-	if b.config.Clock.Now == nil {
-		return
-	}
+func (b *Budget) tell(service string, left float64) {
 	now := b.config.Clock.Now()
 	if at, ok := b.told[service]; ok && now-at < spentInterval {
 		return
 	}
 	b.told[service] = now
-	b.config.Logger.Log(logger.RepeatsSpent, logger.F("service", service), logger.F("left", b.left[service]), logger.F("reserve", b.reserve()))
+	b.config.Logger.Log(logger.RepeatsSpent, logger.F("service", service), logger.F("left", left), logger.F("reserve", b.reserve()))
 }
--- a/entry/balancer/budget_test.go
+++ b/entry/balancer/budget_test.go
@@ -20,7 +20,11 @@
 		Share: 0.2, Reserve: 2, Clock: timekeeper.Clock{Now: func() time.Duration { return now }},
 		Logger: logger.NewLogger(logger.Config{Writer: out, Process: "entry1", Level: "info"}),
 	})
-	b.Earn("lamps")
+	is.True(!b.Spend("lamps")) // it begins empty
+	for range 100 {
+		b.Earn("lamps")
+	}
+	now += 2 * spentInterval
 	is.True(b.Spend("lamps"))
 	is.True(b.Spend("lamps"))
 	for range 100 {
@@ -34,3 +38,20 @@
 	}
 	is.True(b.Spend("lamps"))
 }
+
+// TestReserveComesAnew: without requests the reserve comes anew within its window, and no more.
+func TestReserveComesAnew(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	b := NewBudget(BudgetConfig{Reserve: 4, Window: 10 * time.Second, Clock: timekeeper.Clock{Now: func() time.Duration { return now }}})
+	is.True(!b.Spend("lamps"))
+	now += 5 * time.Second
+	is.True(b.Spend("lamps"))
+	is.True(b.Spend("lamps"))
+	is.True(!b.Spend("lamps"))
+	now += time.Minute
+	for range 4 {
+		is.True(b.Spend("lamps"))
+	}
+	is.True(!b.Spend("lamps"))
+}
