Hold little of an answer whose end is not known or that is not the target's own

A target in trouble may send bytes that are no answer without end. Now 64 KiB of such a body are held; what follows is passed on as it comes if the head is genuine, and the connection is closed if not.

entry/carrier TestEndlessBytes: 13 kinds in head, trailer, chunks and body; each request ends at once, and the connection is closed.

--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -37,8 +37,11 @@
 	idleMargin = 0.6
 	// maxHeader bounds the head of an answer in bytes.
 	maxHeader = 64 << 10
-	// maxBuffered is the size up to which an answer is held before it is passed on.
+	// maxBuffered is the size up to which an answer is held before it is passed on, and
+	// maxUnknown the same where its end is not known or it is not the target's own: a target
+	// in trouble may send bytes without end.
 	maxBuffered = 1 << 20
+	maxUnknown  = 64 << 10
 	// maxStrays is how many answers to other requests are skipped before one's own.
 	maxStrays = 2
 	// asideBytes is the size from which a body is sent while the answer is awaited, since a
@@ -59,6 +62,8 @@
 	Clock timekeeper.Clock
 	// RequestHeader is the header in which targets echo a request's id.
 	RequestHeader string
+	// Genuine tells by an answer's head whether it is the target's own; nil means that all are.
+	Genuine func(status int, h http.Header) bool
 }
 
 // Carrier holds the connections to all targets.
@@ -167,7 +172,7 @@
 		return nil, &Failure{Err: errors.New("stopped before the first byte"), Stopped: true}
 	}
 	release := context.AfterFunc(ctx, n.close)
-	a, sent, err := n.exchange(r, c.config.RequestHeader)
+	a, sent, err := n.exchange(r, c.config)
 	if err != nil {
 		release()
 		n.close()
@@ -304,7 +309,7 @@
 	}
 }
 
-func (n *connection) exchange(r *Request, idHeader string) (a *Answer, sent bool, err error) {
+func (n *connection) exchange(r *Request, c Config) (a *Answer, sent bool, err error) {
 	head := r.head()
 	n.aside = nil
 	if len(r.Body) < asideBytes {
@@ -317,11 +322,11 @@
 		go n.run(head, r.Body)
 	}
 	for range maxStrays + 1 {
-		a, err = n.read(r)
+		a, err = n.read(r, c)
 		if err != nil {
 			return nil, true, err
 		}
-		if id := a.Header.Get(idHeader); idHeader == "" || id == r.ID || id == "" {
+		if id := a.Header.Get(c.RequestHeader); c.RequestHeader == "" || id == r.ID || id == "" {
 			return a, true, nil
 		}
 		if !n.used || a.Closes || a.Rest != nil {
@@ -346,7 +351,7 @@
 }
 
 // read reads one final answer.
-func (n *connection) read(r *Request) (*Answer, error) {
+func (n *connection) read(r *Request, c Config) (*Answer, error) {
 	for range maxInterim + 1 {
 		n.limit.N = maxHeader
 		answer, err := http.ReadResponse(n.reader, &http.Request{Method: r.Method})
@@ -358,25 +363,34 @@
 			return nil, err
 		}
 		if answer.StatusCode >= http.StatusOK {
-			return n.body(answer)
+			return n.body(answer, c.held(answer))
 		}
 	}
 	return nil, ErrStray
 }
 
-func (n *connection) body(answer *http.Response) (*Answer, error) {
+// held is the size up to which an answer is held before it is passed on.
+func (c Config) held(answer *http.Response) int64 {
+	sized := answer.ContentLength >= 0 && answer.ContentLength < maxBuffered
+	if sized && (c.Genuine == nil || c.Genuine(answer.StatusCode, answer.Header)) {
+		return maxBuffered
+	}
+	return maxUnknown
+}
+
+func (n *connection) body(answer *http.Response, held int64) (*Answer, error) {
 	a := &Answer{Status: answer.StatusCode, Header: answer.Header, Closes: answer.Close}
 	n.idle = idleTime(answer.Header)
 	var b bytes.Buffer
-	if answer.ContentLength > 0 && answer.ContentLength <= maxBuffered {
+	if answer.ContentLength > 0 && answer.ContentLength <= held {
 		b.Grow(int(answer.ContentLength) + bytes.MinRead)
 	}
-	_, err := b.ReadFrom(io.LimitReader(answer.Body, maxBuffered))
+	_, err := b.ReadFrom(io.LimitReader(answer.Body, held))
 	if err != nil {
 		return nil, err
 	}
 	a.Body = b.Bytes()
-	if b.Len() == maxBuffered {
+	if int64(b.Len()) == held {
 		a.Rest = answer.Body
 		return a, nil
 	}
--- a/entry/carrier/carrier_test.go
+++ b/entry/carrier/carrier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -235,3 +236,74 @@
 		is.True(failure.Stopped && !failure.Sent)
 	})
 }
+
+// TestEndlessBytes guards against a target that sends bytes that are no answer, in a head or a
+// body, until its connection is closed: the request ends soon, little of it is held, and the
+// connection is closed.
+func TestEndlessBytes(t *testing.T) {
+	const (
+		head = "HTTP/1.1 200 OK\r\nX-Id: r1\r\n"
+		// buffered is what the systems' socket buffers may take of what nobody reads.
+		buffered = 16 << 20
+	)
+	cases := []struct {
+		name string
+		// begin is sent once and then again, without end.
+		begin, again string
+		// held is the most that is held of an answer; 0 means that there is none.
+		held int
+	}{
+		{"no line", "", strings.Repeat("x", 4096), 0},
+		{"empty lines", "", "\r\n", 0},
+		{"a status line", "HTTP/1.1 200 ", strings.Repeat("y", 4096), 0},
+		{"header lines", head, "A: b\r\n", 0},
+		{"one header line", head + "A: ", strings.Repeat("z", 4096), 0},
+		{"interim answers", "", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", 0},
+		{"a chunk's size", head + "Signed: yes\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("1", 4096), 0},
+		{"a trailer", head + "Signed: yes\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("A: b\r\n", 512), 0},
+		{"a body that is nobody's", "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 4096), maxUnknown},
+		{"a body that is not signed", head + "\r\n", strings.Repeat("x", 4096), maxUnknown},
+		{"a signed body without a length", head + "Signed: yes\r\n\r\n", strings.Repeat("x", 4096), maxUnknown},
+		{"chunks", head + "Signed: yes\r\nTransfer-Encoding: chunked\r\n\r\n", "3\r\nabc\r\n", maxUnknown},
+		{"a body of an untrue length", head + "Signed: yes\r\nContent-Length: 1000000000000\r\n\r\n", strings.Repeat("x", 4096), maxUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			sent := make(chan int, 1)
+			address, _ := newTarget(t, func(b *bufio.Reader, conn net.Conn, _ int64) {
+				_, _ = http.ReadRequest(b)
+				n, err := io.WriteString(conn, c.begin)
+				more := strings.Repeat(c.again, 1+4096/len(c.again))
+				for err == nil {
+					var k int
+					k, err = io.WriteString(conn, more)
+					n += k
+				}
+				sent <- n
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			n := NewCarrier(Config{
+				Clock: timekeeper.NewClock(), RequestHeader: "X-Id",
+				Genuine: func(_ int, h http.Header) bool { return h.Get("Signed") != "" },
+			})
+			defer n.Close()
+			a, failure := n.Exchange(ctx, address, request("r1"))
+			if c.held == 0 {
+				is.True(failure != nil && failure.Sent)
+			} else {
+				is.True(failure == nil && a.Rest != nil)
+				is.True(cap(a.Body) <= 2*c.held+bytes.MinRead)
+				is.NoErr(a.Rest.Close())
+			}
+			is.NoErr(ctx.Err())
+			select {
+			case k := <-sent:
+				is.True(k <= buffered)
+			case <-ctx.Done():
+				t.Fatal("the connection is still open")
+			}
+		})
+	}
+}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -68,9 +68,9 @@
 		own := handler.Own()
 		c.Dialect = &own
 	}
-	return &Forwarder{
-		config: c, carrier: carrier.NewCarrier(carrier.Config{Clock: c.Clock, RequestHeader: c.Dialect.Request}),
-	}
+	f := &Forwarder{config: c}
+	f.carrier = carrier.NewCarrier(carrier.Config{Clock: c.Clock, RequestHeader: c.Dialect.Request, Genuine: f.genuine})
+	return f
 }
 
 // Close drops idle connections.
@@ -146,7 +146,7 @@
 	case d.Refused(answer.Status, answer.Header):
 		s.Refused, s.Result = true, dispatcher.Result{Failed: true}
 		s.Outcome = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoRoom)
-	case !f.genuine(answer):
+	case !f.genuine(answer.Status, answer.Header):
 		s.Result = dispatcher.Result{Failed: true}
 		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUnmatched)
 	default:
@@ -164,12 +164,12 @@
 }
 
 // genuine tells whether an answer is the target's own to this request.
-func (f *Forwarder) genuine(a *carrier.Answer) bool {
+func (f *Forwarder) genuine(status int, h http.Header) bool {
 	d := f.config.Dialect
-	if d.Signature == "" || a.Status >= http.StatusMultipleChoices {
+	if d.Signature == "" || status >= http.StatusMultipleChoices {
 		return true
 	}
-	return a.Header.Get(d.Signature) != "" && a.Header.Get(d.Request) != ""
+	return h.Get(d.Signature) != "" && h.Get(d.Request) != ""
 }
 
 // Pass hands an answer to the caller. A broken body is never passed off as a whole one.
