Small simplifications in the shares and loans found on reading the change

What entries hold in shares is looked up once in 100 ms for a lent team, not for each call for tokens; what bounds an entry's shares is one value; a budget's inflow is its exact part of the reserve.

--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -68,6 +68,7 @@
 	brought map[string]float64
 }
 
+// told is a share that an answer gave an entry, under the answer's number.
 type told struct {
 	number uint64
 	share  float64
@@ -108,12 +109,10 @@
 	n.settle(n.inUse)
 	reported, out := a.takeDemands(n, r)
 	a.forget(now)
-	limit := a.limit()
-	missing := a.awaited(now)
-	awaited := float64(len(missing)) * limit * keptPart(now-a.since)
-	a.tell(now, missing, n)
+	a.tell(now, a.awaited(now), n)
+	b := a.bounds(now, n)
 	for _, team := range slices.Sorted(maps.Keys(n.demands)) {
-		if s, changes := a.next(now, n, team, reported, limit, awaited); changes {
+		if s, changes := a.next(now, n, team, reported, b); changes {
 			out = append(out, &wire.TeamShare{Team: team, Share: s})
 		}
 	}
@@ -136,7 +135,7 @@
 	a.begin(term, since)
 	now := a.config.Clock.Now()
 	awaited := float64(len(a.awaited(now))) * a.limit() * min(keptPart(now-a.since), keptPart(lentFor))
-	return a.outstanding(now, team) + min(awaited, a.unbrought(team))
+	return a.inUse(now, team) + min(awaited, a.unbrought(team))
 }
 
 // begin forgets what is known of an earlier term.
@@ -196,9 +195,25 @@
 	return out
 }
 
+// bounds are what holds for an entry's shares of all teams.
+type bounds struct {
+	// limit is the largest share, and awaited what entries that have not asked yet may hold.
+	limit   float64
+	awaited float64
+	// member tells that every later leader will know the entry, so that it may get more.
+	member bool
+}
+
+func (a *Apportioner) bounds(now time.Duration, n *account) bounds {
+	limit := a.limit()
+	return bounds{
+		limit: limit, awaited: float64(len(a.awaited(now))) * limit * keptPart(now-a.since),
+		member: a.config.Entries()[n.name] != nil,
+	}
+}
+
 // next returns the share that an entry should have now, and whether that is worth telling.
-// awaited is what entries that have not asked yet may hold.
-func (a *Apportioner) next(now time.Duration, n *account, team string, reported map[string]float64, limit, awaited float64) (float64, bool) {
+func (a *Apportioner) next(now time.Duration, n *account, team string, reported map[string]float64, b bounds) (float64, bool) {
 	total, others, live := 0.0, 0.0, 0
 	for _, o := range a.callers {
 		if o != n {
@@ -219,10 +234,10 @@
 	if !told {
 		present = n.newest(team)
 	}
-	others += min(awaited, a.unbrought(team))
-	want = min(want, limit, max(0, 1-others))
-	if a.config.Entries()[n.name] == nil {
-		want = min(want, present) // a new leader must know every entry that has more
+	others += min(b.awaited, a.unbrought(team))
+	want = min(want, b.limit, max(0, 1-others))
+	if !b.member {
+		want = min(want, present)
 	}
 	if d := want - present; d > -leastChange && d < leastChange && n.has(team) {
 		return present, false
@@ -245,12 +260,12 @@
 	if keptPart(now-a.since) == 0 {
 		return nil
 	}
-	asked := map[string]bool{}
+	asked := make(map[string]bool, len(a.callers))
 	for c := range a.callers {
 		asked[c.Name] = true
 	}
 	out := slices.DeleteFunc(a.holders(), func(name string) bool { return asked[name] })
-	slices.Sort(out)
+	slices.Sort(out) // most often none
 	return out
 }
 
--- a/control/apportioner/watch.go
+++ b/control/apportioner/watch.go
@@ -38,7 +38,7 @@
 		a.config.Logger.Log(logger.SharesAwaited, logger.F("term", a.term), logger.F("entries", awaited), logger.F("asked", len(a.callers)))
 	}
 	for team := range n.held {
-		sum := a.outstanding(now, team)
+		sum := a.inUse(now, team)
 		if over := sum > overdrawn; over != a.watch.overdrawn[team] {
 			a.watch.overdrawn[team] = over
 			event := logger.SharesCovered
@@ -50,8 +50,8 @@
 	}
 }
 
-// outstanding is the sum of the shares that the entries known to this leader may use.
-func (a *Apportioner) outstanding(now time.Duration, team string) float64 {
+// inUse is the sum of the shares that the entries known to this leader may use.
+func (a *Apportioner) inUse(now time.Duration, team string) float64 {
 	sum := 0.0
 	for _, n := range a.callers {
 		sum += n.mayUse(now, team)
--- a/control/lender/lender.go
+++ b/control/lender/lender.go
@@ -22,7 +22,8 @@
 	sparedPart = 0.25
 	// refusalSpan is the time over which refusals are averaged.
 	refusalSpan = time.Second
-	// lookInterval is the least time between two looks at the pots of all teams.
+	// lookInterval is the least time between two looks at the pots of all teams, and at what
+	// entries hold in shares.
 	lookInterval = 100 * time.Millisecond
 	// leastWait and mostWait bound what refused callers are asked to wait.
 	leastWait = 100 * time.Millisecond
@@ -131,7 +132,7 @@
 }
 
 // keepPots looks after the pots of all teams that are known to be lent, so that they fill up
-// before the first request.
+// before the first request, and by what entries hold in shares just then.
 func (l *Lender) keepPots(now time.Duration) {
 	if now-l.looked < lookInterval {
 		return
@@ -139,8 +140,19 @@
 	l.looked = now
 	teams := l.config.Teams()
 	for _, name := range l.modes.known() {
-		l.pot(now, teams[name], name)
+		if p := l.pot(now, teams[name], name); p != nil {
+			p.fill(now, p.rate, teams[name].Burst, l.divided(now, name))
+		}
+	}
+}
+
+// divided is the part of a lent team's rate that entries may still use by shares.
+func (l *Lender) divided(now time.Duration, name string) float64 {
+	if l.config.Shares == nil {
+		return 0
 	}
+	since, _ := l.modes.decide(l.term, name)
+	return min(1, l.config.Shares(l.term, l.since, name, now-since))
 }
 
 // pot returns the bucket of a team, filled up to now; nil if the team's rate is divided. t is
@@ -151,18 +163,17 @@
 		delete(l.pots, name)
 		return nil
 	}
-	divided := 0.0
-	if l.config.Shares != nil {
-		divided = min(1, l.config.Shares(l.term, l.since, name, now-since))
-	}
 	p := l.pots[name]
 	if p == nil {
 		// The leader before has lent until then, or the team's rate was divided.
 		begun := max(l.since, since)
-		p = &pot{rate: t.Rate, divided: divided, filled: begun, held: map[wire.Caller]float64{}, refused: timekeeper.Rate{Span: refusalSpan}}
+		p = &pot{
+			rate: t.Rate, divided: l.divided(now, name), filled: begun,
+			held: map[wire.Caller]float64{}, refused: timekeeper.Rate{Span: refusalSpan},
+		}
 		l.pots[name] = p
 	}
-	p.fill(now, t.Rate, t.Burst, divided)
+	p.fill(now, t.Rate, t.Burst, p.divided)
 	return p
 }
 
--- a/entry/balancer/budget.go
+++ b/entry/balancer/budget.go
@@ -15,11 +15,12 @@
 type BudgetConfig struct {
 	// Share is the part of a service's requests that may be repeats.
 	Share float64
-	// Reserve is the number of repeats that may run ahead of their share, over all entries.
+	// Reserve is the number of repeats that may be saved up to run ahead of their share, over all
+	// entries; as many come anew in each Window.
 	Reserve float64
 	// Entries is the number of entries that share the reserve; nil means that this one has it.
 	Entries func() int
-	// Window is the time in which the reserve comes anew; 0 means that it comes with requests only.
+	// Window is 0 where repeats come with requests only.
 	Window time.Duration
 	Clock  timekeeper.Clock
 	Logger logger.Logger
@@ -61,7 +62,7 @@
 		b.services[service] = n
 	}
 	if b.config.Window > 0 {
-		b.add(n, b.reserve()*(now-n.filled).Seconds()/b.config.Window.Seconds())
+		b.add(n, b.part()*(now-n.filled).Seconds()/b.config.Window.Seconds())
 	}
 	n.filled = now
 	return n
@@ -71,12 +72,17 @@
 	n.left = min(b.reserve(), n.left+repeats)
 }
 
-// reserve is this entry's part of the reserve.
+// reserve is the most that this entry may save up; with less than one it could never repeat.
 func (b *Budget) reserve() float64 {
+	return max(1, b.part())
+}
+
+// part is this entry's part of the reserve.
+func (b *Budget) part() float64 {
 	if b.config.Entries == nil {
 		return b.config.Reserve
 	}
-	return max(1, b.config.Reserve/float64(max(1, b.config.Entries())))
+	return b.config.Reserve / float64(max(1, b.config.Entries()))
 }
 
 // Spend takes one repeat, if there is one.
