Keep the account of shares cheap for the leader of a large deployment

Each poll added up every team's shares for the new log line, and each call for tokens looked up who is awaited. The sums are now made ten times a second, the list of awaited entries is used for 20 ms, and an entry's account holds no empty shares.

--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -25,6 +25,9 @@
 	leastChange = 0.005
 	// forgetAfter is the silence after which nothing is kept for an entry any more.
 	forgetAfter = timekeeper.SilentLease + timekeeper.DriftMargin
+	// unheardSpan is how long the list of the entries that are awaited is used again. One that
+	// asks leaves it at once.
+	unheardSpan = 20 * time.Millisecond
 	// termBits leaves room below a term for the answers of its leader.
 	termBits = 32
 )
@@ -51,7 +54,10 @@
 	since   time.Duration
 	number  uint64
 	callers map[wire.Caller]*account
-	watch   watch
+	// unheard are the entries that are awaited, as they were at a moment.
+	unheard   []string
+	unheardAt time.Duration
+	watch     watch
 }
 
 // account is what is known of one entry.
@@ -109,7 +115,7 @@
 	n.settle(n.inUse)
 	reported, out := a.takeDemands(n, r)
 	a.forget(now)
-	a.tell(now, a.awaited(now), n)
+	a.tell(now, n)
 	b := a.bounds(now, n)
 	for _, team := range slices.Sorted(maps.Keys(n.demands)) {
 		if s, changes := a.next(now, n, team, reported, b); changes {
@@ -141,7 +147,7 @@
 // begin forgets what is known of an earlier term.
 func (a *Apportioner) begin(term uint64, since time.Duration) {
 	if term != a.term {
-		a.term, a.since, a.number, a.callers = term, since, 0, map[wire.Caller]*account{}
+		a.term, a.since, a.number, a.callers, a.unheardAt = term, since, 0, map[wire.Caller]*account{}, 0
 	}
 }
 
@@ -174,10 +180,12 @@
 	}
 	n := &account{name: c.Name, asked: a.config.Clock.Now(), demands: map[string]float64{}, held: map[string][]told{}, brought: map[string]float64{}}
 	for _, d := range r.GetDemands() {
-		n.brought[d.GetTeam()] = d.GetShare()
-		n.held[d.GetTeam()] = []told{{0, d.GetShare(), true}}
+		if d.GetShare() > 0 {
+			n.brought[d.GetTeam()] = d.GetShare()
+			n.held[d.GetTeam()] = []told{{0, d.GetShare(), true}}
+		}
 	}
-	a.callers[c] = n
+	a.callers[c], a.unheardAt = n, 0
 	return n
 }
 
@@ -260,12 +268,16 @@
 	if keptPart(now-a.since) == 0 {
 		return nil
 	}
+	if a.unheardAt > 0 && now-a.unheardAt < unheardSpan {
+		return a.unheard
+	}
 	asked := make(map[string]bool, len(a.callers))
 	for c := range a.callers {
 		asked[c.Name] = true
 	}
 	out := slices.DeleteFunc(a.holders(), func(name string) bool { return asked[name] })
-	slices.Sort(out) // most often none
+	slices.Sort(out)
+	a.unheard, a.unheardAt = out, now
 	return out
 }
 
@@ -321,6 +333,8 @@
 		for i+1 < len(h) && h[i+1].number <= number {
 			i++
 		}
-		n.held[team] = h[i:]
+		if n.held[team] = h[i:]; len(h) == i+1 && h[i].share == 0 && h[i].number <= number {
+			delete(n.held, team)
+		}
 	}
 }
--- a/control/apportioner/watch.go
+++ b/control/apportioner/watch.go
@@ -16,12 +16,16 @@
 	toldAge = 100 * time.Millisecond
 	// tellInterval is the least time between two lines on the entries that are awaited.
 	tellInterval = time.Second
+	// sumInterval is the least time between two looks at the sums, by the teams of one entry.
+	sumInterval = 100 * time.Millisecond
 )
 
 // watch is what log lines told last.
 type watch struct {
 	awaited []string
 	at      time.Duration
+	// summed is when shares were last added up.
+	summed time.Duration
 	// overdrawn are the teams whose shares add up to more than the whole.
 	overdrawn map[string]bool
 }
@@ -30,13 +34,17 @@
 	return watch{overdrawn: map[string]bool{}}
 }
 
-// tell writes lines on what changed: the entries that are awaited, and the teams of an entry
+// tell writes lines on what changed: the entries that are awaited, and now and then the teams
 // whose shares add up to more than the whole.
-func (a *Apportioner) tell(now time.Duration, awaited []string, n *account) {
-	if !slices.Equal(awaited, a.watch.awaited) && (len(awaited) == 0 || now-a.watch.at >= tellInterval) {
+func (a *Apportioner) tell(now time.Duration, n *account) {
+	if awaited := a.awaited(now); !slices.Equal(awaited, a.watch.awaited) && (len(awaited) == 0 || now-a.watch.at >= tellInterval) {
 		a.watch.awaited, a.watch.at = awaited, now
 		a.config.Logger.Log(logger.SharesAwaited, logger.F("term", a.term), logger.F("entries", awaited), logger.F("asked", len(a.callers)))
 	}
+	if now-a.watch.summed < sumInterval {
+		return
+	}
+	a.watch.summed = now
 	for team := range n.held {
 		sum := a.inUse(now, team)
 		if over := sum > overdrawn; over != a.watch.overdrawn[team] {
