Reckon what silent entries may hold from the fewest entries of late

A new leader bounded the share of an entry that has not asked it by three even parts of the entries that there are now.

Entries tell with each poll the least number of entries that they saw in the time in which a share that is still in use may have been given; a new leader goes by the least of those. Where all entries began anew there is no such word, and the number now counts, so that one entry that stays away does not hold everything back.

--- a/bench/auditor/limits_test.go
+++ b/bench/auditor/limits_test.go
@@ -209,6 +209,9 @@
 	start := e.owner.now()
 	reported := false
 	q := &wire.PollRequest{Member: e.self, SharesInUse: e.shares.InUse()}
+	if n := len(e.current().Entries); n > 0 {
+		q.LeastEntries = uint32(e.shares.Count(start, n))
+	}
 	if e.shares.Due(e.owner.address(), start) {
 		rates := e.divided.Rates()
 		q.Demands, reported = e.shares.Demands(rates, start, e.owner.address()), rates != nil
@@ -537,6 +540,27 @@
 	})
 }
 
+// TestJoinsBeforeAChangeOfLeader guards against a new leader that reckons what a silent entry may
+// hold from the number of entries now, though there were few when the entry got its share.
+func TestJoinsBeforeAChangeOfLeader(t *testing.T) {
+	audit(t, 8, 4, 206, 6, func(d *deployment) func(time.Duration) {
+		return func(at time.Duration) {
+			switch at {
+			case 12 * time.Second:
+				for i := range 3 {
+					d.cutOff(i, 9*time.Second)
+				}
+				for i := range 20 {
+					d.weights = append(d.weights, 1)
+					d.entries = append(d.entries, d.newEntry(24, fmt.Sprint("joined", i), 1))
+				}
+			case 13 * time.Second:
+				d.lose(true, 600*time.Millisecond, 1)
+			}
+		}
+	})
+}
+
 // TestLoansBesideShares guards against a leader that lends a team's tokens at the whole rate while
 // entries cut off from it still use shares of that rate.
 func TestLoansBesideShares(t *testing.T) {
--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -70,8 +70,10 @@
 	// held are the shares that the entry may use, by team, with the number of the answer
 	// that gave each; the last is the newest.
 	held map[string][]told
-	// brought are the shares that the entry held of an earlier leader.
+	// brought are the shares that the entry held of an earlier leader, and least the least
+	// number of entries that it saw under that one; 0 if it does not know.
 	brought map[string]float64
+	least   int
 }
 
 // told is a share that an answer gave an entry, under the answer's number.
@@ -140,7 +142,7 @@
 	defer a.mutex.Unlock()
 	a.begin(term, since)
 	now := a.config.Clock.Now()
-	awaited := float64(len(a.awaited(now))) * a.limit() * min(keptPart(now-a.since), keptPart(lentFor))
+	awaited := a.awaitedMost(now) * min(keptPart(now-a.since), keptPart(lentFor))
 	return a.inUse(now, team) + min(awaited, a.unbrought(team))
 }
 
@@ -178,7 +180,10 @@
 			delete(a.callers, o)
 		}
 	}
-	n := &account{name: c.Name, asked: a.config.Clock.Now(), demands: map[string]float64{}, held: map[string][]told{}, brought: map[string]float64{}}
+	n := &account{
+		name: c.Name, asked: a.config.Clock.Now(), demands: map[string]float64{}, held: map[string][]told{},
+		brought: map[string]float64{}, least: int(r.GetLeastEntries()),
+	}
 	for _, d := range r.GetDemands() {
 		if d.GetShare() > 0 {
 			n.brought[d.GetTeam()] = d.GetShare()
@@ -189,9 +194,9 @@
 	return n
 }
 
-// limit is the largest share of an entry.
-func (a *Apportioner) limit() float64 {
-	return min(1, mostShare/float64(max(1, len(a.holders()))))
+// largest is the largest share of one of a number of entries.
+func largest(entries int) float64 {
+	return min(1, mostShare/float64(max(1, entries)))
 }
 
 // holders are the entries that may hold shares by the replicated state.
@@ -213,13 +218,28 @@
 }
 
 func (a *Apportioner) bounds(now time.Duration, n *account) bounds {
-	limit := a.limit()
 	return bounds{
-		limit: limit, awaited: float64(len(a.awaited(now))) * limit * keptPart(now-a.since),
+		limit: largest(len(a.holders())), awaited: a.awaitedMost(now) * keptPart(now-a.since),
 		member: a.config.Entries()[n.name] != nil,
 	}
 }
 
+// awaitedMost is the most of a team's rate that entries which have not asked this leader may
+// hold, by the least number of entries when their shares may have been given.
+func (a *Apportioner) awaitedMost(now time.Duration) float64 {
+	missing := a.awaited(now)
+	if len(missing) == 0 {
+		return 0
+	}
+	least := len(a.holders())
+	for _, n := range a.callers {
+		if n.least > 0 {
+			least = min(least, n.least)
+		}
+	}
+	return float64(len(missing)) * largest(least)
+}
+
 // next returns the share that an entry should have now, and whether that is worth telling.
 func (a *Apportioner) next(now time.Duration, n *account, team string, reported map[string]float64, b bounds) (float64, bool) {
 	total, others, live := 0.0, 0.0, 0
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -323,6 +323,9 @@
 	}
 	q.Targets = r.targets.version
 	q.SharesInUse = r.shares.InUse()
+	if n := len(v.Entries); n > 0 {
+		q.LeastEntries = uint32(r.shares.Count(now, n))
+	}
 	if r.config.Rates != nil && r.shares.Due(address, now) {
 		rates := r.config.Rates()
 		q.Demands = r.shares.Demands(rates, now, address)
--- a/entry/receiver/shares.go
+++ b/entry/receiver/shares.go
@@ -16,6 +16,8 @@
 const demandInterval = 500 * time.Millisecond
 
 const (
+	// countMargin is the time in which every share follows the number of entries: two reports.
+	countMargin = 2 * demandInterval
 	// toldChange is the change of a share or part that gets a log line.
 	toldChange = 0.1
 	// lentTold stands for a share of a team whose tokens are lent.
@@ -36,12 +38,37 @@
 	// reportedTo and reportedAt tell the last report of demands.
 	reportedTo string
 	reportedAt time.Duration
+	// counts are the numbers of entries seen, the oldest first, as far as any later one is larger.
+	counts []entryCount
 	// wake is closed with the next change; nil while nobody waits.
 	wake chan struct{}
 	// told are the shares that log lines told last.
 	told map[string]float64
 }
 
+// entryCount is a number of entries from a moment on.
+type entryCount struct {
+	from time.Duration
+	n    int
+}
+
+// Count notes the number of entries, and returns the least one that was seen in the time in
+// which an entry's share may have been given that it still uses.
+func (s *Shares) Count(now time.Duration, n int) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for len(s.counts) > 0 && s.counts[len(s.counts)-1].n > n {
+		s.counts = s.counts[:len(s.counts)-1]
+	}
+	if len(s.counts) == 0 || s.counts[len(s.counts)-1].n < n {
+		s.counts = append(s.counts, entryCount{now, n})
+	}
+	for len(s.counts) > 1 && now-s.counts[1].from > timekeeper.ShareLease+countMargin {
+		s.counts = s.counts[1:]
+	}
+	return s.counts[0].n
+}
+
 // Of returns the share of a team; past the lease only a part of it is left.
 func (s *Shares) Of(team string, now time.Duration) float64 {
 	s.mutex.Lock()
--- a/entry/receiver/shares_test.go
+++ b/entry/receiver/shares_test.go
@@ -46,3 +46,17 @@
 		is.Equal(s.Of("large", timekeeper.ShareLease+time.Millisecond), 0.075)
 	})
 }
+
+// TestCount: the least number of entries is remembered as long as shares of then may be in use.
+func TestCount(t *testing.T) {
+	is := is.New(t)
+	s := &Shares{}
+	span := timekeeper.ShareLease + countMargin
+	is.Equal(s.Count(0, 12), 12)
+	is.Equal(s.Count(time.Second, 4), 4)
+	is.Equal(s.Count(2*time.Second, 9), 4)
+	is.Equal(s.Count(3*time.Second, 24), 4)
+	is.Equal(s.Count(2*time.Second+span, 24), 4)
+	is.Equal(s.Count(2*time.Second+span+1, 24), 9)
+	is.Equal(s.Count(time.Minute, 24), 24)
+}
