--- a/entry/receiver/shares.go
+++ b/entry/receiver/shares.go
@@ -24,7 +24,8 @@
 	lentTold = -1
 )
 
-// Shares are the parts of teams' rates that this entry may admit, and until when. The zero value has none.
+// Shares are the parts of teams' rates that this entry may admit, and until when. The zero
+// value has none.
 type Shares struct {
 	mutex  sync.Mutex
 	number uint64
