State once after which silence an entry can use nothing any more

The apportioner, the coordinator and the model each added the drift margin to the silent lease; the three must be equal. Behaviour stays as it is. The model of repeats kept a list of requests for its length only.

--- a/bench/auditor/limits_test.go
+++ b/bench/auditor/limits_test.go
@@ -32,7 +32,7 @@
 	seedCount = flag.Uint64("limits.seeds", 10, "number of random cases")
 )
 
-// The rule, as the pages of the users' platform state it.
+// The rule, as deployments state it.
 const (
 	window        = 5 * time.Second
 	tolerated     = 0.1
@@ -53,7 +53,6 @@
 	oneWay      = 10 * time.Millisecond
 	callTimeout = 400 * time.Millisecond
 	removeAfter = timekeeper.RoleLease + timekeeper.RoleLease/2
-	forgetAfter = timekeeper.SilentLease + timekeeper.DriftMargin
 	planPause   = 50 * time.Millisecond
 	patience    = 4 * time.Second
 	service     = "lamps"
@@ -357,7 +356,7 @@
 		case d.known[name] != nil && silence > removeAfter:
 			d.silent[name] = d.known[name]
 			delete(d.known, name)
-		case d.silent[name] != nil && silence > forgetAfter:
+		case d.silent[name] != nil && silence > timekeeper.SilentEnd:
 			delete(d.silent, name)
 		}
 	}
--- a/bench/auditor/repeats_test.go
+++ b/bench/auditor/repeats_test.go
@@ -31,13 +31,12 @@
 		return out
 	}
 	budgets := newBudgets()
-	var asked, repeated []time.Duration
+	var repeated []time.Duration
 	for i := range 60 * requests { // each answer is lost
 		now = time.Duration(i) * time.Second / requests
 		if i > 0 && now%pause == 0 {
 			budgets = newBudgets()
 		}
-		asked = append(asked, now)
 		b := budgets[i%entries]
 		b.Earn(service)
 		if b.Spend(service) {
@@ -52,7 +51,7 @@
 		allowed := reserve + ratio*requests*(at-repeated[from]).Seconds()
 		most = max(most, float64(i+1-from)/allowed)
 	}
-	t.Logf("%d requests, %d repeats; fullest window %.2f of what is allowed", len(asked), len(repeated), most)
+	t.Logf("%d requests, %d repeats; fullest window %.2f of what is allowed", 60*requests, len(repeated), most)
 	if most > 1 {
 		t.Errorf("a window holds %.2f of the repeats that are allowed", most)
 	}
--- a/control/apportioner/apportioner.go
+++ b/control/apportioner/apportioner.go
@@ -23,8 +23,6 @@
 	mostShare = 3
 	// leastChange is the change of a share that is worth telling.
 	leastChange = 0.005
-	// forgetAfter is the silence after which nothing is kept for an entry any more.
-	forgetAfter = timekeeper.SilentLease + timekeeper.DriftMargin
 	// unheardSpan is how long the list of the entries that are awaited is used again. One that
 	// asks leaves it at once.
 	unheardSpan = 20 * time.Millisecond
@@ -303,7 +301,7 @@
 
 func (a *Apportioner) forget(now time.Duration) {
 	for c, n := range a.callers {
-		if now-n.asked > forgetAfter {
+		if now-n.asked > timekeeper.SilentEnd {
 			delete(a.callers, c)
 		}
 	}
--- a/control/coordinator/coordinator_test.go
+++ b/control/coordinator/coordinator_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/filberthoist/filberthoist/control/distributor"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
 )
 
@@ -116,7 +117,7 @@
 		name    string
 		silence time.Duration
 		removed bool
-	}{{"may use its shares", forgetAfter, false}, {"can use nothing", forgetAfter + 1, true}} {
+	}{{"may use its shares", timekeeper.SilentEnd, false}, {"can use nothing", timekeeper.SilentEnd + 1, true}} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			p := picture(2)
--- a/control/coordinator/plan.go
+++ b/control/coordinator/plan.go
@@ -17,9 +17,6 @@
 // removeAfter is the silence after which an entry is taken out of the members.
 const removeAfter = timekeeper.RoleLease + timekeeper.RoleLease/2
 
-// forgetAfter is the silence after which an entry can use nothing that it was granted.
-const forgetAfter = timekeeper.SilentLease + timekeeper.DriftMargin
-
 // lapsed is the silence after which an entry's role lease has surely run out.
 const lapsed = timekeeper.RoleLease + timekeeper.DriftMargin
 
@@ -82,7 +79,7 @@
 			}})
 		}
 	}
-	return append(append(out, p.removals(p.Entries, removeAfter)...), p.removals(p.Silent, forgetAfter)...)
+	return append(append(out, p.removals(p.Entries, removeAfter)...), p.removals(p.Silent, timekeeper.SilentEnd)...)
 }
 
 // removals are the commands that remove entries after a silence.
--- a/core/timekeeper/lease.go
+++ b/core/timekeeper/lease.go
@@ -19,6 +19,8 @@
 	// it keeps silentPart of each, until SilentLease after it asked.
 	ShareLease  = 10 * time.Second
 	SilentLease = 2 * time.Minute
+	// SilentEnd is the silence after which an entry surely uses nothing that it was granted.
+	SilentEnd = SilentLease + DriftMargin
 )
 
 // silentPart is the part of its shares that an entry may use past the ShareLease. Control holds
