Log input that is discarded when a connection closes

A request that arrives on a connection which the entry closes leaves no line: no handler sees it. Event 506 and the counter inputDiscarded tell its id, how many bytes were discarded, whether a shutdown was under way, and how long after the decision to close the input was read: near 0 if it waited in the socket.

--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -59,6 +59,7 @@
 	RequestRefused     = Event{504, "requestRefused", log.WarnLevel, "A request was refused; the fields show the step, the reason and when to retry."}
 	RequestFailed      = Event{505, "requestFailed", log.WarnLevel, "A request failed or may have run; the fields show where it was sent."}
 	RequestUnknown     = Event{502, "requestUnknown", log.WarnLevel, "A request may have run; the response to the caller says so."}
+	InputDiscarded     = Event{506, "inputDiscarded", log.WarnLevel, "A connection was closed that no response had announced, and input from its caller was discarded."}
 	TargetEjected      = Event{601, "targetEjected", log.WarnLevel, "A target failed repeatedly and gets only probes."}
 	TargetReadmitted   = Event{602, "targetReadmitted", log.InfoLevel, "A probe succeeded; the target gets requests again."}
 	TargetLeaving      = Event{603, "targetLeaving", log.InfoLevel, "A target is leaving and gets no new requests."}
@@ -93,7 +94,7 @@
 	OrderAccepted, OrderRefused, OrderUnknown, AllocationInUse, EvacuationsInForce,
 	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed,
 	EntryJoined, EntryRemoved, RoleAssigned,
-	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed,
+	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed, InputDiscarded,
 	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
 	OwnerStarted, SharesInUse, TokensUnavailable, TokensAvailable, SharesAwaited, SharesOverdrawn, SharesCovered, AllowanceBegun,
--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/filberthoist/filberthoist/core/logger"
 )
 
@@ -29,6 +31,8 @@
 	// lingerTimeout is how long bytes after the last response are read and discarded. Closing a
 	// connection with unread bytes resets it, which can lose the response.
 	lingerTimeout = 500 * time.Millisecond
+	// loggedHeadBytes is how much of a discarded request is searched for its ID.
+	loggedHeadBytes = 1 << 10
 	// keepAliveInterval is the time between TCP keep-alive probes of an idle caller.
 	keepAliveInterval = 5 * time.Second
 )
@@ -51,6 +55,10 @@
 	// SoftMaxConnections is the number of connections above which each response asks its caller to
 	// close, so that file descriptors are left for new callers and for targets; 0 means no limit.
 	SoftMaxConnections int
+	// RequestHeader is the header with a request's ID, for the log; empty if there is none.
+	RequestHeader string
+	// Scope counts discarded input; nil counts nothing.
+	Scope tally.Scope
 }
 
 // Acceptor serves the connections of one listener.
@@ -64,11 +72,15 @@
 	openConnections map[*connection]struct{}
 	connectionCount atomic.Int64
 	connectionsDone sync.WaitGroup
+	discarded       tally.Counter
 }
 
 // NewAcceptor returns an Acceptor without a listener.
 func NewAcceptor(c Config) *Acceptor {
-	a := &Acceptor{config: c, openConnections: map[*connection]struct{}{}}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	a := &Acceptor{config: c, openConnections: map[*connection]struct{}{}, discarded: c.Scope.Counter("inputDiscarded")}
 	a.context, a.cancel = context.WithCancel(context.Background())
 	return a
 }
@@ -162,6 +174,15 @@
 	return a.config.SoftMaxConnections > 0 && a.connectionCount.Load() > int64(a.config.SoftMaxConnections)
 }
 
+// logDiscarded logs input that was discarded on a connection whose end no response announced.
+// delay is the time from the decision to close it until the input was read.
+func (a *Acceptor) logDiscarded(socket net.Conn, head []byte, size int64, delay time.Duration) {
+	a.discarded.Inc(1)
+	a.config.Logger.Log(logger.InputDiscarded, logger.F("request", findHeader(head, a.config.RequestHeader)),
+		logger.F("caller", socket.RemoteAddr().String()), logger.F("bytes", int(size)), logger.F("delay", delay),
+		logger.F("draining", a.draining.Load()))
+}
+
 func (a *Acceptor) remove(c *connection) {
 	a.mutex.Lock()
 	delete(a.openConnections, c)
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -27,6 +27,8 @@
 	closing bool
 	// broken means that no response can be written.
 	broken bool
+	// announced means that a response told the caller that the connection closes.
+	announced bool
 	// pipelineSlots holds one element for each request that runs.
 	pipelineSlots chan struct{}
 	lastExchange  *exchange
@@ -174,7 +176,13 @@
 func (c *connection) markClosing() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.closing = true
+	c.closing, c.announced = true, true
+}
+
+func (c *connection) isAnnounced() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.announced
 }
 
 // abort closes the connection at once and cancels its requests.
@@ -209,7 +217,17 @@
 	if c.context.Err() != nil {
 		return // the caller has disconnected
 	}
-	_, err := io.Copy(io.Discard, c.reader)
+	begun, head := time.Now(), make([]byte, loggedHeadBytes)
+	n, err := c.reader.Read(head)
+	delay, discarded := time.Since(begun), int64(n)
+	if err == nil {
+		var more int64
+		more, err = io.Copy(io.Discard, c.reader)
+		discarded += more
+	}
+	if discarded > 0 && !c.isAnnounced() {
+		c.acceptor.logDiscarded(c.socket, head[:n], discarded, delay)
+	}
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.cancel()
 	}
--- a/entry/acceptor/head.go
+++ b/entry/acceptor/head.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// findHeader returns the value of a header in the start of a head, or "".
+func findHeader(head []byte, name string) string {
+	for line := range bytes.Lines(head) {
+		n, value, ok := bytes.Cut(line, []byte(":"))
+		if ok && name != "" && bytes.EqualFold(n, []byte(name)) {
+			return string(bytes.TrimSpace(value))
+		}
+	}
+	return ""
+}
+
 // isAmbiguous reports whether a head frames its body in two ways, or in one that a target may parse
 // differently (RFC 9112, section 6.3).
 func isAmbiguous(head []byte) bool {
