Announce the end of a connection whose request body was not read

What callers saw: an early refusal (401, 404, 413) of a request with a body, on a connection that then closed; a request sent next on it got no response. Cause: the acceptor closes the connection since the rest of the body can't be told from a request, but the response did not say so. The response now carries Connection: close. TestBodies failed before (the response did not announce the close).

--- a/entry/acceptor/acceptor_test.go
+++ b/entry/acceptor/acceptor_test.go
@@ -159,15 +159,15 @@
 	}
 }
 
-// TestBodies checks that a request body that is not read ends the connection, that 100 Continue is
-// sent, that long responses arrive, and that an aborted response is an error for the caller.
+// TestBodies checks that a request body that is not read ends the connection, which the response
+// announces so that the caller sends no further request on it, that 100 Continue is sent, that long responses arrive, and that an aborted response is an error for the caller.
 func TestBodies(t *testing.T) {
 	t.Run("unread", func(t *testing.T) {
 		is := is.New(t)
 		_, c, b := newServer(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusForbidden) })
 		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 26\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n")
 		is.NoErr(err)
-		checkResponse(t, b, http.StatusForbidden, "")
+		is.True(checkResponse(t, b, http.StatusForbidden, "").Close)
 		_, err = b.ReadByte()
 		is.Equal(err, io.EOF)
 	})
--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -193,7 +193,8 @@
 
 // encodeHead returns the status line and the header, and decides whether the connection closes.
 func (e *exchange) encodeHead() []byte {
-	if a := e.connection.acceptor; e.header.Get("Connection") == "close" || a.draining.Load() || a.exceedsSoftLimit() {
+	a, unread := e.connection.acceptor, e.body != nil && !e.body.complete
+	if e.header.Get("Connection") == "close" || a.draining.Load() || a.exceedsSoftLimit() || unread {
 		e.closeAfter = true
 	}
 	if e.closeAfter {
--- a/entry/acceptor/head.go
+++ b/entry/acceptor/head.go
@@ -97,6 +97,8 @@
 	// result receives one value: whether the body was read to its end.
 	result   chan bool
 	reported bool
+	// complete means that the body was read to its end.
+	complete bool
 	// sendContinue is called before the first read if the caller expects it.
 	sendContinue func()
 }
@@ -122,7 +124,7 @@
 
 func (d *requestBody) report(complete bool) {
 	if !d.reported {
-		d.reported = true
+		d.reported, d.complete = true, complete
 		d.result <- complete // has capacity for one value
 	}
 }
