--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -19,6 +19,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/filberthoist/filberthoist/core/peeker"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 )
 
@@ -282,25 +283,7 @@
 
 // isOpen reports whether the target has neither closed the connection nor sent anything on it.
 func (n *connection) isOpen() bool {
-	if n.reader.Buffered() > 0 {
-		return false
-	}
-	s, ok := n.socket.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	return n.reader.Buffered() == 0 && peeker.Peek(n.socket) == peeker.Quiet
 }
 
 // isSending reports whether a body is still being sent.
