Keep idle connections open while an entry drains

Cause: at SIGTERM the acceptor ended every connection without a running request, by setting its read deadline to now: the read then fails without a look into the socket, and what came later was read and discarded while the close lingered. The class: a deadline of our own decides that nothing has arrived. Ruled out: a lost response (no line of the request, closes 60 to 160 ms after the signal, not at the end of the grace period) and a start or reload.

Change: a drain only makes responses announce the end of their connection. Idle connections stay open until lookups have expired; then further requests on them are refused at once (503, stopping), and after a second those that are still idle are closed, unless input waits in the socket, and without reading what comes later, so that the caller gets a reset instead of silence. The idle timeout looks into the socket as well.

--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -26,6 +26,9 @@
 	acceptRetryDelay = 10 * time.Millisecond
 	// acceptDrainTime is how long pending connections are still accepted before the listener closes.
 	acceptDrainTime = 20 * time.Millisecond
+	// idleHold is how long a shutdown keeps idle connections open, so that a request on them is refused
+	// rather than cut.
+	idleHold = time.Second
 	// writeTimeout bounds each write to a caller that reads slowly.
 	writeTimeout = 10 * time.Second
 	// lingerTimeout is how long bytes after the last response are read and discarded. Closing a
@@ -49,6 +52,9 @@
 // Config configures an Acceptor.
 type Config struct {
 	Handler http.Handler
+	// Refuse responds to requests that arrive too late in a shutdown to be served; nil means that
+	// Handler does.
+	Refuse http.Handler
 	// Limits are read for each request.
 	Limits func() Limits
 	Logger logger.Logger
@@ -67,6 +73,7 @@
 	context         context.Context
 	cancel          context.CancelFunc
 	draining        atomic.Bool
+	refusing        atomic.Bool
 	mutex           sync.Mutex
 	listener        net.Listener
 	openConnections map[*connection]struct{}
@@ -100,32 +107,36 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := newConnection(a, n)
-		a.mutex.Lock()
-		a.openConnections[c] = struct{}{}
-		a.mutex.Unlock()
-		a.connectionCount.Add(1)
-		a.connectionsDone.Add(1)
-		go c.run()
+		a.add(newConnection(a, n))
 	}
 }
 
-// Drain closes idle connections at once, and the others after the responses that are due on them.
-// New connections get one response each.
+// Drain makes each response announce the end of its connection. Idle connections stay open, since a
+// request may be under way on them.
 func (a *Acceptor) Drain() {
 	a.draining.Store(true)
-	for _, c := range a.connections() {
-		c.closeWhenIdle()
-	}
 }
 
-// Shutdown drains, closes the listener and waits until all connections are closed. When the context
-// ends, it aborts those that are left and returns the context's error.
+// Shutdown drains, closes the listener and waits until all connections are closed. Further requests
+// are refused, and connections that stay idle are closed after idleHold. When the context ends,
+// Shutdown aborts the connections that are left and returns the context's error.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
 	a.Drain()
 	a.closeListener()
+	a.refusing.Store(true)
 	done := make(chan struct{})
 	go a.loop(done)
+	hold := time.NewTimer(idleHold)
+	defer hold.Stop()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+	case <-hold.C:
+	}
+	for _, c := range a.connections() {
+		c.closeIfIdle()
+	}
 	select {
 	case <-done:
 		return nil
@@ -169,6 +180,14 @@
 	return out
 }
 
+// handler returns the handler for a request that arrives now.
+func (a *Acceptor) handler() http.Handler {
+	if a.refusing.Load() && a.config.Refuse != nil {
+		return a.config.Refuse
+	}
+	return a.config.Handler
+}
+
 // exceedsSoftLimit reports whether responses ask callers to close their connections.
 func (a *Acceptor) exceedsSoftLimit() bool {
 	return a.config.SoftMaxConnections > 0 && a.connectionCount.Load() > int64(a.config.SoftMaxConnections)
@@ -183,6 +202,16 @@
 		logger.F("draining", a.draining.Load()))
 }
 
+// add begins to serve a connection.
+func (a *Acceptor) add(c *connection) {
+	a.mutex.Lock()
+	a.openConnections[c] = struct{}{}
+	a.mutex.Unlock()
+	a.connectionCount.Add(1)
+	a.connectionsDone.Add(1)
+	go c.run()
+}
+
 func (a *Acceptor) remove(c *connection) {
 	a.mutex.Lock()
 	delete(a.openConnections, c)
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -9,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/filberthoist/filberthoist/core/peeker"
 )
 
 // connection is a connection of a caller. One loop reads requests; each request runs on its own
@@ -23,12 +25,13 @@
 	mutex sync.Mutex
 	// inFlight counts requests whose response is not finished.
 	inFlight int
-	// closing means that no further request is read.
+	// closing means that a response announced the end of the connection, so that no further request
+	// is read.
 	closing bool
+	// closeWhenIdle means that the connection ends as soon as no request runs.
+	closeWhenIdle bool
 	// broken means that no response can be written.
 	broken bool
-	// announced means that a response told the caller that the connection closes.
-	announced bool
 	// pipelineSlots holds one element for each request that runs.
 	pipelineSlots chan struct{}
 	lastExchange  *exchange
@@ -86,11 +89,11 @@
 	for {
 		_, err := c.reader.Peek(1)
 		switch {
-		case err == nil && !c.isClosing():
-			return true
-		case errors.Is(err, os.ErrDeadlineExceeded) && c.isBusy():
-			_ = c.socket.SetReadDeadline(time.Time{}) // a request started meanwhile
-		case errors.Is(err, os.ErrDeadlineExceeded), err == nil:
+		case err == nil:
+			return !c.isClosing() // what follows an announced end is not read
+		case errors.Is(err, os.ErrDeadlineExceeded) && (c.isBusy() || c.hasInput()):
+			_ = c.socket.SetReadDeadline(time.Time{}) // a request started or arrived meanwhile
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			return false
 		default:
 			c.cancel()
@@ -99,6 +102,11 @@
 	}
 }
 
+// hasInput reports whether bytes wait in the socket.
+func (c *connection) hasInput() bool {
+	return peeker.Peek(c.socket) == peeker.HasInput
+}
+
 // startExchange adds an exchange to the order of responses. It blocks while maxPipelined requests
 // run.
 func (c *connection) startExchange() *exchange {
@@ -133,25 +141,19 @@
 	if c.inFlight > 0 {
 		return
 	}
-	limits := c.acceptor.config.Limits()
-	timeout := limits.IdleTimeout
-	switch {
-	case c.acceptor.draining.Load() && c.lastExchange == nil:
-		timeout = limits.HeaderTimeout // a new connection still gets one response
-	case c.acceptor.draining.Load():
-		timeout = 0
+	end := time.Now().Add(c.acceptor.config.Limits().IdleTimeout)
+	if c.closeWhenIdle || c.closing {
+		end = time.Now()
 	}
-	_ = c.socket.SetReadDeadline(time.Now().Add(timeout)) // fails only when closed
+	_ = c.socket.SetReadDeadline(end) // fails only when closed
 }
 
-// closeWhenIdle ends the connection once no request runs on it, or at once if none does.
-func (c *connection) closeWhenIdle() {
+// closeIfIdle ends the connection once no request runs on it and none has arrived.
+func (c *connection) closeIfIdle() {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.closing = true
-	if c.inFlight == 0 {
-		_ = c.socket.SetReadDeadline(time.Now()) // fails only when closed
-	}
+	c.closeWhenIdle = true
+	c.mutex.Unlock()
+	c.setIdleDeadline()
 }
 
 func (c *connection) isClosing() bool {
@@ -176,13 +178,7 @@
 func (c *connection) markClosing() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.closing, c.announced = true, true
-}
-
-func (c *connection) isAnnounced() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.announced
+	c.closing = true
 }
 
 // abort closes the connection at once and cancels its requests.
@@ -197,6 +193,10 @@
 // finish waits for the running requests and closes the connection. Meanwhile it detects a caller
 // that closes the connection.
 func (c *connection) finish() {
+	if !c.isClosing() && !c.isBusy() {
+		c.closeUnread()
+		return
+	}
 	readerDone := make(chan struct{})
 	go c.loop(readerDone)
 	c.exchangesDone.Wait()
@@ -210,6 +210,13 @@
 	<-readerDone
 }
 
+// closeUnread closes an idle connection. A request that is under way is not read, and the reset tells
+// its caller at once.
+func (c *connection) closeUnread() {
+	c.cancel()
+	_ = c.socket.Close() // the socket may be closed already
+}
+
 // loop discards what the caller sends after its last request, until the caller closes the
 // connection.
 func (c *connection) loop(readerDone chan struct{}) {
@@ -225,7 +232,7 @@
 		more, err = io.Copy(io.Discard, c.reader)
 		discarded += more
 	}
-	if discarded > 0 && !c.isAnnounced() {
+	if discarded > 0 && !c.isClosing() {
 		c.acceptor.logDiscarded(c.socket, head[:n], discarded, delay)
 	}
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -98,7 +98,7 @@
 				logger.F("error", fmt.Sprint(p)), logger.F("stack", string(debug.Stack())))
 		}
 	}()
-	e.connection.acceptor.config.Handler.ServeHTTP(e, e.request)
+	e.connection.acceptor.handler().ServeHTTP(e, e.request)
 	return true
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -301,7 +301,7 @@
 
 func newAcceptor(s Settings, x Extensions, l logger.Logger, r *reporter.Reporter, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver) *acceptor.Acceptor {
 	return acceptor.NewAcceptor(acceptor.Config{
-		Handler: newCallerHandler(x, h, n), Logger: l, Scope: r.Scope, RequestHeader: x.Dialect.RequestID, SoftMaxConnections: int(callerConnectionFraction * float64(s.Descriptors)),
+		Handler: newCallerHandler(x, h, n), Refuse: http.HandlerFunc(h.Refuse), Logger: l, Scope: r.Scope, RequestHeader: x.Dialect.RequestID, SoftMaxConnections: int(callerConnectionFraction * float64(s.Descriptors)),
 		Limits: func() acceptor.Limits {
 			if c := v.View().Configuration; c != nil {
 				return acceptor.Limits{HeaderBytes: c.Limits.HeaderBytes, HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout}
@@ -419,9 +419,7 @@
 // responses that callers cached expire, but at most for Settings.Leave.
 func leave(p lifecycleParams) {
 	p.Receiver.Leave()
-	if !p.Settings.Roles {
-		p.Acceptor.Drain() // closes connections early, so that callers move to other entries before the shutdown
-	}
+	p.Acceptor.Drain() // callers move to other entries with their next response
 	for end := time.Now().Add(leaveTimeout); !p.Receiver.HasLeft() && time.Now().Before(end); {
 		time.Sleep(leavePollInterval)
 	}
--- a/entry/handler/handler.go
+++ b/entry/handler/handler.go
@@ -74,6 +74,17 @@
 	h.writeFailure(e, o)
 }
 
+// Refuse refuses a request that arrives while the process stops. Other entries can serve it at once.
+func (h *Handler) Refuse(w http.ResponseWriter, r *http.Request) {
+	e := &Exchange{
+		Writer: w, Request: r, View: h.config.View(), Dialect: h.config.Dialect,
+		ID: h.requestID(r), Start: h.config.Clock.Now(), RetryAfter: stoppingRetryAfter,
+	}
+	o := Refuse(http.StatusServiceUnavailable, ReasonStopping)
+	h.record(e, o, "")
+	h.writeFailure(e, o)
+}
+
 // requestID returns the ID that the caller chose if the dialect allows that, or a new ID.
 func (h *Handler) requestID(r *http.Request) string {
 	if h.config.Dialect.CallerChoosesID {
@@ -123,6 +134,9 @@
 	}
 }
 
+// stoppingRetryAfter is the Retry-After of requests that are refused because the process stops.
+const stoppingRetryAfter = 10 * time.Millisecond
+
 // defaultRetryAfter is the Retry-After of a refusal for which no step set one.
 const defaultRetryAfter = time.Second
 
--- a/entry/handler/outcome.go
+++ b/entry/handler/outcome.go
@@ -35,6 +35,7 @@
 	ReasonKeyReused    Reason = "idempotencyKeyReused"
 	ReasonUnmatched    Reason = "unmatchedAnswer"
 	ReasonNotAvailable Reason = "notAvailable"
+	ReasonStopping     Reason = "stopping"
 )
 
 // Outcome is the result of a step. The zero Outcome continues with the next step.
