Announce the end of a connection only with its last response

What callers saw: a drain or too many connections made the response to the first of several pipelined requests announce the end of the connection, though the others were running; their responses came behind the announcement, where callers count their requests as not read and send them again. Cause: the announcement was made without regard to what had been read. Now it is left to the response of the last request that was read, and none is read after it. TestDrainAnswersPipelinedRequests failed before (the first response announced the close).

--- a/entry/acceptor/acceptor_test.go
+++ b/entry/acceptor/acceptor_test.go
@@ -314,6 +314,29 @@
 	return p.TCPConn.Read(b)
 }
 
+// TestDrainAnswersPipelinedRequests guards against a response that announces the end of its connection
+// while a pipelined request after it runs, whose caller sends it again elsewhere.
+func TestDrainAnswersPipelinedRequests(t *testing.T) {
+	is := is.New(t)
+	began, release := make(chan struct{}, 3), make(chan struct{})
+	a, c, b := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		<-release
+		echo(w, r)
+	})
+	for _, path := range []string{"/first", "/second", "/third"} {
+		write(t, c, path)
+		<-began
+	}
+	a.Drain()
+	close(release)
+	is.True(!checkResponse(t, b, http.StatusOK, "GET /first ").Close)
+	is.True(!checkResponse(t, b, http.StatusOK, "GET /second ").Close)
+	is.True(checkResponse(t, b, http.StatusOK, "GET /third ").Close)
+	_, err := b.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
 // TestShutdownAnswersUnreadRequest guards against a request that waits in the socket when its
 // connection is closed as idle.
 func TestShutdownAnswersUnreadRequest(t *testing.T) {
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -69,18 +69,20 @@
 	}
 	_ = c.socket.SetReadDeadline(time.Time{}) // fails only when closed
 	e := c.startExchange()
+	if e == nil {
+		return false
+	}
 	if status != 0 {
 		e.reject(status)
 		return false
 	}
-	closeAfter := r.Close || c.acceptor.draining.Load()
-	e.prepare(r, closeAfter)
+	e.prepare(r)
 	c.exchangesDone.Add(1)
 	go e.run()
 	if e.body != nil && !e.body.wait() {
 		return false
 	}
-	return !closeAfter && !c.isClosing()
+	return !r.Close && !c.isClosing()
 }
 
 // waitForRequest waits for the first byte of a request. Meanwhile it detects a caller that closes
@@ -108,12 +110,16 @@
 }
 
 // startExchange adds an exchange to the order of responses. It blocks while maxPipelined requests
-// run.
+// run. It returns nil if a response has announced the end of the connection meanwhile.
 func (c *connection) startExchange() *exchange {
 	c.pipelineSlots <- struct{}{}
 	e := &exchange{connection: c, done: make(chan struct{})}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.closing {
+		<-c.pipelineSlots
+		return nil
+	}
 	c.inFlight++
 	if c.lastExchange != nil {
 		e.previous = c.lastExchange.done
@@ -174,11 +180,17 @@
 	return c.broken
 }
 
-// markClosing stops the reading of requests, after a response announced it to the caller.
-func (c *connection) markClosing() {
+// announceEnd stops the reading of requests, so that the response of an exchange can announce the end
+// of the connection. It returns false if a later request has started, whose response then is the
+// last one.
+func (c *connection) announceEnd(e *exchange) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.lastExchange != e {
+		return false
+	}
 	c.closing = true
+	return true
 }
 
 // abort closes the connection at once and cancels its requests.
--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -25,7 +25,7 @@
 	previous chan struct{}
 	// done is closed once this response is written or aborted.
 	done chan struct{}
-	// closeAfter means that the connection closes after the response.
+	// closeAfter means that the connection is to close after the response.
 	closeAfter bool
 
 	header http.Header
@@ -36,10 +36,9 @@
 	chunked   bool
 }
 
-// prepare sets up the request and its body; closeAfter means that the connection closes after the
-// response.
-func (e *exchange) prepare(r *http.Request, closeAfter bool) {
-	e.closeAfter = closeAfter
+// prepare sets up the request and its body.
+func (e *exchange) prepare(r *http.Request) {
+	e.closeAfter = r.Close
 	c := e.connection
 	r.RemoteAddr = c.socket.RemoteAddr().String()
 	e.request = r.WithContext(c.context)
@@ -84,9 +83,6 @@
 		return
 	}
 	e.finishResponse()
-	if e.closeAfter {
-		e.connection.markClosing()
-	}
 }
 
 // handle runs the handler and reports whether it completed; it did not if it panicked.
@@ -110,7 +106,6 @@
 	if e.waitForTurn() {
 		e.finishResponse()
 	}
-	e.connection.markClosing()
 }
 
 // waitForTurn waits until all earlier responses are written; false means that the connection is
@@ -194,10 +189,9 @@
 // encodeHead returns the status line and the header, and decides whether the connection closes.
 func (e *exchange) encodeHead() []byte {
 	a, unread := e.connection.acceptor, e.body != nil && !e.body.complete
-	if e.header.Get("Connection") == "close" || a.draining.Load() || a.exceedsSoftLimit() || unread {
-		e.closeAfter = true
-	}
-	if e.closeAfter {
+	closeAfter := e.closeAfter || e.header.Get("Connection") == "close" || a.draining.Load() || a.exceedsSoftLimit() || unread
+	e.header.Del("Connection")
+	if closeAfter && e.connection.announceEnd(e) {
 		e.header.Set("Connection", "close")
 	}
 	if e.chunked {
