Survive SIGHUP while the process starts or shuts down

What callers saw: a SIGHUP that reached an entry during its shutdown ended the process at once, so that running requests and idle connections were cut without a response.

Cause: the watcher called signal.Stop when the shutdown began, which restores the default action of SIGHUP: the process ends. The same held before the watcher was created, while the program was composed and started.

Evidence: TestSignals, three cases with SIGHUP, failed before: 'signal: hangup'.

Why this works: SIGHUP is registered before the program is composed and stays so until the process exits. A stopped watcher does not read the channel, and further signals are dropped.

--- a/core/starter/starter.go
+++ b/core/starter/starter.go
@@ -113,12 +113,14 @@
 	if check {
 		return nil
 	}
-	return serve(compose(), path)
+	w := newWatcher(path)
+	w.program = compose()
+	return serve(w)
 }
 
 // serve runs the app until a signal stops it or one of its components fails.
-func serve(p Program, path string) error {
-	app := p.App
+func serve(w *watcher) error {
+	app := w.program.App
 	if err := app.Err(); err != nil {
 		return err
 	}
@@ -127,7 +129,6 @@
 	if err := app.Start(start); err != nil {
 		return err
 	}
-	w := newWatcher(p, path)
 	go w.run()
 	signal := <-app.Wait()
 	w.stop()
--- a/core/starter/watcher.go
+++ b/core/starter/watcher.go
@@ -28,15 +28,16 @@
 	done        chan struct{}
 }
 
-func newWatcher(p Program, path string) *watcher {
-	w := &watcher{program: p, path: path, signals: make(chan os.Signal, 1), done: make(chan struct{})}
+// newWatcher returns a watcher whose program is still to be set. It receives SIGHUP from now on until
+// the process exits, since the signal's default action would end the process.
+func newWatcher(path string) *watcher {
+	w := &watcher{path: path, signals: make(chan os.Signal, 1), done: make(chan struct{})}
 	w.lastContent, _ = os.ReadFile(path) // on failure, the next check loads the file
 	signal.Notify(w.signals, syscall.SIGHUP)
 	return w
 }
 
 func (w *watcher) stop() {
-	signal.Stop(w.signals)
 	close(w.done)
 }
 
--- a/core/starter/watcher_test.go
+++ b/core/starter/watcher_test.go
@@ -21,7 +21,8 @@
 	write := func(text string) { is.NoErr(os.WriteFile(path, []byte(text), 0o600)) }
 	write("[a]\nb = 1\n")
 	got := make(chan string, 10)
-	w := newWatcher(Program{
+	w := newWatcher(path)
+	w.program = Program{
 		Logger: func() logger.Logger { return logger.Logger{} },
 		Reload: func(s Source) error {
 			r := s.Section("a")
@@ -34,7 +35,7 @@
 			got <- map[bool]string{true: "two", false: "other"}[v == 2]
 			return nil
 		},
-	}, path)
+	}
 	go w.run()
 	defer w.stop()
 	await := func(want string) {
