Shut down in order when SIGTERM arrives during the start

What callers saw: a SIGTERM between the start of the listeners and the end of the start ended the process at once: exit by signal, connections cut.

Cause: fx handles SIGTERM only from the first call of Wait, which came after Start.

Evidence: TestSignals, 'stop during the start', failed before: 'signal: terminated'.

Why this works: Wait is called before Start, so that the signal is kept and the shutdown begins once the start is complete.

--- a/core/starter/starter.go
+++ b/core/starter/starter.go
@@ -124,13 +124,14 @@
 	if err := app.Err(); err != nil {
 		return err
 	}
+	stopped := app.Wait() // from here on, SIGTERM no longer ends the process at once
 	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(start); err != nil {
 		return err
 	}
 	go w.run()
-	signal := <-app.Wait()
+	signal := <-stopped
 	w.stop()
 	stop, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
