Do not reuse a target's connection after a stopped request

What callers may see: a 502 for a request that must not be retried, sent on a connection that the target was closing.

Cause: a request that BeforeSend stopped returned its connection to the idle list as just used, although the target had not seen any byte on it. Its age is what decides whether a request that must not be retried may use it.

Why this works: the connection is closed. Requests are stopped only if the view's lease ends while a connection is acquired, so this is rare.

--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -174,7 +174,7 @@
 		return nil, &Failure{Err: err, Refused: true}
 	}
 	if r.BeforeSend != nil && !r.BeforeSend() {
-		c.putIdle(n)
+		n.close() // keeping it would hide how long the target has seen it idle
 		return nil, &Failure{Err: errors.New("stopped before the first byte"), Stopped: true}
 	}
 	stop := context.AfterFunc(ctx, n.close)
--- a/entry/carrier/carrier_test.go
+++ b/entry/carrier/carrier_test.go
@@ -104,6 +104,35 @@
 	}
 }
 
+// TestStoppedRequestKeepsConnectionAge guards against a request that is lost on a connection that the
+// target is about to close: a request that was stopped before its first byte does not make an idle
+// connection look recently used.
+func TestStoppedRequestKeepsConnectionAge(t *testing.T) {
+	is := is.New(t)
+	address, connections := newTarget(t, func(b *bufio.Reader, c net.Conn, _ int64) {
+		for {
+			r, err := http.ReadRequest(b)
+			if err != nil {
+				return
+			}
+			writeResponse(c, r.Header.Get("X-Id"), "Keep-Alive: timeout=1\r\nContent-Length: 0\r\n", "")
+		}
+	})
+	n := newCarrier(t)
+	_, failure := n.Exchange(context.Background(), address, newRequest("one"))
+	is.True(failure == nil)
+	time.Sleep(400 * time.Millisecond)
+	stopped := newRequest("two")
+	stopped.BeforeSend = func() bool { return false }
+	_, failure = n.Exchange(context.Background(), address, stopped)
+	is.True(failure.Stopped)
+	once := newRequest("three")
+	once.AtMostOnce = true
+	_, failure = n.Exchange(context.Background(), address, once)
+	is.True(failure == nil)
+	is.Equal(connections.Load(), int64(2)) // the idle connection is too old for it
+}
+
 // TestStrays guards against a late response to an earlier request being taken for that of the next
 // one: it is skipped on a reused connection, and is an error on a new one.
 func TestStrays(t *testing.T) {
