Failing tests of requests under way at a shutdown

TestShutdownWithNewConnection: Shutdown drains a second time, which closes connections that were opened since the first drain and whose first request is under way.

--- a/entry/acceptor/pending_test.go
+++ b/entry/acceptor/pending_test.go
@@ -126,6 +126,25 @@
 	is.New(t).NoErr(<-done)
 }
 
+// TestShutdownWithNewConnection guards against a connection that is closed with no response since the
+// listener closes while its first request is under way.
+func TestShutdownWithNewConnection(t *testing.T) {
+	is := is.New(t)
+	a, c, b := newServer(t, echo)
+	for a.connectionCount.Load() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- a.Shutdown(ctx) }()
+	time.Sleep(2 * acceptDrainTime)
+	_, err := io.WriteString(c, "GET /new HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.NoErr(err)
+	checkResponse(t, b, http.StatusOK, "GET /new ")
+	is.NoErr(<-done)
+}
+
 // TestCloseAnnouncedBeforePipelinedRequest guards against a request that runs twice: a response that
 // announces the end of the connection tells the caller that the requests behind it were not read.
 func TestCloseAnnouncedBeforePipelinedRequest(t *testing.T) {
