Read input that has arrived before a timeout of a caller counts

What callers may see after a pause of the entry's VM or process: a connection closed as idle, or 408, though the whole request waited in the socket. Cause: Go's reads fail on an expired deadline without a look into the socket, the same class as the drain's. A read whose deadline has passed now returns what has arrived first; what has not still times out. Not reproduced with a stopped and continued process.

--- a/core/peeker/peeker.go
+++ b/core/peeker/peeker.go
@@ -1,5 +1,5 @@
-// Package peeker reports what the system holds for a socket, without waiting and without
-// consuming it. An expired deadline makes Go's reads and accepts fail even if input is there.
+// Package peeker reports what the system holds for a socket, without waiting. An expired deadline
+// makes Go's reads and accepts fail even if input is there.
 package peeker
 
 import (
@@ -50,6 +50,26 @@
 	return state
 }
 
+// Receive reads what has arrived on a connection whatever its deadline, and returns 0 if nothing has
+// or if the connection is not backed by a socket.
+func Receive(c net.Conn, b []byte) int {
+	s, ok := c.(syscall.Conn)
+	if !ok || len(b) == 0 {
+		return 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	received := 0
+	_ = raw.Control(func(fd uintptr) { // fails only when closed
+		if n, _, err := unix.Recvfrom(int(fd), b, unix.MSG_DONTWAIT); err == nil {
+			received = n
+		}
+	})
+	return received
+}
+
 // HasPending reports whether a connection waits to be accepted. It is false for a listener that is
 // not backed by a socket.
 func HasPending(l net.Listener) bool {
--- a/core/peeker/peeker_test.go
+++ b/core/peeker/peeker_test.go
@@ -48,9 +48,8 @@
 	_, err = c.Read(make([]byte, 1))
 	is.True(err != nil)
 	is.Equal(Peek(c), HasInput)
-	is.NoErr(c.SetReadDeadline(time.Time{}))
-	_, err = c.Read(make([]byte, 1))
-	is.NoErr(err)
+	is.Equal(Receive(c, make([]byte, 2)), 1)
+	is.Equal(Receive(c, make([]byte, 2)), 0)
 	is.NoErr(caller.Close())
 	waitFor(t, func() bool { return Peek(c) == Ended })
 }
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -13,6 +13,23 @@
 	"github.com/filberthoist/filberthoist/core/peeker"
 )
 
+// input reads from a caller. A read whose deadline has passed still returns what has arrived: the
+// process may have been late, not the caller.
+type input struct {
+	net.Conn
+}
+
+// Read reads what has arrived, or waits for it until the deadline.
+func (n input) Read(b []byte) (int, error) {
+	size, err := n.Conn.Read(b)
+	if size == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if size = peeker.Receive(n.Conn, b); size > 0 {
+			return size, nil
+		}
+	}
+	return size, err
+}
+
 // connection is a connection of a caller. One loop reads requests; each request runs on its own
 // goroutine and writes its response once the earlier ones are written.
 type connection struct {
@@ -42,7 +59,7 @@
 	if t, ok := n.(*net.TCPConn); ok {
 		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2}) // best effort
 	}
-	c := &connection{acceptor: a, socket: n, reader: bufio.NewReader(n), pipelineSlots: make(chan struct{}, maxPipelined)}
+	c := &connection{acceptor: a, socket: n, reader: bufio.NewReader(input{n}), pipelineSlots: make(chan struct{}, maxPipelined)}
 	c.context, c.cancel = context.WithCancel(a.context)
 	return c
 }
@@ -93,8 +110,8 @@
 		switch {
 		case err == nil:
 			return !c.isClosing() // what follows an announced end is not read
-		case errors.Is(err, os.ErrDeadlineExceeded) && (c.isBusy() || c.hasInput()):
-			_ = c.socket.SetReadDeadline(time.Time{}) // a request started or arrived meanwhile
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.isBusy():
+			_ = c.socket.SetReadDeadline(time.Time{}) // a request started meanwhile
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return false
 		default:
@@ -104,11 +121,6 @@
 	}
 }
 
-// hasInput reports whether bytes wait in the socket.
-func (c *connection) hasInput() bool {
-	return peeker.Peek(c.socket) == peeker.HasInput
-}
-
 // startExchange adds an exchange to the order of responses. It blocks while maxPipelined requests
 // run. It returns nil if a response has announced the end of the connection meanwhile.
 func (c *connection) startExchange() *exchange {
