Keep the idle timeout from ending a lingering close

What callers behind a slow link saw: a response that announced the end of its connection was cut by a reset. Cause: when the last response ended, the idle timeout, 0 while closing, ended the reading that lingers until the caller has the response; the caller's next bytes then met a closed socket. Once a connection is being finished, the idle timeout no longer counts.

--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -47,6 +47,8 @@
 	closing bool
 	// closeWhenIdle means that the connection ends as soon as no request runs.
 	closeWhenIdle bool
+	// finishing means that no further request is awaited, so that the idle timeout no longer counts.
+	finishing bool
 	// broken means that no response can be written.
 	broken bool
 	// pipelineSlots holds one element for each request that runs.
@@ -156,7 +158,7 @@
 func (c *connection) setIdleDeadline() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.inFlight > 0 {
+	if c.inFlight > 0 || c.finishing {
 		return
 	}
 	end := time.Now().Add(c.acceptor.config.Limits().IdleTimeout)
@@ -221,6 +223,7 @@
 		c.closeUnread()
 		return
 	}
+	c.stopIdleTimeout()
 	readerDone := make(chan struct{})
 	go c.loop(readerDone)
 	c.exchangesDone.Wait()
@@ -234,6 +237,15 @@
 	<-readerDone
 }
 
+// stopIdleTimeout makes reads wait for input until finish sets a deadline. The deadline of a request
+// or of the idle timeout would end the lingering close at once.
+func (c *connection) stopIdleTimeout() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.finishing = true
+	_ = c.socket.SetReadDeadline(time.Time{}) // fails only when closed
+}
+
 // closeUnread closes an idle connection. A request that is under way is not read, and the reset tells
 // its caller at once.
 func (c *connection) closeUnread() {
