Accept all pending connections before the listener closes

What callers saw: a connection that was established, with a request sent on it, was reset at a shutdown, if the entry was late to accept it. Cause: the listener got a deadline of 20 ms, after which Accept fails whatever is pending. The listener now stays open until nothing is pending, up to 500 ms.

--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -8,7 +8,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/peeker"
 )
 
 // Limits and timeouts of connections.
@@ -24,8 +24,12 @@
 	maxPipelined = 32
 	// acceptRetryDelay is the pause after a failed accept, such as for lack of file descriptors.
 	acceptRetryDelay = 10 * time.Millisecond
-	// acceptDrainTime is how long pending connections are still accepted before the listener closes.
-	acceptDrainTime = 20 * time.Millisecond
+	// acceptDrainTime is how long pending connections are still accepted before the listener closes, and
+	// maxAcceptDrainTime is the same while there are more.
+	acceptDrainTime    = 20 * time.Millisecond
+	maxAcceptDrainTime = 500 * time.Millisecond
+	// acceptPollInterval is how often it is checked whether connections are pending.
+	acceptPollInterval = time.Millisecond
 	// idleHold is how long a shutdown keeps idle connections open, so that a request on them is refused
 	// rather than cut.
 	idleHold = time.Second
@@ -100,7 +104,7 @@
 	for {
 		n, err := l.Accept()
 		switch {
-		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, net.ErrClosed):
 			return nil
 		case err != nil:
 			a.config.Logger.Log(logger.AcceptFailed, logger.F("error", err))
@@ -149,8 +153,8 @@
 	return ctx.Err()
 }
 
-// closeListener accepts pending connections for acceptDrainTime, since closing a listener resets
-// those that are not accepted.
+// closeListener closes the listener once no connection waits to be accepted, since those that wait are
+// reset.
 func (a *Acceptor) closeListener() {
 	a.mutex.Lock()
 	l := a.listener
@@ -158,9 +162,9 @@
 	if l == nil {
 		return
 	}
-	if t, ok := l.(*net.TCPListener); ok {
-		_ = t.SetDeadline(time.Now().Add(acceptDrainTime)) // the listener may be closed already
-		time.Sleep(acceptDrainTime)
+	time.Sleep(acceptDrainTime)
+	for end := time.Now().Add(maxAcceptDrainTime - acceptDrainTime); peeker.HasPending(l) && time.Now().Before(end); {
+		time.Sleep(acceptPollInterval)
 	}
 	_ = l.Close() // the listener may be closed already
 }
