Count the wait for control towards the time to leave

What callers would see: an entry that gets SIGTERM while no control member answers waited 2 s for its removal from lookups and then the whole time to leave, 7.5 s with the drain where the platform kills the process after 6 s. Found by reading.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -415,17 +415,27 @@
 	leavePollInterval = 20 * time.Millisecond
 )
 
-// leave removes this entry from lookups and waits while it continues to serve, until the lookup
-// responses that callers cached expire, but at most for Settings.Leave.
+// leave removes this entry from lookups and continues to serve, until the lookup responses that callers
+// cached expire, but at most for Settings.Leave.
 func leave(p lifecycleParams) {
 	p.Receiver.Leave()
 	p.Acceptor.Drain() // callers move to other entries with their next response
-	for end := time.Now().Add(leaveTimeout); !p.Receiver.HasLeft() && time.Now().Before(end); {
-		time.Sleep(leavePollInterval)
-	}
+	var lifetime time.Duration
 	if c := p.Receiver.View().Configuration; c != nil {
-		time.Sleep(min(c.Limits.LookupLifetime, p.Settings.Leave))
+		lifetime = c.Limits.LookupLifetime
+	}
+	waitToLeave(p.Receiver.HasLeft, lifetime, p.Settings.Leave)
+}
+
+// waitToLeave waits until control has removed this entry from lookups, or leaveTimeout passes, and
+// for the lifetime of lookup responses. It waits for at most limit in all, since control may be
+// unreachable.
+func waitToLeave(hasLeft func() bool, lifetime, limit time.Duration) {
+	end := time.Now().Add(limit)
+	for removed := time.Now().Add(min(leaveTimeout, limit)); !hasLeft() && time.Now().Before(removed); {
+		time.Sleep(leavePollInterval)
 	}
+	time.Sleep(min(lifetime, time.Until(end)))
 }
 
 // newCallerHandler returns the handler for requests and, unless an additional listener serves them,
