Assign roles to isolated entries only if none is live

An isolated entry reaches no target, so it is no dispatcher while a live entry can be. It keeps the token buckets that it owns: they need no target, and a hand-over would hold up requests of all entries.

An entry stays a member whatever its state; only silence removes it. A change of its state is recorded like that to LEAVING, and a state that this release does not know holds no roles.

--- a/control/coordinator/coordinator_test.go
+++ b/control/coordinator/coordinator_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/filberthoist/filberthoist/control/distributor"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
@@ -111,6 +112,117 @@
 	})
 }
 
+// TestStates checks that every change of an entry's state is recorded, whichever states this release
+// knows, and that none but silence removes the entry.
+func TestStates(t *testing.T) {
+	const leaving, unknown = wire.EntryState_ENTRY_STATE_LEAVING, wire.EntryState(99)
+	cases := []struct {
+		name               string
+		recorded, reported wire.EntryState
+		changes            bool
+	}{
+		{"becomes isolated", live, isolated, true},
+		{"is no longer isolated", isolated, live, true},
+		{"stays isolated", isolated, isolated, false},
+		{"leaves while isolated", isolated, leaving, true},
+		{"enters a state of a later release", live, unknown, true},
+		{"stays in a state of a later release", unknown, unknown, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newInput(2)
+			p.Required = nil
+			p.Entries["entry0"].State = c.recorded
+			report(&p, "entry0", c.reported)
+			commands := Plan(p)
+			is.Equal(len(commands) > 0, c.changes)
+			for _, k := range commands {
+				is.Equal(k.GetPutEntry().GetMember().GetState(), c.reported)
+			}
+		})
+	}
+	t.Run("a silent isolated entry is removed", func(t *testing.T) {
+		is := is.New(t)
+		p := newInput(2)
+		p.Required, p.LeaderSince = nil, now-removeAfter-1
+		p.Entries["entry0"].State = isolated
+		delete(p.Callers, wire.EntryRun{Name: "entry0", Incarnation: 1})
+		is.Equal(Plan(p)[0].GetRemoveEntry().GetName(), "entry0")
+	})
+}
+
+// report makes an entry's last poll report a state.
+func report(p *PlanInput, name string, s wire.EntryState) {
+	n := wire.EntryRunOf(p.Entries[name])
+	c := p.Callers[n]
+	c.Member = proto.CloneOf(c.Member)
+	c.Member.State = s
+	p.Callers[n] = c
+}
+
+// TestRolesOfIsolatedEntries checks that isolated entries get roles only if no entry is live. They
+// keep the token buckets that they own, but not the pools that they dispatch while a live entry can.
+func TestRolesOfIsolatedEntries(t *testing.T) {
+	pool := wire.Pool{Service: "lamps", Region: "region0", Version: "v1"}.Role()
+	link := wire.LinkDirection{From: "region1", To: "region0"}.Role()
+	team := wire.TeamRole("0")
+	cases := []struct {
+		name string
+		// isolated are the isolated entries among entry0, entry1 and entry2 of a region each.
+		isolated []string
+		role     RequiredRole
+		// holder holds the role before; empty means that it has no holder yet.
+		holder string
+		// next holds the role after at most two plans.
+		next string
+	}{
+		{"a new team goes to a live entry", []string{"entry0", "entry2"}, RequiredRole{Name: team}, "", "entry1"},
+		{"a new pool goes to a live entry elsewhere", []string{"entry0", "entry2"}, RequiredRole{Name: pool, Region: "region0"}, "", "entry1"},
+		{"a team stays", []string{"entry0"}, RequiredRole{Name: team}, "entry0", "entry0"},
+		{"a link stays", []string{"entry0"}, RequiredRole{Name: link, Region: "region0"}, "entry0", "entry0"},
+		{"a pool moves", []string{"entry0", "entry2"}, RequiredRole{Name: pool, Region: "region0"}, "entry0", "entry1"},
+		{"a pool comes back", []string{"entry1"}, RequiredRole{Name: pool, Region: "region0"}, "entry1", "entry0"},
+		{"a pool stays elsewhere while its region is isolated", []string{"entry0"}, RequiredRole{Name: pool, Region: "region0"}, "entry1", "entry1"},
+		{"a pool stays if all are isolated", []string{"entry0", "entry1", "entry2"}, RequiredRole{Name: pool, Region: "region0"}, "entry0", "entry0"},
+		{"a pool stays elsewhere if all are isolated", []string{"entry0", "entry1", "entry2"}, RequiredRole{Name: pool, Region: "region0"}, "entry1", "entry1"},
+		{"a new pool goes to its region if all are isolated", []string{"entry0", "entry1", "entry2"}, RequiredRole{Name: pool, Region: "region0"}, "", "entry0"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newInput(3)
+			p.Required = []RequiredRole{c.role}
+			for _, n := range c.isolated {
+				p.Entries[n].State = isolated
+			}
+			if c.holder != "" {
+				p.Roles[c.role.Name] = &wire.Role{Name: c.role.Name, Holder: c.holder, Incarnation: p.Entries[c.holder].GetIncarnation(), Epoch: 1}
+			}
+			checkNextHolder(t, p, c.role.Name, c.next)
+		})
+	}
+}
+
+// checkNextHolder checks who holds a role once the plans are carried out, and that a holder that
+// keeps it does so without an interruption.
+func checkNextHolder(t *testing.T, p PlanInput, role, want string) {
+	t.Helper()
+	is := is.New(t)
+	before := p.Roles[role]
+	for commands := Plan(p); len(commands) > 0; commands = Plan(p) {
+		r := commands[0].GetAssignRole().GetRole()
+		is.True(r.GetEpoch() <= 2) // the role moves once at most
+		p.Roles[role] = r
+		if r.GetVacant() {
+			p.Callers[wire.EntryRunOf(p.Entries[r.GetHolder()])].Vacated[role] = r.GetEpoch()
+		}
+	}
+	is.Equal(p.Roles[role].GetHolder(), want)
+	if before.GetHolder() == want {
+		is.Equal(p.Roles[role], before)
+	}
+}
+
 // TestSilentEntries checks that a silent entry is removed only once it can no longer use anything
 // that any leader granted it.
 func TestSilentEntries(t *testing.T) {
--- a/control/coordinator/plan.go
+++ b/control/coordinator/plan.go
@@ -20,6 +20,12 @@
 // leaseExpiry is the silence after which an entry's role lease has certainly expired.
 const leaseExpiry = timekeeper.RoleLease + timekeeper.DriftMargin
 
+// States of entries that may hold roles.
+const (
+	live     = wire.EntryState_ENTRY_STATE_LIVE
+	isolated = wire.EntryState_ENTRY_STATE_ISOLATED
+)
+
 // PlanInput is the view of the deployment from which a plan is computed.
 type PlanInput struct {
 	Now time.Duration
@@ -168,15 +174,25 @@
 	return &wire.Role{Name: w.Name, Holder: holder.GetName(), Incarnation: holder.GetIncarnation(), Epoch: r.GetEpoch() + 1, Previous: r.GetHolder()}
 }
 
-// mayKeep reports whether the holder of a role is live and may keep it. A holder outside the role's
-// preferred region loses the role as soon as an entry in that region is eligible.
+// mayKeep reports whether the holder of a role may keep it: it is live, or isolated and no live entry
+// could do better. A holder outside the role's preferred region loses the role as soon as a live
+// entry in that region is eligible.
 func (p PlanInput) mayKeep(w RequiredRole, r *wire.Role) bool {
 	m := p.Entries[r.GetHolder()]
-	if w.Region != "" && m.GetRegion() != w.Region && len(p.eligible(w.Region)) > 0 {
+	if w.Region != "" && m.GetRegion() != w.Region && len(p.eligible(live, w.Region)) > 0 {
+		return false
+	}
+	if m == nil || m.GetIncarnation() != r.GetIncarnation() || p.silence(r.GetHolder(), r.GetIncarnation()) > leaseExpiry {
 		return false
 	}
-	live := m != nil && m.GetIncarnation() == r.GetIncarnation() && m.GetState() == wire.EntryState_ENTRY_STATE_LIVE
-	return live && p.silence(r.GetHolder(), r.GetIncarnation()) <= leaseExpiry
+	switch m.GetState() {
+	case live:
+		return true
+	case isolated:
+		_, dispatches := wire.ParsePool(w.Name)
+		return !dispatches || !p.hasLiveEntry() // the owner of a token bucket needs no target
+	}
+	return false
 }
 
 // hasStopped reports whether a holder can no longer act: it acknowledged that the role is vacant, or
@@ -189,13 +205,9 @@
 	return ok && r.GetVacant() && c.Vacated[r.GetName()] >= r.GetEpoch()
 }
 
-// chooseHolder returns the eligible entry with the fewest roles, from the preferred region if there
-// is one. Rendezvous hashing breaks ties.
+// chooseHolder returns the candidate with the fewest roles. Rendezvous hashing breaks ties.
 func (p PlanInput) chooseHolder(w RequiredRole, roleCounts map[string]int) *wire.EntryMember {
-	candidates := p.eligible(w.Region)
-	if len(candidates) == 0 {
-		candidates = p.eligible("")
-	}
+	candidates := p.candidates(w)
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -210,20 +222,48 @@
 	})
 }
 
-// eligible returns the live entries of a region, or all of them.
-func (p PlanInput) eligible(region string) []*wire.EntryMember {
+// candidates returns the live entries of a role's preferred region, or of all regions if it has none.
+// Without any live entry it returns the isolated ones.
+func (p PlanInput) candidates(w RequiredRole) []*wire.EntryMember {
+	for _, state := range []wire.EntryState{live, isolated} {
+		for _, region := range []string{w.Region, ""} {
+			if out := p.eligible(state, region); len(out) > 0 {
+				return out
+			}
+		}
+	}
+	return nil
+}
+
+// eligible returns the entries in a state that may act in a role, of a region or of all if it is
+// empty.
+func (p PlanInput) eligible(state wire.EntryState, region string) []*wire.EntryMember {
 	var out []*wire.EntryMember
 	for _, n := range slices.Sorted(maps.Keys(p.Entries)) {
 		m := p.Entries[n]
-		_, polls := p.Callers[wire.EntryRun{Name: n, Incarnation: m.GetIncarnation()}]
-		live := polls && m.GetState() == wire.EntryState_ENTRY_STATE_LIVE && p.silence(n, m.GetIncarnation()) <= leaseExpiry
-		if live && (region == "" || m.GetRegion() == region) {
+		if m.GetState() == state && p.mayAct(m) && (region == "" || m.GetRegion() == region) {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
+// hasLiveEntry reports whether any live entry may act in a role.
+func (p PlanInput) hasLiveEntry() bool {
+	for _, m := range p.Entries {
+		if m.GetState() == live && p.mayAct(m) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayAct reports whether an entry polls and its role lease has not expired.
+func (p PlanInput) mayAct(m *wire.EntryMember) bool {
+	_, polls := p.Callers[wire.EntryRunOf(m)]
+	return polls && p.silence(m.GetName(), m.GetIncarnation()) <= leaseExpiry
+}
+
 // sortedCallers returns the callers sorted by the name of their entry.
 func (p PlanInput) sortedCallers() []distributor.Caller {
 	out := make([]distributor.Caller, 0, len(p.Callers))
