Show and log the state of an entry by its name

The status showed every entry that was not leaving as live, and control logged each change of an entry's state as a join. Both now name the state; the documents say what isolated means.

--- a/cli/commander/status.go
+++ b/cli/commander/status.go
@@ -79,13 +79,10 @@
 }
 
 func entryState(e *wire.EntryStatus) string {
-	switch {
-	case e.GetLeaseLapsed():
+	if e.GetLeaseLapsed() {
 		return fmt.Sprintf("silent for %.0f s", e.GetSecondsSincePoll())
-	case e.GetMember().GetState() == wire.EntryState_ENTRY_STATE_LEAVING:
-		return "leaving"
 	}
-	return "live"
+	return wire.StateName(e.GetMember().GetState())
 }
 
 func roleState(r *wire.Role) string {
--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -125,13 +125,14 @@
 func (c *Coordinator) propose(ctx context.Context, command *wire.Command) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	before := c.config.State.Entries()
 	r, err := c.config.Sequencer.Propose(ctx, command)
 	if err != nil || !r.Done {
 		return // the next round plans from the state at that time
 	}
 	switch k := command.GetKind().(type) {
 	case *wire.Command_PutEntry:
-		c.config.Logger.Log(logger.EntryJoined, logger.F("entry", k.PutEntry.GetMember().GetName()))
+		c.logMember(before[k.PutEntry.GetMember().GetName()], k.PutEntry.GetMember())
 	case *wire.Command_RemoveEntry:
 		if c.config.State.SilentEntries()[k.RemoveEntry.GetName()] != nil { // the first removal; that of the silent record is not logged
 			c.config.Logger.Log(logger.EntryRemoved, logger.F("entry", k.RemoveEntry.GetName()))
@@ -142,3 +143,13 @@
 			logger.F("epoch", a.GetEpoch()), logger.F("vacant", a.GetVacant()))
 	}
 }
+
+// logMember logs that an entry joined, or only that its state changed from that of old, which is nil
+// for a new entry.
+func (c *Coordinator) logMember(old, m *wire.EntryMember) {
+	if old.GetIncarnation() != m.GetIncarnation() || old.GetState() == m.GetState() {
+		c.config.Logger.Log(logger.EntryJoined, logger.F("entry", m.GetName()))
+		return
+	}
+	c.config.Logger.Log(logger.EntryStateChanged, logger.F("entry", m.GetName()), logger.F("state", wire.StateName(m.GetState())))
+}
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -54,6 +54,7 @@
 	EntryJoined        = Event{401, "entryJoined", log.InfoLevel, "An entry joined or rejoined."}
 	EntryRemoved       = Event{402, "entryRemoved", log.WarnLevel, "An entry was removed because it was silent past its lease or left."}
 	RoleAssigned       = Event{403, "roleAssigned", log.InfoLevel, "A role was assigned to an entry under a new epoch."}
+	EntryStateChanged  = Event{404, "entryStateChanged", log.InfoLevel, "An entry leaves, is isolated from all targets or is live again; the field shows which."}
 	RequestCut         = Event{501, "requestCut", log.WarnLevel, "A response broke off partway; the caller's connection was closed."}
 	RequestServed      = Event{503, "requestServed", log.InfoLevel, "A target responded to a request; the fields show how it was routed."}
 	RequestRefused     = Event{504, "requestRefused", log.WarnLevel, "A request was refused; the fields show the step, the reason and when to retry."}
@@ -92,7 +93,7 @@
 	LeaseLapsed, LeaseRenewed, ControlUnreachable,
 	OrderAccepted, OrderRefused, OrderUnknown, AllocationInUse, EvacuationsInForce,
 	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed,
-	EntryJoined, EntryRemoved, RoleAssigned,
+	EntryJoined, EntryRemoved, RoleAssigned, EntryStateChanged,
 	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed,
 	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
