--- a/control/applier/applier_test.go
+++ b/control/applier/applier_test.go
@@ -107,6 +107,31 @@
 	})
 }
 
+// TestEntryStates checks that an entry stays a member in every state, also in one of a later release,
+// and that a snapshot keeps its state.
+func TestEntryStates(t *testing.T) {
+	s := NewState(asserter.NewPanicking())
+	for _, state := range []wire.EntryState{
+		wire.EntryState_ENTRY_STATE_LIVE, wire.EntryState_ENTRY_STATE_ISOLATED, wire.EntryState_ENTRY_STATE_LIVE,
+		wire.EntryState_ENTRY_STATE_ISOLATED, wire.EntryState_ENTRY_STATE_LEAVING, 99,
+	} {
+		t.Run(wire.StateName(state), func(t *testing.T) {
+			is := is.New(t)
+			before := s.Index()
+			m := &wire.EntryMember{Name: "a", Incarnation: 7, State: state}
+			apply(t, s, &wire.Command{Kind: &wire.Command_PutEntry{PutEntry: &wire.PutEntryCommand{Member: m}}})
+			is.True(s.ChangedSince(before)) // polls are answered with the change
+			is.Equal(s.Entries()["a"].GetState(), state)
+			is.Equal(len(s.SilentEntries()), 0)
+			data, err := s.Snapshot()
+			is.NoErr(err)
+			next := NewState(asserter.NewPanicking())
+			is.NoErr(next.Restore(s.Index(), data))
+			is.Equal(next.Entries()["a"].GetState(), state)
+		})
+	}
+}
+
 // TestDeltas checks that applying deltas leads to the same records as a snapshot.
 func TestDeltas(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/control/apportioner/apportioner_test.go
+++ b/control/apportioner/apportioner_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/filberthoist/filberthoist/core/logger"
@@ -41,7 +43,8 @@
 }
 
 // TestSharesNeverExceedTheWhole checks that the entries together never use more than the rate,
-// whichever answers are lost, however long entries are silent, and whenever the leader changes.
+// whichever answers are lost, however long entries are silent, and whenever the leader or the state of
+// an entry changes.
 func TestSharesNeverExceedTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now, term, since := time.Hour, uint64(1), time.Hour
@@ -69,6 +72,10 @@
 				e.member = &wire.EntryMember{Name: e.member.GetName(), Incarnation: e.member.GetIncarnation() + 1}
 				members[e.member.GetName()] = e.member
 				e.share, e.number = 0, 0
+			case 3: // the entry becomes isolated or live again
+				e.member = proto.CloneOf(e.member)
+				e.member.State = rapid.SampledFrom([]wire.EntryState{wire.EntryState_ENTRY_STATE_LIVE, wire.EntryState_ENTRY_STATE_ISOLATED}).Draw(t, "state")
+				members[e.member.GetName()] = e.member
 			default:
 				now += time.Duration(rapid.IntRange(1, 300).Draw(t, "step")) * time.Millisecond
 				r := &wire.PollRequest{Member: e.member, SharesInUse: e.number, Demands: []*wire.TeamDemand{{
@@ -96,7 +103,7 @@
 }
 
 // TestSharesFollowDemand checks that an entry with a higher demand gets a larger share within a
-// few polls.
+// few polls, isolated or not.
 func TestSharesFollowDemand(t *testing.T) {
 	is := is.New(t)
 	now := time.Hour
@@ -121,6 +128,16 @@
 	}
 	is.True(share["a"] > 0.75)
 	is.True(share["a"]+share["b"] <= 1+1e-9)
+	before := maps.Clone(share)
+	members["a"] = &wire.EntryMember{Name: "a", Incarnation: 1, State: wire.EntryState_ENTRY_STATE_ISOLATED}
+	for range 4 {
+		poll(map[string]float64{"a": 90, "b": 10})
+	}
+	is.Equal(share, before) // its state alone changes no share
+	for range 4 {
+		poll(map[string]float64{"a": 10, "b": 90})
+	}
+	is.True(share["b"] > 0.75)
 }
 
 // TestSilentEntryAfterAChange checks a new leader that one of twelve entries does not poll. It
--- a/entry/balancer/model_test.go
+++ b/entry/balancer/model_test.go
@@ -380,6 +380,45 @@
 	}
 }
 
+// TestWarmingEntry checks that one entry sends requests to a cold target, and that another one does
+// once it is isolated or leaves: in the target's region as long as one is live there.
+func TestWarmingEntry(t *testing.T) {
+	const isolated, leaving = wire.EntryState_ENTRY_STATE_ISOLATED, wire.EntryState_ENTRY_STATE_LEAVING
+	for _, state := range []wire.EntryState{isolated, leaving} {
+		t.Run(wire.StateName(state), func(t *testing.T) {
+			is := is.New(t)
+			m := newSimulationWithEntries(map[string]int{"south": 1, "north": 1}, 3)
+			l := m.view.Targets["drafts"][0]
+			seen := map[string]bool{}
+			for i := range 6 {
+				name := m.warmingEntry(t, l)
+				is.True(!seen[name])
+				is.Equal(m.view.Entries[name].GetRegion() == l.Region, i < 3)
+				seen[name] = true
+				m.view.Entries[name].State = state
+			}
+			for _, e := range m.entries {
+				is.True(!e.picker.warmsTarget(m.view, l)) // none is live
+			}
+			m.view.Entries["entry-north-1"].State = wire.EntryState_ENTRY_STATE_LIVE
+			is.Equal(m.warmingEntry(t, l), "entry-north-1")
+		})
+	}
+}
+
+// warmingEntry returns the only entry that sends requests to a target while it is cold.
+func (m *simulation) warmingEntry(t *testing.T, l *receiver.ListedTarget) string {
+	t.Helper()
+	var out []string
+	for _, e := range m.entries {
+		if e.picker.warmsTarget(m.view, l) {
+			out = append(out, e.name)
+		}
+	}
+	is.New(t).Equal(len(out), 1)
+	return out[0]
+}
+
 // TestManyEntries simulates many entries with few requests each, and a few objects that are asked
 // for often. An entry gets a target's load only with its own rare responses, and must still not
 // send to full queues while an object's second target has capacity.
