--- a/control/coordinator/plan.go
+++ b/control/coordinator/plan.go
@@ -174,9 +174,9 @@
 	return &wire.Role{Name: w.Name, Holder: holder.GetName(), Incarnation: holder.GetIncarnation(), Epoch: r.GetEpoch() + 1, Previous: r.GetHolder()}
 }
 
-// mayKeep reports whether the holder of a role may keep it: it is live, or isolated and no live entry
-// could do better. A holder outside the role's preferred region loses the role as soon as a live
-// entry in that region is eligible.
+// mayKeep reports whether the holder of a role may keep it: it is live, or it is isolated and either
+// the role needs no targets or no entry is live. A holder outside the role's preferred region loses
+// the role as soon as a live entry in that region is eligible.
 func (p PlanInput) mayKeep(w RequiredRole, r *wire.Role) bool {
 	m := p.Entries[r.GetHolder()]
 	if w.Region != "" && m.GetRegion() != w.Region && len(p.eligible(live, w.Region)) > 0 {
@@ -189,8 +189,8 @@
 	case live:
 		return true
 	case isolated:
-		_, dispatches := wire.ParsePool(w.Name)
-		return !dispatches || !p.hasLiveEntry() // the owner of a token bucket needs no target
+		_, needsTargets := wire.ParsePool(w.Name)
+		return !needsTargets || !p.hasLiveEntry()
 	}
 	return false
 }
