--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -63,6 +63,8 @@
 	Zones map[string]string
 	// Lenient serves keyed requests from the last known state while control is unreachable.
 	Lenient bool
+	// Isolated reports whether this entry can reach none of its targets; nil means never.
+	Isolated func() bool
 }
 
 // Receiver polls control and holds the latest View.
@@ -324,8 +326,11 @@
 // pollRequest returns the next poll, and whether it reports the request rates of teams.
 func (r *Receiver) pollRequest(address string, now time.Duration) (q *wire.PollRequest, reported bool) {
 	self := proto.CloneOf(r.config.Self)
-	if r.leaving.Load() {
+	switch {
+	case r.leaving.Load():
 		self.State = wire.EntryState_ENTRY_STATE_LEAVING
+	case r.config.Isolated != nil && r.config.Isolated():
+		self.State = wire.EntryState_ENTRY_STATE_ISOLATED
 	}
 	v := r.View()
 	q = &wire.PollRequest{Member: self, Applied: v.Index, HoldMilliseconds: uint32(timekeeper.PollHold / time.Millisecond)}
