--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -64,6 +64,8 @@
 	TargetLeaving      = Event{603, "targetLeaving", log.InfoLevel, "A target is leaving and gets no new requests."}
 	DispatcherReady    = Event{604, "dispatcherReady", log.InfoLevel, "A new dispatcher recovered the permits in use and begins to grant."}
 	RepeatsSpent       = Event{605, "repeatsSpent", log.WarnLevel, "The retry budget of a service is spent on this entry; its requests are not retried."}
+	TargetsUnreachable = Event{606, "targetsUnreachable", log.WarnLevel, "No probed target can be reached from this entry; other entries serve its requests."}
+	TargetsReachable   = Event{607, "targetsReachable", log.InfoLevel, "Targets can be reached from this entry again; it serves its requests itself."}
 	MoveBegun          = Event{611, "moveBegun", log.InfoLevel, "A move began, or continues under a changed schedule."}
 	MoveStepped        = Event{612, "moveStepped", log.InfoLevel, "A move advanced to its next share."}
 	MoveTakenBack      = Event{613, "moveTakenBack", log.WarnLevel, "The new side of a move is significantly worse; all traffic is back on the old side."}
@@ -94,7 +96,7 @@
 	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed,
 	EntryJoined, EntryRemoved, RoleAssigned,
 	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed,
-	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent,
+	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent, TargetsUnreachable, TargetsReachable,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
 	OwnerStarted, SharesInUse, TokensUnavailable, TokensAvailable, SharesAwaited, SharesOverdrawn, SharesCovered, AllowanceBegun,
 	InvariantBroken,
