--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -119,7 +119,7 @@
 func (b *Balancer) pickRequest(e *handler.Exchange) PickRequest {
 	d := PickRequest{
 		Service: e.Service.Name, WorkKind: e.Service.Name + " " + e.Route.Name,
-		Allows: e.Selection.Allows, Homes: allowedRegions(e), ColdRate: e.Service.ColdRate,
+		Allows: e.Selection.Allows, Homes: e.AllowedRegions(), ColdRate: e.Service.ColdRate,
 		Aim: e.Route.Aim, MaxQueueWait: maxQueueWait(e),
 	}
 	d.Object = e.Object()
@@ -146,26 +146,6 @@
 	return time.Duration(ordinaryWaitFraction * float64(aim))
 }
 
-// allowedRegions returns the regions that may serve a request: the homes of its route or its
-// team, or those in both if both have homes.
-func allowedRegions(e *handler.Exchange) []string {
-	if e.Team == nil || len(e.Team.Homes) == 0 {
-		return e.Route.Homes
-	}
-	if len(e.Route.Homes) == 0 {
-		return e.Team.Homes
-	}
-	out := []string{"-"} // matches no region, since an empty list would allow all
-	for _, h := range e.Route.Homes {
-		for _, t := range e.Team.Homes {
-			if h == t {
-				out = append(out, h)
-			}
-		}
-	}
-	return out
-}
-
 // mayRetry reports whether a request may be sent to another target.
 func (b *Balancer) mayRetry(ctx context.Context, e *handler.Exchange, w *retryState) bool {
 	attempts := e.Route.Attempts
--- a/entry/detector/detector.go
+++ b/entry/detector/detector.go
@@ -58,7 +58,7 @@
 	suspected atomic.Bool
 	wake      chan struct{}
 	mutex     sync.Mutex
-	// failed holds the addresses of the targets that failed since the last success.
+	// failed holds the names of the targets that failed since the last success.
 	failed map[string]bool
 	// interval is the time from the last round to the next while the entry is not isolated.
 	interval time.Duration
@@ -107,7 +107,7 @@
 		d.clearSuspicion()
 		return
 	}
-	d.failed[t.Address] = true
+	d.failed[t.Name] = true
 	d.suspected.Store(true)
 	if len(d.failed) >= suspectedTargets {
 		select {
--- /dev/null
+++ b/entry/forwarder/delegate.go
@@ -0,0 +1,49 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/filberthoist/filberthoist/entry/handler"
+)
+
+// delegatedValue is the value of the header that marks a delegated request.
+const delegatedValue = "1"
+
+// Delegate sends the request of an exchange to another entry, as its caller would, and waits for the
+// response. The request carries a mark, so that the other entry does not delegate it again.
+func (f *Forwarder) Delegate(ctx context.Context, e *handler.Exchange, address string) *SendResult {
+	left := e.Deadline - f.config.Clock.Now()
+	if left <= 0 {
+		return &SendResult{Outcome: handler.Refuse(http.StatusGatewayTimeout, handler.ReasonDeadline)}
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	r := f.copyRequest(e)
+	f.setHeaders(e, r, left)
+	r.Header.Set(f.config.Dialect.Delegated, delegatedValue)
+	response, failure := f.carrier.Exchange(ctx, address, r)
+	if failure != nil {
+		return f.classifyFailure(ctx, e, failure, left)
+	}
+	if !f.isOwnResponse(response.Status, response.Header) {
+		if response.Remainder != nil {
+			_ = response.Remainder.Close() // the response is not used
+		}
+		return &SendResult{Outcome: handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUnmatched)}
+	}
+	return &SendResult{Response: response}
+}
+
+// Relay writes the response of another entry to the caller unchanged, and returns the outcome that
+// the response states.
+func (f *Forwarder) Relay(ctx context.Context, e *handler.Exchange, s *SendResult) handler.Outcome {
+	copyHeader(e.Writer.Header(), s.Response.Header)
+	e.Writer.Header().Del(f.config.Dialect.Delegated)
+	o, _ := f.write(ctx, e, s)
+	run := f.config.Dialect.StatedRun(s.Response.Status, s.Response.Header)
+	if o.Run != handler.Done || run == handler.Done {
+		return o
+	}
+	return handler.Outcome{Run: run, Status: s.Response.Status, Reason: handler.ReasonDelegate, Relayed: true}
+}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -29,6 +29,9 @@
 	Fresh func() bool
 	// Dialect holds the names of the headers; nil means the default.
 	Dialect *handler.Dialect
+	// Record is called after each exchange with whether the target was reached, unless the end of the
+	// exchange does not show it; nil means never.
+	Record func(t *parser.Target, reached bool)
 }
 
 // Forwarder sends requests to the targets of upstreams.
@@ -108,11 +111,28 @@
 	}
 	response, failure := f.carrier.Exchange(ctx, t.Address, r)
 	if failure != nil {
-		return f.classifyFailure(ctx, e, failure, left)
+		s := f.classifyFailure(ctx, e, failure, left)
+		f.recordFailure(t, s)
+		return s
 	}
+	f.record(t, true)
 	return f.classifyResponse(e, response, f.config.Clock.Now()-begun)
 }
 
+// recordFailure records that a target was not reached, unless the caller or the deadline ended the
+// exchange early. A target that answers another request is reached.
+func (f *Forwarder) recordFailure(t *parser.Target, s *SendResult) {
+	if s.Result.Failed {
+		f.record(t, s.Outcome.Reason == handler.ReasonUnmatched)
+	}
+}
+
+func (f *Forwarder) record(t *parser.Target, reached bool) {
+	if f.config.Record != nil {
+		f.config.Record(t, reached)
+	}
+}
+
 // classifyFailure returns the result of a request without a response. It is certain that the
 // request did not run only if nothing was sent.
 func (f *Forwarder) classifyFailure(ctx context.Context, e *handler.Exchange, n *carrier.Failure, left time.Duration) *SendResult {
@@ -178,12 +198,17 @@
 // WriteResponse writes a response to the caller. If its body breaks off, the outcome is Unknown and
 // the handler cuts the caller's connection, so that the body is not taken for a complete one.
 func (f *Forwarder) WriteResponse(ctx context.Context, e *handler.Exchange, s *SendResult) (handler.Outcome, dispatcher.Result) {
-	response := s.Response
-	copyHeader(e.Writer.Header(), response.Header)
+	copyHeader(e.Writer.Header(), s.Response.Header)
 	if f.config.Dialect.Outcome != "" {
 		e.Writer.Header().Set(f.config.Dialect.Outcome, string(handler.Done))
 	}
 	e.Writer.Header().Set(f.config.Dialect.RequestID, e.ID)
+	return f.write(ctx, e, s)
+}
+
+// write writes the head and the body of a response.
+func (f *Forwarder) write(ctx context.Context, e *handler.Exchange, s *SendResult) (handler.Outcome, dispatcher.Result) {
+	response := s.Response
 	e.Writer.WriteHeader(response.Status)
 	e.ResponseStarted = true
 	if _, err := e.Writer.Write(response.Body); err != nil {
@@ -227,8 +252,23 @@
 	}
 }
 
+// newRequest returns the request to a target.
 func (f *Forwarder) newRequest(e *handler.Exchange, t *parser.Target, left time.Duration) *carrier.Request {
 	d := f.config.Dialect
+	r := f.copyRequest(e)
+	d.Strip(r.Header)
+	f.setHeaders(e, r, left)
+	if e.Team != nil {
+		r.Header.Set(d.Team, e.Team.Name)
+	}
+	if d.ExpectedTarget != "" {
+		r.Header.Set(d.ExpectedTarget, t.Name)
+	}
+	return r
+}
+
+// copyRequest returns the caller's request with the headers that are not of its connection only.
+func (f *Forwarder) copyRequest(e *handler.Exchange) *carrier.Request {
 	r := &carrier.Request{
 		Method: e.Request.Method, URI: e.Request.RequestURI, Host: e.Request.Host,
 		Header: http.Header{}, Body: e.Body, ID: e.ID, AtMostOnce: !e.Route.Retryable(),
@@ -237,21 +277,18 @@
 		r.URI = e.Request.URL.RequestURI() // the request target is in absolute form
 	}
 	copyHeader(r.Header, e.Request.Header)
-	d.Strip(r.Header)
 	for _, name := range []string{"Expect", "Content-Length", "Host"} {
 		r.Header.Del(name) // the body was read already, and the carrier frames it again
 	}
-	r.Header.Set(d.RequestID, e.ID)
-	r.Header.Set(d.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
-	if e.Team != nil {
-		r.Header.Set(d.Team, e.Team.Name)
-	}
-	if d.ExpectedTarget != "" {
-		r.Header.Set(d.ExpectedTarget, t.Name)
-	}
 	return r
 }
 
+// setHeaders sets the request's ID and the time that is left for it.
+func (f *Forwarder) setHeaders(e *handler.Exchange, r *carrier.Request, left time.Duration) {
+	r.Header.Set(f.config.Dialect.RequestID, e.ID)
+	r.Header.Set(f.config.Dialect.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+}
+
 // hopByHopHeaders apply to a single connection and are not forwarded (RFC 9110, section 7.6.1).
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/entry/handler/dialect.go
+++ b/entry/handler/dialect.go
@@ -34,6 +34,9 @@
 	// Signature is set on every response that an upstream made itself. A successful response
 	// without it is not accepted as one; optional.
 	Signature string
+	// Delegated marks a request that another entry delegated to this one, and a response by which
+	// this one declines it. It is never forwarded to an upstream.
+	Delegated string
 	// Load carries the numbers of running and waiting requests and of slots of a target; optional.
 	Load string
 	// Prefix is the prefix of further headers that are removed from callers' requests; optional.
@@ -46,7 +49,7 @@
 // DefaultDialect returns the default dialect.
 func DefaultDialect() Dialect {
 	return Dialect{
-		Key: KeyHeader, Deadline: DeadlineHeader, RequestID: RequestHeader, Team: TeamHeader, Outcome: OutcomeHeader,
+		Key: KeyHeader, Deadline: DeadlineHeader, RequestID: RequestHeader, Team: TeamHeader, Outcome: OutcomeHeader, Delegated: DelegatedHeader,
 		NotRun: OutcomeHeader, NotRunValue: string(NotRun), Prefix: HeaderPrefix,
 	}
 }
@@ -55,12 +58,26 @@
 func (d Dialect) Strip(h http.Header) {
 	for name := range h {
 		n := http.CanonicalHeaderKey(name)
-		if (d.Prefix != "" && strings.HasPrefix(n, d.Prefix)) || slices.Contains([]string{d.Key, d.Team, d.ExpectedTarget, d.Deadline, d.RequestID}, n) {
+		if (d.Prefix != "" && strings.HasPrefix(n, d.Prefix)) || slices.Contains([]string{d.Key, d.Team, d.ExpectedTarget, d.Deadline, d.RequestID, d.Delegated}, n) {
 			delete(h, name)
 		}
 	}
 }
 
+// StatedRun returns what the response of another entry states about the request.
+func (d Dialect) StatedRun(status int, h http.Header) Run {
+	stated, _, _ := strings.Cut(h.Get(d.Outcome), ";")
+	switch {
+	case d.Outcome != "" && stated != "":
+		return Run(stated)
+	case d.Signature != "" && h.Get(d.Signature) != "", status < http.StatusMultipleChoices:
+		return Done
+	case status < http.StatusInternalServerError, status == http.StatusServiceUnavailable:
+		return NotRun
+	}
+	return Unknown
+}
+
 // Refused reports whether a response states that the upstream did not run the request.
 func (d Dialect) Refused(status int, h http.Header) bool {
 	switch {
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,6 +24,8 @@
 	TeamHeader = "Filberthoist-Team"
 	// OutcomeHeader states to the caller whether the request ran.
 	OutcomeHeader = "Filberthoist-Outcome"
+	// DelegatedHeader marks a request that one entry delegates to another.
+	DelegatedHeader = "Filberthoist-Delegated"
 	// HeaderPrefix is the prefix of every header of the system. Headers with it are removed from
 	// callers' requests.
 	HeaderPrefix = "Filberthoist-"
@@ -145,6 +148,29 @@
 	return e.Route.Name + "/" + c.Value
 }
 
+// Delegated reports whether another entry delegated the request to this one.
+func (e *Exchange) Delegated() bool {
+	return e.Request.Header.Get(e.Dialect.Delegated) != ""
+}
+
+// AllowedRegions returns the regions that may serve the request: the homes of its route or its
+// team, or those in both if both have homes. It is empty if all may.
+func (e *Exchange) AllowedRegions() []string {
+	if e.Team == nil || len(e.Team.Homes) == 0 {
+		return e.Route.Homes
+	}
+	if len(e.Route.Homes) == 0 {
+		return e.Team.Homes
+	}
+	out := []string{"-"} // matches no region, since an empty list would allow all
+	for _, h := range e.Route.Homes {
+		if slices.Contains(e.Team.Homes, h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // TeamName returns the team's name, or OpenTeam if there is none.
 func (e *Exchange) TeamName() string {
 	if e.Team == nil {
--- a/entry/handler/handler.go
+++ b/entry/handler/handler.go
@@ -65,7 +65,7 @@
 	}
 	h.record(e, o, step)
 	switch {
-	case o.Run == Done:
+	case o.Run == Done, o.Relayed:
 		return
 	case e.ResponseStarted:
 		h.config.Logger.Log(logger.RequestCut, logger.F("request", e.ID), logger.F("reason", string(o.Reason)))
@@ -74,9 +74,10 @@
 	h.writeFailure(e, o)
 }
 
-// requestID returns the ID that the caller chose if the dialect allows that, or a new ID.
+// requestID returns the ID that the caller chose if the dialect allows that, the ID of a delegated
+// request, or a new ID.
 func (h *Handler) requestID(r *http.Request) string {
-	if h.config.Dialect.CallerChoosesID {
+	if h.config.Dialect.CallerChoosesID || r.Header.Get(h.config.Dialect.Delegated) != "" {
 		if id := r.Header.Get(h.config.Dialect.RequestID); id != "" {
 			return id
 		}
--- a/entry/handler/outcome.go
+++ b/entry/handler/outcome.go
@@ -35,6 +35,10 @@
 	ReasonKeyReused    Reason = "idempotencyKeyReused"
 	ReasonUnmatched    Reason = "unmatchedAnswer"
 	ReasonNotAvailable Reason = "notAvailable"
+	// ReasonIsolated means that this entry reaches no target and no other entry took the request.
+	ReasonIsolated Reason = "isolated"
+	// ReasonDelegate means that the entry to which the request was delegated refused or failed it.
+	ReasonDelegate Reason = "delegate"
 )
 
 // Outcome is the result of a step. The zero Outcome continues with the next step.
@@ -42,6 +46,8 @@
 	Run    Run
 	Status int
 	Reason Reason
+	// Relayed means that the caller has the whole response of another entry, whatever the outcome.
+	Relayed bool
 }
 
 // Refuse returns an Outcome for a request that did not run.
