Let the balancer hand on requests that reach no target

A request that found two targets, or the only one, unreachable and reached none is handed to another entry, before the detector has reached its verdict and where kept connections still work. Without a taker it is retried as before.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -26,6 +26,9 @@
 	defaultAttempts = 2
 	// maxSends is the number of targets that a request may be sent to, refusals included.
 	maxSends = 4
+	// maxUnreachable is the number of targets that a request finds unreachable before it is handed to
+	// another entry.
+	maxUnreachable = 2
 	// minRetryAfter and maxRetryAfter bound the expected wait from which the Retry-After of a
 	// refused request is drawn; it is one to two times that wait.
 	minRetryAfter = 100 * time.Millisecond
@@ -45,6 +48,9 @@
 	// to the caller.
 	Send          func(ctx context.Context, e *handler.Exchange, t *parser.Target) *forwarder.SendResult
 	WriteResponse func(ctx context.Context, e *handler.Exchange, s *forwarder.SendResult) (handler.Outcome, dispatcher.Result)
+	// Delegate hands a request that reached no target to another entry. It returns false if none took
+	// the request. nil means that there is no other entry.
+	Delegate func(ctx context.Context, e *handler.Exchange) (handler.Outcome, bool)
 	// RetryBudget bounds retries on further targets.
 	RetryBudget *Budget
 	Meter       *Meter
@@ -81,6 +87,8 @@
 	sent        int
 	// reached counts the attempts that did not find their target unreachable.
 	reached int
+	// delegated is set once other entries were tried.
+	delegated bool
 	// failedResponse is a response with an error status, written to the caller if no retry gets a
 	// better one.
 	failedResponse *forwarder.SendResult
@@ -102,12 +110,18 @@
 			continue
 		}
 		if pick == nil {
+			if o, ok := b.delegate(ctx, e, w, 1); ok {
+				return o
+			}
 			b.handleNoTarget(e, w, delay)
 			break
 		}
 		if o, final := b.send(ctx, e, w, pick); final {
 			return o
 		}
+		if o, ok := b.delegate(ctx, e, w, maxUnreachable); ok {
+			return o
+		}
 	}
 	if w.failedResponse != nil {
 		o, _ := b.config.WriteResponse(ctx, e, w.failedResponse)
@@ -116,6 +130,16 @@
 	return w.lastOutcome
 }
 
+// delegate hands a request to another entry once it found a number of targets unreachable and reached
+// none. It does so once.
+func (b *Balancer) delegate(ctx context.Context, e *handler.Exchange, w *retryState, unreachable int) (handler.Outcome, bool) {
+	if b.config.Delegate == nil || w.delegated || w.reached > 0 || w.sent < unreachable || ctx.Err() != nil {
+		return handler.Outcome{}, false
+	}
+	w.delegated = true
+	return b.config.Delegate(ctx, e)
+}
+
 func (b *Balancer) pickRequest(e *handler.Exchange) PickRequest {
 	d := PickRequest{
 		Service: e.Service.Name, WorkKind: e.Service.Name + " " + e.Route.Name,
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -277,3 +277,57 @@
 		}
 	}
 }
+
+// TestDelegation checks that a request that reached no target is handed to another entry, once, and
+// never if a target may have run it.
+func TestDelegation(t *testing.T) {
+	type script = []func() *forwarder.SendResult
+	cases := []struct {
+		name      string
+		script    script
+		taken     bool
+		sent      int
+		delegated int
+		status    int
+	}{
+		{"answered", script{answers}, true, 1, 0, 200},
+		{"one unreachable", script{unreachable, answers}, true, 2, 0, 200},
+		{"two unreachable", script{unreachable}, true, maxUnreachable, 1, 201},
+		{"two unreachable, none took it", script{unreachable, unreachable, answers}, false, 3, 1, 200},
+		{"all unreachable, none took it", script{unreachable}, false, maxSends, 1, 503},
+		{"refused, then unreachable", script{refuses, unreachable}, true, maxSends, 0, 503},
+		{"broken, then unreachable", script{breaks, unreachable}, true, 1, 0, 502},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b, view, sent := newBalancer(10, c.script)
+			delegated := 0
+			b.config.Delegate = func(context.Context, *handler.Exchange) (handler.Outcome, bool) {
+				delegated++
+				return handler.Outcome{Run: handler.Done, Status: http.StatusCreated}, c.taken
+			}
+			o := b.balance(context.Background(), newExchange(b, view, parser.ClassAtMostOnce))
+			is.Equal(o.Status, c.status)
+			is.Equal(len(*sent), c.sent)
+			is.Equal(delegated, c.delegated)
+		})
+	}
+	t.Run("a single target", func(t *testing.T) {
+		is := is.New(t)
+		b, view, sent := newBalancer(10, script{unreachable})
+		view.Targets["drafts"] = view.Targets["drafts"][:1]
+		b.config.Delegate = func(context.Context, *handler.Exchange) (handler.Outcome, bool) { return handler.Answered(), true }
+		is.Equal(b.balance(context.Background(), newExchange(b, view, parser.ClassAtMostOnce)).Run, handler.Done)
+		is.Equal(len(*sent), 1)
+	})
+}
+
+// newExchange returns a request for the tests' service, a second before its deadline.
+func newExchange(b *Balancer, v *receiver.View, c parser.Class) *handler.Exchange {
+	s, dialect := &parser.Service{Name: "drafts"}, handler.DefaultDialect()
+	return &handler.Exchange{
+		View: v, Request: httptest.NewRequest(http.MethodGet, "/", nil), Dialect: &dialect, ID: "r", Service: s,
+		Route: &parser.Route{Name: "r", Service: s, Class: c, Timeout: time.Second}, Deadline: b.config.Clock.Now() + time.Second,
+	}
+}
