Serve callers of an isolated entry through other entries

An entry whose connections to all targets are cut, but whose others work, answered 503 to its callers for the whole cut: it stayed in the lookups, kept its callers' connections and looked for a target for each request until none was left. The detector now gets the results of all exchanges; while it considers the entry isolated, the delegator sends requests to other entries, and the balancer hands on those that reach no target before that.

--- a/entry/authenticator/authenticator.go
+++ b/entry/authenticator/authenticator.go
@@ -36,6 +36,9 @@
 func (a *Authenticator) authenticate(_ context.Context, e *handler.Exchange) handler.Outcome {
 	keys := e.Request.Header.Values(e.Dialect.Key)
 	e.Dialect.Strip(e.Request.Header)
+	if len(keys) == 1 {
+		e.CallerKey = keys[0]
+	}
 	if e.Route.Open() {
 		return handler.Outcome{}
 	}
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -84,7 +84,7 @@
 	if !d.config.Isolated() {
 		return handler.Outcome{}
 	}
-	if e.Delegated() {
+	if e.Delegated {
 		return d.decline(e, declinedIsolated)
 	}
 	attempts := maxDelegates
@@ -107,7 +107,7 @@
 	switch {
 	case e.OnFinish != nil:
 		return handler.Outcome{}, false // this entry must finish what an earlier step began
-	case e.Delegated():
+	case e.Delegated:
 		return d.decline(e, declinedUnreachable), true
 	case d.isAvoided(d.services, e.Service.Name):
 		return handler.Outcome{}, false
--- a/entry/delegator/delegator_test.go
+++ b/entry/delegator/delegator_test.go
@@ -91,7 +91,7 @@
 			_, _ = w.Write(got)
 		})
 		e, w := f.newExchange(atMostOnce, body)
-		e.Request.Header.Set(handler.KeyHeader, "key")
+		e.CallerKey = "key"
 		o := f.delegate(context.Background(), e)
 		is.Equal(o.Run, handler.Done)
 		is.Equal(w.Code, http.StatusCreated)
@@ -220,7 +220,7 @@
 	f := newFixture(t)
 	f.add(t, "a", answer(200))
 	e, w := f.newExchange(idempotent, "x")
-	e.Request.Header.Set(handler.DelegatedHeader, "1")
+	e.Delegated = true
 	is.Equal(f.delegate(context.Background(), e).Run, handler.NotRun)
 	is.Equal(w.Header().Get(handler.DelegatedHeader), declinedIsolated)
 	o, ok := f.DelegateUnreachable(context.Background(), e)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,7 +6,9 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -16,6 +18,7 @@
 	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/listener"
 	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/reporter"
 	"github.com/filberthoist/filberthoist/core/starter"
 	"github.com/filberthoist/filberthoist/core/supervisor"
@@ -27,6 +30,8 @@
 	"github.com/filberthoist/filberthoist/entry/balancer"
 	"github.com/filberthoist/filberthoist/entry/classifier"
 	"github.com/filberthoist/filberthoist/entry/deduplicator"
+	"github.com/filberthoist/filberthoist/entry/delegator"
+	"github.com/filberthoist/filberthoist/entry/detector"
 	"github.com/filberthoist/filberthoist/entry/dispatcher"
 	"github.com/filberthoist/filberthoist/entry/forwarder"
 	"github.com/filberthoist/filberthoist/entry/handler"
@@ -109,6 +114,9 @@
 			newForwarder,
 			newDispatcher,
 			newPicker,
+			newDetectorRef,
+			newDetector,
+			newDelegator,
 			newBalancer,
 			newAcceptor,
 			newDeduplicator,
@@ -142,6 +150,7 @@
 	Shifter      *shifter.Shifter
 	Dispatcher   *dispatcher.Dispatcher
 	Balancer     *balancer.Balancer
+	Delegator    *delegator.Delegator
 }
 
 // newHandler composes the pipeline: the steps that each request runs through, in this order.
@@ -159,6 +168,7 @@
 			n.Step(),
 			a.Step(),
 			n.BodyStep(),
+			p.Delegator.Step(),
 			limit,
 			p.Deduplicator.Step(),
 			splitter.NewSplitter().Step(),
@@ -193,11 +203,12 @@
 }
 
 func newReceiver(s Settings, c timekeeper.Clock, l logger.Logger, a *asserter.Asserter, r *reporter.Reporter,
-	n *connector.Connector, self *wire.EntryMember, t *shifter.Shifter, d *shareLimiterRef, m *balancer.Meter,
+	n *connector.Connector, self *wire.EntryMember, t *shifter.Shifter, d *shareLimiterRef, m *balancer.Meter, i *detectorRef,
 ) *receiver.Receiver {
 	return receiver.NewReceiver(receiver.Config{
 		Clock: c, Logger: l, Assert: a, Scope: r.Scope, Connector: n, Controls: s.Controls, Self: self,
 		Evidence: t.Evidence, RequestRates: d.requestRates, Demands: m.Loads, Zones: s.Zones, Lenient: s.Lenient,
+		Isolated: i.isIsolated,
 	})
 }
 
@@ -218,6 +229,50 @@
 	return &shareLimiterRef{}
 }
 
+// detectorRef breaks the dependency cycle between the receiver, which reports whether this entry is
+// isolated, and the detector, which probes the receiver's targets.
+type detectorRef struct {
+	value *detector.Detector
+}
+
+func (d *detectorRef) isIsolated() bool {
+	return d.value != nil && d.value.IsIsolated()
+}
+
+func newDetectorRef() *detectorRef {
+	return &detectorRef{}
+}
+
+func newDetector(c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, d *detectorRef) *detector.Detector {
+	d.value = detector.NewDetector(detector.Config{
+		Clock: c, Logger: l, Scope: r.Scope, Targets: func() []*parser.Target { return listTargets(v.View()) },
+	})
+	return d.value
+}
+
+// listTargets returns the targets that the platform lists, except leaving ones, or else those of the
+// configuration.
+func listTargets(v *receiver.View) []*parser.Target {
+	var out []*parser.Target
+	for _, list := range v.Targets {
+		for _, t := range list {
+			if !t.Leaving {
+				out = append(out, t.Target)
+			}
+		}
+	}
+	if len(v.Targets) == 0 && v.Configuration != nil {
+		return slices.Collect(maps.Values(v.Configuration.Targets))
+	}
+	return out
+}
+
+func newDelegator(c timekeeper.Clock, r *reporter.Reporter, self *wire.EntryMember, n *detector.Detector, f *forwarder.Forwarder) *delegator.Delegator {
+	return delegator.NewDelegator(delegator.Config{
+		Clock: c, Scope: r.Scope, Self: self, Isolated: n.IsIsolated, Send: f.Delegate, Relay: f.Relay,
+	})
+}
+
 func newBorrower(c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver) *limiter.Borrower {
 	return limiter.NewBorrower(limiter.BorrowerConfig{Clock: c, Logger: l, Scope: r.Scope, Call: v.Borrow})
 }
@@ -261,8 +316,8 @@
 	})
 }
 
-func newForwarder(x Extensions, c timekeeper.Clock, v *receiver.Receiver, l fx.Lifecycle) *forwarder.Forwarder {
-	f := forwarder.NewForwarder(forwarder.Config{Clock: c, Fresh: v.Fresh, Dialect: &x.Dialect})
+func newForwarder(x Extensions, c timekeeper.Clock, v *receiver.Receiver, n *detector.Detector, l fx.Lifecycle) *forwarder.Forwarder {
+	f := forwarder.NewForwarder(forwarder.Config{Clock: c, Fresh: v.Fresh, Dialect: &x.Dialect, Record: n.Record})
 	l.Append(fx.StopHook(f.Close))
 	return f
 }
@@ -290,12 +345,13 @@
 }
 
 func newBalancer(s Settings, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, p *balancer.Picker,
-	f *forwarder.Forwarder, v *receiver.Receiver, m *balancer.Meter,
+	f *forwarder.Forwarder, v *receiver.Receiver, m *balancer.Meter, g *delegator.Delegator,
 ) *balancer.Balancer {
 	s.Repeats.Entries = func() int { return len(v.View().Entries) }
 	s.Repeats.Clock, s.Repeats.Logger = c, l
 	return balancer.NewBalancer(balancer.Config{
-		Clock: c, Logger: l, Scope: r.Scope, Picker: p, Send: f.Send, WriteResponse: f.WriteResponse, RetryBudget: balancer.NewBudget(s.Repeats), Meter: m,
+		Clock: c, Logger: l, Scope: r.Scope, Picker: p, Send: f.Send, WriteResponse: f.WriteResponse, Delegate: g.DelegateUnreachable,
+		RetryBudget: balancer.NewBudget(s.Repeats), Meter: m,
 	})
 }
 
@@ -342,6 +398,7 @@
 	Shifter      *shifter.Shifter
 	Picker       *balancer.Picker
 	Prober       *prober.Prober
+	Detector     *detector.Detector
 	Resolver     *resolver.Resolver
 	Acceptor     *acceptor.Acceptor
 	Extensions   Extensions
@@ -379,6 +436,7 @@
 			}
 			p.Group.Go("receiver", p.Receiver.Run)
 			p.Group.Go("shifter", p.Shifter.Run)
+			p.Group.Go("detector", p.Detector.Run)
 			if p.Settings.Roles {
 				p.Group.Go("granter", p.Granter.Run)
 				p.Group.Go("limiter", p.GrantLimiter.Run)
@@ -482,5 +540,6 @@
 	p.Reporter.Add("allowances", p.ShareLimiter.Dump)
 	p.Reporter.Add("loans", p.Borrower.Dump)
 	p.Reporter.Add("targets", p.Picker.Dump)
+	p.Reporter.Add("isolation", p.Detector.Dump)
 	p.Reporter.SetHealth(p.Receiver.CheckHealth)
 }
--- a/entry/forwarder/delegate.go
+++ b/entry/forwarder/delegate.go
@@ -20,7 +20,11 @@
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	r := f.copyRequest(e)
+	f.config.Dialect.Strip(r.Header)
 	f.setHeaders(e, r, left)
+	if e.CallerKey != "" {
+		r.Header.Set(f.config.Dialect.Key, e.CallerKey)
+	}
 	r.Header.Set(f.config.Dialect.Delegated, delegatedValue)
 	response, failure := f.carrier.Exchange(ctx, address, r)
 	if failure != nil {
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -60,6 +60,10 @@
 	ChargeRetry func(ctx context.Context) bool
 	// Key is the configured key whose digest matches the caller's; nil on open routes.
 	Key *parser.Key
+	// CallerKey is the key that the caller sent, for another entry to which the request is delegated.
+	CallerKey string
+	// Delegated is set if another entry delegated the request to this one.
+	Delegated bool
 	// Body is the whole body of the request, read before the request is forwarded.
 	Body []byte
 	// OnFinish is called with the outcome at the end of the request; steps may set it.
@@ -148,11 +152,6 @@
 	return e.Route.Name + "/" + c.Value
 }
 
-// Delegated reports whether another entry delegated the request to this one.
-func (e *Exchange) Delegated() bool {
-	return e.Request.Header.Get(e.Dialect.Delegated) != ""
-}
-
 // AllowedRegions returns the regions that may serve the request: the homes of its route or its
 // team, or those in both if both have homes. It is empty if all may.
 func (e *Exchange) AllowedRegions() []string {
--- a/entry/handler/handler.go
+++ b/entry/handler/handler.go
@@ -57,7 +57,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := &Exchange{
 		Writer: w, Request: r, View: h.config.View(), Dialect: h.config.Dialect,
-		ID: h.requestID(r), Start: h.config.Clock.Now(),
+		ID: h.requestID(r), Delegated: r.Header.Get(h.config.Dialect.Delegated) != "", Start: h.config.Clock.Now(),
 	}
 	o, step := h.runSteps(r.Context(), e)
 	if e.OnFinish != nil {
