Keep the connection while the rest of a long response is passed on

Callers got a truncated response where a target's was longer than the part that is buffered: 1 MiB with a length, 64 KiB without. Forwarder.Send canceled the context of the exchange on its return, which closes the connection, before WriteResponse read the rest. The context now lasts until the rest is closed, and still bounds it by the deadline. The rest is closed as well if the caller is gone before it is read.

--- a/entry/delegator/delegator_test.go
+++ b/entry/delegator/delegator_test.go
@@ -78,7 +78,7 @@
 
 // TestRelay checks that requests and responses pass unchanged but for the deadline and the mark.
 func TestRelay(t *testing.T) {
-	for _, size := range []int{0, 10, 50 << 10} {
+	for _, size := range []int{0, 10, 3 << 20} {
 		is := is.New(t)
 		f := newFixture(t)
 		var seen *http.Request
@@ -92,6 +92,7 @@
 		})
 		e, w := f.newExchange(atMostOnce, body)
 		e.CallerKey = "key"
+		e.Deadline += 10 * time.Second
 		o := f.delegate(context.Background(), e)
 		is.Equal(o.Run, handler.Done)
 		is.Equal(w.Code, http.StatusCreated)
--- a/entry/forwarder/delegate.go
+++ b/entry/forwarder/delegate.go
@@ -17,8 +17,6 @@
 	if left <= 0 {
 		return &SendResult{Outcome: handler.Refuse(http.StatusGatewayTimeout, handler.ReasonDeadline)}
 	}
-	ctx, cancel := context.WithTimeout(ctx, left)
-	defer cancel()
 	r := f.copyRequest(e)
 	f.config.Dialect.Strip(r.Header)
 	f.setHeaders(e, r, left)
@@ -26,9 +24,9 @@
 		r.Header.Set(f.config.Dialect.Key, e.CallerKey)
 	}
 	r.Header.Set(f.config.Dialect.Delegated, delegatedValue)
-	response, failure := f.carrier.Exchange(ctx, address, r)
-	if failure != nil {
-		return f.classifyFailure(ctx, e, failure, left)
+	response, failed := f.exchange(ctx, e, address, r, left)
+	if failed != nil {
+		return failed
 	}
 	if !f.isOwnResponse(response.Status, response.Header) {
 		if response.Remainder != nil {
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -103,22 +103,48 @@
 	if !e.Route.Open() && !f.config.Fresh() {
 		return &SendResult{Outcome: handler.Refuse(http.StatusServiceUnavailable, handler.ReasonStale)}
 	}
-	ctx, cancel := context.WithTimeout(ctx, left)
-	defer cancel()
 	r := f.newRequest(e, t, left)
 	if !e.Route.Open() {
 		r.BeforeSend = f.config.Fresh
 	}
-	response, failure := f.carrier.Exchange(ctx, t.Address, r)
-	if failure != nil {
-		s := f.classifyFailure(ctx, e, failure, left)
-		f.recordFailure(t, s)
-		return s
+	response, failed := f.exchange(ctx, e, t.Address, r, left)
+	if failed != nil {
+		f.recordFailure(t, failed)
+		return failed
 	}
 	f.record(t, true)
 	return f.classifyResponse(e, response, f.config.Clock.Now()-begun)
 }
 
+// exchange sends a request and waits for the response, for the time that is left. That time also
+// bounds the rest of a long response.
+func (f *Forwarder) exchange(ctx context.Context, e *handler.Exchange, address string, r *carrier.Request, left time.Duration) (*carrier.Response, *SendResult) {
+	ctx, cancel := context.WithTimeout(ctx, left)
+	response, failure := f.carrier.Exchange(ctx, address, r)
+	if failure != nil {
+		defer cancel()
+		return nil, f.classifyFailure(ctx, e, failure, left)
+	}
+	if response.Remainder == nil {
+		cancel()
+		return response, nil
+	}
+	response.Remainder = &boundedBody{ReadCloser: response.Remainder, cancel: cancel}
+	return response, nil
+}
+
+// boundedBody is the rest of a body whose context must last until it is closed.
+type boundedBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the body and releases its context.
+func (b *boundedBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
 // recordFailure records that a target was not reached, unless the caller or the deadline ended the
 // exchange early. A target that answers another request is reached.
 func (f *Forwarder) recordFailure(t *parser.Target, s *SendResult) {
@@ -211,13 +237,15 @@
 	response := s.Response
 	e.Writer.WriteHeader(response.Status)
 	e.ResponseStarted = true
+	if response.Remainder != nil {
+		defer response.Remainder.Close()
+	}
 	if _, err := e.Writer.Write(response.Body); err != nil {
 		return handler.MayHaveRun(http.StatusBadGateway, handler.ReasonCallerGone), s.Result
 	}
 	if response.Remainder == nil {
 		return handler.Answered(), s.Result
 	}
-	defer response.Remainder.Close()
 	if err := copyBody(e.Writer, response.Remainder); err != nil {
 		s.Result.Failed = ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)
 		return handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUpstream), s.Result
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -234,6 +234,28 @@
 	is.Equal(w.Header().Get(handler.OutcomeHeader), "done")
 }
 
+// TestLongResponse guards against a response that breaks off where its buffered part ends.
+func TestLongResponse(t *testing.T) {
+	for name, chunked := range map[string]bool{"sized": false, "chunked": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			body := strings.Repeat("x", 3<<20)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if !chunked {
+					w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+				}
+				_, _ = io.WriteString(w, body)
+			}))
+			defer s.Close()
+			e, w := newExchange(parser.ClassAtMostOnce, http.MethodPost, "12.50")
+			e.Deadline += 10 * time.Second
+			o, _ := newForwarder(t, true).Forward(context.Background(), e, &parser.Target{Address: s.Listener.Addr().String()})
+			is.Equal(o.Run, handler.Done)
+			is.True(w.Body.String() == body)
+		})
+	}
+}
+
 func newForwarder(t *testing.T, fresh bool) *Forwarder {
 	t.Helper()
 	f := NewForwarder(Config{Clock: timekeeper.NewClock(), Fresh: func() bool { return fresh }})
