--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -234,6 +234,43 @@
 	is.Equal(w.Header().Get(handler.OutcomeHeader), "done")
 }
 
+// TestRecord checks which exchanges show that a target was reached or not.
+func TestRecord(t *testing.T) {
+	cases := []struct {
+		upstream string
+		recorded []bool
+	}{
+		{"answers", []bool{true}},
+		{"refuses", []bool{true}},
+		{"fails", []bool{true}},
+		{"answers for another request", []bool{true}},
+		{"closes after reading", []bool{false}},
+		{"stays silent", []bool{false}},
+		{"accepts no connection", []bool{false}},
+		{"caller gone", nil},
+	}
+	for _, c := range cases {
+		t.Run(c.upstream, func(t *testing.T) {
+			is := is.New(t)
+			target := &parser.Target{Address: "127.0.0.1:1"}
+			if serve := upstreamBehaviors[c.upstream]; serve != nil {
+				target.Address = newRawUpstream(t, serve).address
+			}
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			if c.upstream == "caller gone" {
+				leave()
+			}
+			var recorded []bool
+			f := newForwarder(t, true)
+			f.config.Record = func(_ *parser.Target, reached bool) { recorded = append(recorded, reached) }
+			e, _ := newExchange(parser.ClassAtMostOnce, http.MethodPost, "12.50")
+			f.Forward(ctx, e, target)
+			is.Equal(recorded, c.recorded)
+		})
+	}
+}
+
 // TestLongResponse guards against a response that breaks off where its buffered part ends.
 func TestLongResponse(t *testing.T) {
 	for name, chunked := range map[string]bool{"sized": false, "chunked": true} {
