--- a/entry/receiver/receiver_test.go
+++ b/entry/receiver/receiver_test.go
@@ -134,3 +134,33 @@
 		is.Equal(r.timeoutDoublings, 0)
 	})
 }
+
+// TestReportedState checks the state that an entry reports to control.
+func TestReportedState(t *testing.T) {
+	cases := []struct {
+		name              string
+		isolated, leaving bool
+		want              wire.EntryState
+	}{
+		{"live", false, false, wire.EntryState_ENTRY_STATE_LIVE},
+		{"isolated", true, false, wire.EntryState_ENTRY_STATE_ISOLATED},
+		{"leaving", false, true, wire.EntryState_ENTRY_STATE_LEAVING},
+		{"isolated and leaving", true, true, wire.EntryState_ENTRY_STATE_LEAVING},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			n, err := connector.NewConnector(connector.Config{})
+			is.NoErr(err)
+			r := NewReceiver(Config{
+				Clock: timekeeper.NewClock(), Scope: tally.NoopScope, Connector: n, Self: &wire.EntryMember{Name: "e"},
+				Isolated: func() bool { return c.isolated },
+			})
+			if c.leaving {
+				r.Leave()
+			}
+			q, _ := r.pollRequest("", 0)
+			is.Equal(q.GetMember().GetState(), c.want)
+		})
+	}
+}
