--- a/entry/delegator/delegator_test.go
+++ b/entry/delegator/delegator_test.go
@@ -78,7 +78,7 @@
 
 // TestRelay checks that requests and responses pass unchanged but for the deadline and the mark.
 func TestRelay(t *testing.T) {
-	for _, size := range []int{0, 10, 50 << 10} {
+	for _, size := range []int{0, 10, 3 << 20} {
 		is := is.New(t)
 		f := newFixture(t)
 		var seen *http.Request
@@ -91,7 +91,8 @@
 			_, _ = w.Write(got)
 		})
 		e, w := f.newExchange(atMostOnce, body)
-		e.Request.Header.Set(handler.KeyHeader, "key")
+		e.CallerKey = "key"
+		e.Deadline += 10 * time.Second
 		o := f.delegate(context.Background(), e)
 		is.Equal(o.Run, handler.Done)
 		is.Equal(w.Code, http.StatusCreated)
@@ -220,7 +221,7 @@
 	f := newFixture(t)
 	f.add(t, "a", answer(200))
 	e, w := f.newExchange(idempotent, "x")
-	e.Request.Header.Set(handler.DelegatedHeader, "1")
+	e.Delegated = true
 	is.Equal(f.delegate(context.Background(), e).Run, handler.NotRun)
 	is.Equal(w.Header().Get(handler.DelegatedHeader), declinedIsolated)
 	o, ok := f.DelegateUnreachable(context.Background(), e)
