Check at once whether a connection is idle and not announced to end

What callers would see: a response that announced the end of its connection, cut off by a reset. Cause: finish checked 'no end announced' and 'no request runs' under two locks. A response that ended between the two made the connection look idle, so that it was closed without lingering, with bytes of the caller unread. A request whose body is not read gets there: the reader goes on to finish while the response is written. Found by reading, not seen in a play. TestFinishWhileResponseEnds failed before (connection reset by peer, 3 of 3).

--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -188,6 +188,13 @@
 	return c.inFlight > 0
 }
 
+// isIdle reports whether no request runs and no response announced the end of the connection.
+func (c *connection) isIdle() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.inFlight == 0 && !c.closing
+}
+
 func (c *connection) isBroken() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -219,7 +226,7 @@
 // finish waits for the running requests and closes the connection. Meanwhile it detects a caller
 // that closes the connection.
 func (c *connection) finish() {
-	if !c.isClosing() && !c.isBusy() {
+	if c.isIdle() {
 		c.closeUnread()
 		return
 	}
