Keep the idle timeout of a request that ends while its deadline is removed

What callers would see: nothing; a connection stayed open for good, or until the end of the drain. Cause: a read whose deadline expired while a request ran removed the deadline without a lock; a request that ended between the check and the removal lost the idle timeout that it had set. TestIdleTimeoutWhileResponseEnds failed before (no end within 5 s of an idle timeout of 0.2 s, 3 of 3).

--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -112,8 +112,8 @@
 		switch {
 		case err == nil:
 			return !c.isClosing() // what follows an announced end is not read
-		case errors.Is(err, os.ErrDeadlineExceeded) && c.isBusy():
-			_ = c.socket.SetReadDeadline(time.Time{}) // a request started meanwhile
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.removeDeadline():
+			// a request runs
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return false
 		default:
@@ -168,6 +168,18 @@
 	_ = c.socket.SetReadDeadline(end) // fails only when closed
 }
 
+// removeDeadline makes reads wait for input while a request runs; false means that none does. The
+// idle timeout of a request that ends meanwhile stays.
+func (c *connection) removeDeadline() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.inFlight == 0 {
+		return false
+	}
+	_ = c.socket.SetReadDeadline(time.Time{}) // fails only when closed
+	return true
+}
+
 // closeIfIdle ends the connection once no request runs on it and none has arrived.
 func (c *connection) closeIfIdle() {
 	c.mutex.Lock()
@@ -182,12 +194,6 @@
 	return c.closing
 }
 
-func (c *connection) isBusy() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.inFlight > 0
-}
-
 // isIdle reports whether no request runs and no response announced the end of the connection.
 func (c *connection) isIdle() bool {
 	c.mutex.Lock()
--- a/entry/acceptor/ending_test.go
+++ b/entry/acceptor/ending_test.go
@@ -1,8 +1,10 @@
 package acceptor
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -66,3 +68,51 @@
 	_ = caller.Close()
 	done.Wait()
 }
+
+// slowDeadline is a connection on which a call of SetReadDeadline that removes the deadline waits
+// first.
+type slowDeadline struct {
+	*net.TCPConn
+	before func()
+}
+
+func (s slowDeadline) SetReadDeadline(t time.Time) error {
+	if t.IsZero() {
+		s.before()
+	}
+	return s.TCPConn.SetReadDeadline(t)
+}
+
+// TestIdleTimeoutWhileResponseEnds guards against a connection that stays open for good: its deadline
+// expires and is removed while its last request ends and sets the idle timeout.
+func TestIdleTimeoutWhileResponseEnds(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{HeaderBytes: 4096, HeaderTimeout: waitLimit, IdleTimeout: 200 * time.Millisecond}
+	began, release := make(chan struct{}), make(chan struct{})
+	a := NewAcceptor(Config{Limits: func() Limits { return limits }, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-release
+		echo(w, r)
+	})})
+	caller, socket := connectedPair(t)
+	calls, removing, resume := 0, make(chan struct{}), make(chan struct{})
+	c := newConnection(a, slowDeadline{socket, func() {
+		if calls++; calls == 2 { // the first is after the head
+			close(removing)
+			<-resume
+		}
+	}})
+	a.add(c)
+	write(t, caller, "/only")
+	<-began
+	is.NoErr(socket.SetReadDeadline(time.Now()))
+	<-removing
+	close(release)
+	time.Sleep(50 * time.Millisecond) // until the request has ended, or waits for the removal
+	close(resume)
+	b := bufio.NewReader(caller)
+	checkResponse(t, b, http.StatusOK, "GET /only ")
+	_ = caller.SetDeadline(time.Now().Add(waitLimit / 2))
+	_, err := b.ReadByte()
+	is.Equal(err, io.EOF)
+}
