End the timeout of a request body with the body

What callers would see: a connection closed right after a response that did not announce it, and a request sent next on it reset. Cause: the deadline that the handler set for the body stayed on the connection once the body was read. If it expired while the request ran, and the request ended before the reader handled that, the connection looked like one that had been idle for too long. Found by reading, not seen in a play. TestBodyTimeoutEndsWithBody failed before (unexpected EOF, 3 of 3).

--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -98,8 +98,11 @@
 	e.prepare(r)
 	c.exchangesDone.Add(1)
 	go e.run()
-	if e.body != nil && !e.body.wait() {
-		return false
+	if e.body != nil {
+		if !e.body.wait() {
+			return false
+		}
+		c.removeDeadline() // the timeout of the body
 	}
 	return !r.Close && !c.isClosing()
 }
--- a/entry/acceptor/ending_test.go
+++ b/entry/acceptor/ending_test.go
@@ -116,3 +116,39 @@
 	_, err := b.ReadByte()
 	is.Equal(err, io.EOF)
 }
+
+// lateRead is a connection whose failed reads take long, as in a process that gets no processor time.
+type lateRead struct {
+	*net.TCPConn
+	delay time.Duration
+}
+
+func (l lateRead) Read(b []byte) (int, error) {
+	n, err := l.TCPConn.Read(b)
+	if err != nil {
+		time.Sleep(l.delay)
+	}
+	return n, err
+}
+
+// TestBodyTimeoutEndsWithBody guards against a connection that is closed as idle right after a response
+// that did not announce it, since the timeout of the request's body expires while the response is written.
+func TestBodyTimeoutEndsWithBody(t *testing.T) {
+	is := is.New(t)
+	const timeout = 100 * time.Millisecond
+	limits := Limits{HeaderBytes: 4096, HeaderTimeout: waitLimit, IdleTimeout: waitLimit}
+	a := NewAcceptor(Config{Limits: func() Limits { return limits }, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
+		echo(w, r)
+		time.Sleep(2 * timeout)
+	})})
+	caller, socket := connectedPair(t)
+	a.add(newConnection(a, lateRead{socket, 4 * timeout}))
+	b := bufio.NewReader(caller)
+	for _, path := range []string{"/first", "/second"} {
+		_, err := io.WriteString(caller, "POST "+path+" HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody")
+		is.NoErr(err)
+		checkResponse(t, b, http.StatusOK, "POST "+path+" body")
+		time.Sleep(4 * timeout)
+	}
+}
