Remove the deadline of a head once its request counts as running

Cause: the deadline was removed before the request was counted. The end of the request before it, or of the hold of a shutdown, could set a deadline between the two, which then applied to the body. What callers would see depends on the handler: an entry's sets its own deadline before it reads a body, which hides the fault.

--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -86,11 +86,11 @@
 	if status == statusDisconnected {
 		return false
 	}
-	_ = c.socket.SetReadDeadline(time.Time{}) // fails only when closed
 	e := c.startExchange()
 	if e == nil {
 		return false
 	}
+	_ = c.socket.SetReadDeadline(time.Time{}) // the request has started, so that no idle timeout is set any more
 	if status != 0 {
 		e.reject(status)
 		return false
--- a/entry/acceptor/ending_test.go
+++ b/entry/acceptor/ending_test.go
@@ -152,3 +152,37 @@
 		time.Sleep(4 * timeout)
 	}
 }
+
+// TestShutdownBeforeBody guards against a body that is rejected as slow since its connection is taken
+// for idle between its head and its body.
+func TestShutdownBeforeBody(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{HeaderBytes: 4096, HeaderTimeout: waitLimit, IdleTimeout: waitLimit}
+	a := NewAcceptor(Config{Limits: func() Limits { return limits }, Handler: http.HandlerFunc(echo)})
+	caller, socket := connectedPair(t)
+	var c *connection
+	s := &afterDeadline{TCPConn: socket, after: func() { c.closeIfIdle() }}
+	c = newConnection(a, s)
+	a.add(c)
+	_, err := io.WriteString(caller, "POST /body HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(caller, "body")
+	is.NoErr(err)
+	checkResponse(t, bufio.NewReader(caller), http.StatusOK, "POST /body body")
+}
+
+// afterDeadline is a connection that calls after once its deadline was first removed.
+type afterDeadline struct {
+	*net.TCPConn
+	after func()
+	once  sync.Once
+}
+
+func (s *afterDeadline) SetReadDeadline(t time.Time) error {
+	err := s.TCPConn.SetReadDeadline(t)
+	if t.IsZero() {
+		s.once.Do(s.after)
+	}
+	return err
+}
