Wait for a connection that is accepted as the listener closes

What callers would see: a connection that is reset with its request unread or under way. Cause: Shutdown waited for the connections that had been counted. One that Accept had taken from the queue, so that none was pending any more, but that was not counted yet, was not waited for if it was the only one; the process then exits beside its request. Now Serve itself counts until it returns. TestShutdownWaitsForAcceptedConnection failed before (the shutdown ended first, 3 of 3).

--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -100,7 +100,9 @@
 func (a *Acceptor) Serve(l net.Listener) error {
 	a.mutex.Lock()
 	a.listener = l
+	a.connectionsDone.Add(1) // until every connection that was accepted is counted
 	a.mutex.Unlock()
+	defer a.connectionsDone.Done()
 	for {
 		n, err := l.Accept()
 		switch {
--- a/entry/acceptor/ending_test.go
+++ b/entry/acceptor/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -186,3 +187,66 @@
 	}
 	return err
 }
+
+// lateListener accepts one connection and returns it only once the listener is closed, as in a process
+// that gets no processor time.
+type lateListener struct {
+	net.Listener
+	socket chan net.Conn
+	closed chan struct{}
+	resume chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.closed
+	<-l.resume
+	select {
+	case c := <-l.socket:
+		return c, nil
+	default:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *lateListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// TestShutdownWaitsForAcceptedConnection guards against a process that exits while a connection that
+// was accepted as the listener closed holds a request.
+func TestShutdownWaitsForAcceptedConnection(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{HeaderBytes: 4096, HeaderTimeout: waitLimit, IdleTimeout: waitLimit}
+	a := NewAcceptor(Config{Handler: http.HandlerFunc(echo), Limits: func() Limits { return limits }})
+	caller, socket := connectedPair(t)
+	l := &lateListener{socket: make(chan net.Conn, 1), closed: make(chan struct{}), resume: make(chan struct{})}
+	l.socket <- socket
+	write(t, caller, "/accepted")
+	served := make(chan error, 1)
+	go func() { served <- a.Serve(l) }()
+	for !a.isServing() {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- a.Shutdown(ctx) }()
+	<-l.closed
+	select {
+	case <-done:
+		t.Fatal("the shutdown ended before the connection was served")
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(l.resume)
+	checkResponse(t, bufio.NewReader(caller), http.StatusOK, "GET /accepted ")
+	_ = caller.Close()
+	is.NoErr(<-done)
+	is.NoErr(<-served)
+}
+
+func (a *Acceptor) isServing() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.listener != nil
+}
