Hold each connection for a second after its last request in a shutdown

What callers would see: a request that got neither a response nor a refusal, and behind a slow link the end of a long response cut by the reset. Cause: idle connections were held for one second of the shutdown. A connection whose response had sent its head before the drain, so that it did not announce its end, and which ended after that second was closed at once, while its caller's next request was under way. Now the hold is the idle timeout during a shutdown: each connection gets it after its last request, at most until the drain ends. TestShutdownAfterLongResponse failed before (unexpected EOF, 3 of 3).

TestShutdownAnswersUnreadRequest and TestShutdownBeforeBody called closeIfIdle, which is gone. They now begin the hold and let it pass, so that the deadline has expired at the same point; with the check of the socket, or the order of the deadline and the count, undone they still fail.

--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -30,8 +30,8 @@
 	maxAcceptDrainTime = 500 * time.Millisecond
 	// acceptPollInterval is how often it is checked whether connections are pending.
 	acceptPollInterval = time.Millisecond
-	// idleHold is how long a shutdown keeps idle connections open, so that a request on them is refused
-	// rather than cut.
+	// idleHold is the idle timeout during a shutdown. Requests that are under way to an idle connection
+	// are refused rather than cut.
 	idleHold = time.Second
 	// writeTimeout bounds each write to a caller that reads slowly.
 	writeTimeout = 10 * time.Second
@@ -124,25 +124,17 @@
 }
 
 // Shutdown drains, closes the listener and waits until all connections are closed. Further requests
-// are refused, and connections that stay idle are closed after idleHold. When the context ends,
+// are refused, and connections that are idle for idleHold are closed. When the context ends,
 // Shutdown aborts the connections that are left and returns the context's error.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
 	a.Drain()
 	a.closeListener()
 	a.refusing.Store(true)
-	done := make(chan struct{})
-	go a.loop(done)
-	hold := time.NewTimer(idleHold)
-	defer hold.Stop()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-	case <-hold.C:
-	}
 	for _, c := range a.connections() {
-		c.closeIfIdle()
+		c.setIdleDeadline()
 	}
+	done := make(chan struct{})
+	go a.loop(done)
 	select {
 	case <-done:
 		return nil
@@ -194,6 +186,15 @@
 	return a.config.Handler
 }
 
+// idleTimeout returns how long a connection that becomes idle now may stay so.
+func (a *Acceptor) idleTimeout() time.Duration {
+	timeout := a.config.Limits().IdleTimeout
+	if a.refusing.Load() {
+		return min(timeout, idleHold)
+	}
+	return timeout
+}
+
 // exceedsSoftLimit reports whether responses ask callers to close their connections.
 func (a *Acceptor) exceedsSoftLimit() bool {
 	return a.config.SoftMaxConnections > 0 && a.connectionCount.Load() > int64(a.config.SoftMaxConnections)
--- a/entry/acceptor/acceptor_test.go
+++ b/entry/acceptor/acceptor_test.go
@@ -359,7 +359,9 @@
 		time.Sleep(time.Millisecond)
 	}
 	a.Drain()
-	n.closeIfIdle()
+	a.refusing.Store(true)
+	n.setIdleDeadline()
+	time.Sleep(idleHold + idleHold/10) // until the deadline has passed
 	close(resume)
 	is.True(checkResponse(t, bufio.NewReader(caller), http.StatusOK, "GET /waiting ").Close)
 }
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -45,8 +45,6 @@
 	// closing means that a response announced the end of the connection, so that no further request
 	// is read.
 	closing bool
-	// closeWhenIdle means that the connection ends as soon as no request runs.
-	closeWhenIdle bool
 	// finishing means that no further request is awaited, so that the idle timeout no longer counts.
 	finishing bool
 	// broken means that no response can be written.
@@ -164,8 +162,8 @@
 	if c.inFlight > 0 || c.finishing {
 		return
 	}
-	end := time.Now().Add(c.acceptor.config.Limits().IdleTimeout)
-	if c.closeWhenIdle || c.closing {
+	end := time.Now().Add(c.acceptor.idleTimeout())
+	if c.closing {
 		end = time.Now()
 	}
 	_ = c.socket.SetReadDeadline(end) // fails only when closed
@@ -183,14 +181,6 @@
 	return true
 }
 
-// closeIfIdle ends the connection once no request runs on it and none has arrived.
-func (c *connection) closeIfIdle() {
-	c.mutex.Lock()
-	c.closeWhenIdle = true
-	c.mutex.Unlock()
-	c.setIdleDeadline()
-}
-
 func (c *connection) isClosing() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/entry/acceptor/ending_test.go
+++ b/entry/acceptor/ending_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -162,12 +163,15 @@
 	a := NewAcceptor(Config{Limits: func() Limits { return limits }, Handler: http.HandlerFunc(echo)})
 	caller, socket := connectedPair(t)
 	var c *connection
-	s := &afterDeadline{TCPConn: socket, after: func() { c.closeIfIdle() }}
+	s := &afterDeadline{TCPConn: socket, after: func() {
+		a.refusing.Store(true)
+		c.setIdleDeadline()
+	}}
 	c = newConnection(a, s)
 	a.add(c)
 	_, err := io.WriteString(caller, "POST /body HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n")
 	is.NoErr(err)
-	time.Sleep(50 * time.Millisecond)
+	time.Sleep(idleHold + idleHold/10)
 	_, err = io.WriteString(caller, "body")
 	is.NoErr(err)
 	checkResponse(t, bufio.NewReader(caller), http.StatusOK, "POST /body body")
@@ -250,3 +254,33 @@
 	defer a.mutex.Unlock()
 	return a.listener != nil
 }
+
+// TestShutdownAfterLongResponse guards against a request that gets no response since the connection is
+// closed as soon as the response before it ends, which did not announce that.
+func TestShutdownAfterLongResponse(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	a, c, b := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", maxBufferedBytes+1)) // sends the head
+		<-release
+	})
+	a.config.Refuse = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	write(t, c, "/long")
+	r, err := http.ReadResponse(b, nil)
+	is.NoErr(err)
+	is.True(!r.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- a.Shutdown(ctx) }()
+	time.Sleep(idleHold + idleHold/2)
+	close(release)
+	n, err := io.Copy(io.Discard, r.Body)
+	is.NoErr(err)
+	is.Equal(n, int64(maxBufferedBytes+1))
+	time.Sleep(10 * time.Millisecond) // the request is under way
+	write(t, c, "/next")
+	is.True(checkResponse(t, b, http.StatusServiceUnavailable, "").Close)
+	_ = c.Close()
+	is.NoErr(<-done)
+}
