--- a/entry/acceptor/acceptor_test.go
+++ b/entry/acceptor/acceptor_test.go
@@ -162,7 +162,8 @@
 }
 
 // TestBodies checks that a request body that is not read ends the connection, which the response
-// announces so that the caller sends no further request on it, that 100 Continue is sent, that long responses arrive, and that an aborted response is an error for the caller.
+// announces so that the caller sends no further request on it, that 100 Continue is sent, that long
+// responses arrive, and that an aborted response is an error for the caller.
 func TestBodies(t *testing.T) {
 	t.Run("unread", func(t *testing.T) {
 		is := is.New(t)
