--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -45,8 +45,6 @@
 	// closing means that a response announced the end of the connection, so that no further request
 	// is read.
 	closing bool
-	// closeWhenIdle means that the connection ends as soon as no request runs.
-	closeWhenIdle bool
 	// finishing means that no further request is awaited, so that the idle timeout no longer counts.
 	finishing bool
 	// broken means that no response can be written.
@@ -86,11 +84,11 @@
 	if status == statusDisconnected {
 		return false
 	}
-	_ = c.socket.SetReadDeadline(time.Time{}) // fails only when closed
 	e := c.startExchange()
 	if e == nil {
 		return false
 	}
+	_ = c.socket.SetReadDeadline(time.Time{}) // the request has started, so that no idle timeout is set any more
 	if status != 0 {
 		e.reject(status)
 		return false
@@ -98,8 +96,11 @@
 	e.prepare(r)
 	c.exchangesDone.Add(1)
 	go e.run()
-	if e.body != nil && !e.body.wait() {
-		return false
+	if e.body != nil {
+		if !e.body.wait() {
+			return false
+		}
+		c.removeDeadline() // the timeout of the body
 	}
 	return !r.Close && !c.isClosing()
 }
@@ -112,8 +113,8 @@
 		switch {
 		case err == nil:
 			return !c.isClosing() // what follows an announced end is not read
-		case errors.Is(err, os.ErrDeadlineExceeded) && c.isBusy():
-			_ = c.socket.SetReadDeadline(time.Time{}) // a request started meanwhile
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.removeDeadline():
+			// a request runs
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return false
 		default:
@@ -161,19 +162,23 @@
 	if c.inFlight > 0 || c.finishing {
 		return
 	}
-	end := time.Now().Add(c.acceptor.config.Limits().IdleTimeout)
-	if c.closeWhenIdle || c.closing {
+	end := time.Now().Add(c.acceptor.idleTimeout())
+	if c.closing {
 		end = time.Now()
 	}
 	_ = c.socket.SetReadDeadline(end) // fails only when closed
 }
 
-// closeIfIdle ends the connection once no request runs on it and none has arrived.
-func (c *connection) closeIfIdle() {
+// removeDeadline makes reads wait for input while a request runs; false means that none does. The
+// idle timeout of a request that ends meanwhile stays.
+func (c *connection) removeDeadline() bool {
 	c.mutex.Lock()
-	c.closeWhenIdle = true
-	c.mutex.Unlock()
-	c.setIdleDeadline()
+	defer c.mutex.Unlock()
+	if c.inFlight == 0 {
+		return false
+	}
+	_ = c.socket.SetReadDeadline(time.Time{}) // fails only when closed
+	return true
 }
 
 func (c *connection) isClosing() bool {
@@ -182,10 +187,11 @@
 	return c.closing
 }
 
-func (c *connection) isBusy() bool {
+// isIdle reports whether no request runs and no response announced the end of the connection.
+func (c *connection) isIdle() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.inFlight > 0
+	return c.inFlight == 0 && !c.closing
 }
 
 func (c *connection) isBroken() bool {
@@ -219,7 +225,7 @@
 // finish waits for the running requests and closes the connection. Meanwhile it detects a caller
 // that closes the connection.
 func (c *connection) finish() {
-	if !c.isClosing() && !c.isBusy() {
+	if c.isIdle() {
 		c.closeUnread()
 		return
 	}
