--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -67,7 +67,7 @@
 	SoftMaxConnections int
 	// RequestHeader is the header with a request's ID, for the log; empty if there is none.
 	RequestHeader string
-	// Scope counts discarded input; nil counts nothing.
+	// Scope counts discarded input and idle connections that this side closes; nil counts nothing.
 	Scope tally.Scope
 }
 
@@ -84,6 +84,7 @@
 	connectionCount atomic.Int64
 	connectionsDone sync.WaitGroup
 	discarded       tally.Counter
+	idleClosed      tally.Counter
 }
 
 // NewAcceptor returns an Acceptor without a listener.
@@ -91,7 +92,10 @@
 	if c.Scope == nil {
 		c.Scope = tally.NoopScope
 	}
-	a := &Acceptor{config: c, openConnections: map[*connection]struct{}{}, discarded: c.Scope.Counter("inputDiscarded")}
+	a := &Acceptor{
+		config: c, openConnections: map[*connection]struct{}{},
+		discarded: c.Scope.Counter("inputDiscarded"), idleClosed: c.Scope.Counter("idleConnectionsClosed"),
+	}
 	a.context, a.cancel = context.WithCancel(context.Background())
 	return a
 }
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -255,6 +255,7 @@
 // closeUnread closes an idle connection. A request that is under way is not read, and the reset tells
 // its caller at once.
 func (c *connection) closeUnread() {
+	c.acceptor.idleClosed.Inc(1)
 	c.cancel()
 	_ = c.socket.Close() // the socket may be closed already
 }
