Hold idle connections for at most half of the time left in a shutdown

The log: SIGTERM at 30.23 s, no line from 32.72 s to 34.75 s (the soak paused the process for 1.98 s as the shutdown of its listener began, 3 s before the end of the drain), the drain's deadline at 35.76 s. The hold of a second for idle connections began after the pause and ended with the drain, so that connections were aborted. A grace period of 2 s or less had the same effect without a pause (from the review). TestShutdownWithLittleTime failed before (context deadline exceeded).

--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -30,8 +30,8 @@
 	maxAcceptDrainTime = 500 * time.Millisecond
 	// acceptPollInterval is how often it is checked whether connections are pending.
 	acceptPollInterval = time.Millisecond
-	// idleHold is the idle timeout during a shutdown. Requests that are under way to an idle connection
-	// are refused rather than cut.
+	// idleHold bounds the idle timeout during a shutdown, which is half of the time left. Requests that
+	// are under way to an idle connection are refused rather than cut.
 	idleHold = time.Second
 	// writeTimeout bounds each write to a caller that reads slowly.
 	writeTimeout = 10 * time.Second
@@ -73,11 +73,13 @@
 
 // Acceptor serves the connections of one listener.
 type Acceptor struct {
-	config          Config
-	context         context.Context
-	cancel          context.CancelFunc
-	draining        atomic.Bool
-	refusing        atomic.Bool
+	config   Config
+	context  context.Context
+	cancel   context.CancelFunc
+	draining atomic.Bool
+	refusing atomic.Bool
+	// shutdownEnd is when a shutdown aborts connections; nil if never.
+	shutdownEnd     atomic.Pointer[time.Time]
 	mutex           sync.Mutex
 	listener        net.Listener
 	openConnections map[*connection]struct{}
@@ -128,9 +130,12 @@
 }
 
 // Shutdown drains, closes the listener and waits until all connections are closed. Further requests
-// are refused, and connections that are idle for idleHold are closed. When the context ends,
+// are refused, and connections that stay idle for up to idleHold are closed. When the context ends,
 // Shutdown aborts the connections that are left and returns the context's error.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
+	if end, ok := ctx.Deadline(); ok {
+		a.shutdownEnd.Store(&end)
+	}
 	a.Drain()
 	a.closeListener()
 	a.refusing.Store(true)
@@ -194,7 +199,10 @@
 func (a *Acceptor) idleTimeout() time.Duration {
 	timeout := a.config.Limits().IdleTimeout
 	if a.refusing.Load() {
-		return min(timeout, idleHold)
+		timeout = min(timeout, idleHold)
+		if end := a.shutdownEnd.Load(); end != nil {
+			timeout = min(timeout, max(0, time.Until(*end)/2))
+		}
 	}
 	return timeout
 }
--- a/entry/acceptor/ending_test.go
+++ b/entry/acceptor/ending_test.go
@@ -284,3 +284,15 @@
 	_ = c.Close()
 	is.NoErr(<-done)
 }
+
+// TestShutdownWithLittleTime guards against idle connections that are aborted, so that the process exits
+// with an error, since little of the shutdown's time is left after a pause of the process.
+func TestShutdownWithLittleTime(t *testing.T) {
+	is := is.New(t)
+	a, _, b := newServer(t, echo)
+	ctx, cancel := context.WithTimeout(context.Background(), idleHold/2)
+	defer cancel()
+	is.NoErr(a.Shutdown(ctx))
+	_, err := b.ReadByte()
+	is.Equal(err, io.EOF)
+}
