Keep isolated entries in lookups while most of their region are isolated

Change: an isolated entry leaves the lookups only while at least half of its region are live, and a zone or region serves its own isolated entries only while half of it are live; otherwise requests are delegated to all live entries.

--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -26,7 +26,7 @@
 	avoidDuration = time.Second
 	// minLiveFraction is the fraction of the entries of an availability zone or a region that must be
 	// candidates, so that the few left are not overloaded.
-	minLiveFraction = 0.25
+	minLiveFraction = 0.5
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a request that no entry took.
 	minRetryAfter = 250 * time.Millisecond
 	maxRetryAfter = 750 * time.Millisecond
--- a/entry/resolver/resolver.go
+++ b/entry/resolver/resolver.go
@@ -75,30 +75,16 @@
 	_ = json.NewEncoder(w).Encode(out) // fails only if the caller disconnected
 }
 
-// callerStates are the states of entries that callers may use. Entries in a later state are used only
-// while there are none in an earlier one.
-var callerStates = []wire.EntryState{wire.EntryState_ENTRY_STATE_LIVE, wire.EntryState_ENTRY_STATE_ISOLATED}
+// minLiveFraction is the fraction of a region's entries that must be live for its isolated ones to be
+// left out. Otherwise the few live ones would get all callers, and keep them after the others are back.
+const minLiveFraction = 0.5
 
-// Entries returns at most limit addresses for callers of live entries: those in the region, with
-// those in the availability zone first, or all others if the region has none. If no entry is live, it
-// returns isolated ones in the same way.
+// Entries returns at most limit addresses for callers of usable entries: those in the region, with
+// those in the availability zone first, or all others if the region has none.
 func (r *Resolver) Entries(region, zone string, limit int) []string {
-	v := r.config.View()
-	for _, s := range callerStates {
-		if out := nearestEntries(v, s, region, zone); len(out) > 0 {
-			return out[:min(len(out), limit)]
-		}
-	}
-	return nil
-}
-
-// nearestEntries returns the addresses of the entries in a state: those in the region, with those in
-// the availability zone first, or all others if the region has none.
-func nearestEntries(v *receiver.View, s wire.EntryState, region, zone string) []string {
 	var inZone, inRegion, elsewhere []string
-	for _, m := range v.Entries {
+	for _, m := range usableEntries(r.config.View()) {
 		switch {
-		case m.GetState() != s:
 		case m.GetAvailabilityZone() == zone:
 			inZone = append(inZone, m.GetAddress())
 		case m.GetRegion() == region:
@@ -107,16 +93,40 @@
 			elsewhere = append(elsewhere, m.GetAddress())
 		}
 	}
-	if out := append(inZone, inRegion...); len(out) > 0 {
-		return out
+	out := append(inZone, inRegion...)
+	if len(out) == 0 {
+		out = elsewhere
 	}
-	return elsewhere
+	return out[:min(len(out), limit)]
 }
 
-// Resolve returns the addresses of live entries for a caller, the nearest first: those in its
+// usableEntries returns the entries that callers may use: live ones, and the isolated ones of regions in
+// which fewer than minLiveFraction are live.
+func usableEntries(v *receiver.View) []*wire.EntryMember {
+	live, members := map[string]int{}, map[string]int{}
+	for _, m := range v.Entries {
+		switch m.GetState() {
+		case wire.EntryState_ENTRY_STATE_LIVE:
+			live[m.GetRegion()]++
+			members[m.GetRegion()]++
+		case wire.EntryState_ENTRY_STATE_ISOLATED:
+			members[m.GetRegion()]++
+		}
+	}
+	var out []*wire.EntryMember
+	for _, m := range v.Entries {
+		n := m.GetRegion()
+		isolated := m.GetState() == wire.EntryState_ENTRY_STATE_ISOLATED
+		if m.GetState() == wire.EntryState_ENTRY_STATE_LIVE || (isolated && float64(live[n]) < minLiveFraction*float64(members[n])) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Resolve returns the addresses of usable entries for a caller, the nearest first: those in its
 // region, then the others by delay. At one distance it orders them by rendezvous hashing, so that
-// callers spread evenly and the loss of an entry moves only the callers of that entry. If no entry is
-// live, it returns isolated ones in the same order.
+// callers spread evenly and the loss of an entry moves only the callers of that entry.
 func (t *Table) Resolve(region, caller string) []string {
 	groups, known := t.groups[region]
 	if !known {
@@ -173,8 +183,8 @@
 // Table is a view compiled for lookups. It is immutable.
 type Table struct {
 	view *receiver.View
-	// state is the state of the entries in groups.
-	state wire.EntryState
+	// usable are the entries in groups.
+	usable []*wire.EntryMember
 	// groups holds the entries for callers grouped by distance, by the region of the caller.
 	groups map[string][][]*wire.EntryMember
 	// clients maps a caller's address to the index of its region in regions.
@@ -185,7 +195,7 @@
 // NewTable compiles a view that has a configuration. It reuses the clients of an older table if
 // the configuration is the same; old may be nil.
 func NewTable(v *receiver.View, old *Table) *Table {
-	t := &Table{view: v, state: firstCallerState(v), groups: map[string][][]*wire.EntryMember{}}
+	t := &Table{view: v, usable: usableEntries(v), groups: map[string][][]*wire.EntryMember{}}
 	if old != nil && old.view.Configuration == v.Configuration {
 		t.clients, t.regions = old.clients, old.regions
 	} else {
@@ -197,18 +207,6 @@
 	return t
 }
 
-// firstCallerState returns the first of callerStates that any entry is in, or else the first one.
-func firstCallerState(v *receiver.View) wire.EntryState {
-	for _, s := range callerStates {
-		for _, m := range v.Entries {
-			if m.GetState() == s {
-				return s
-			}
-		}
-	}
-	return callerStates[0]
-}
-
 func (t *Table) compileClients(c *parser.Configuration) {
 	var blocks []locator.Block
 	for _, n := range c.Clients {
@@ -232,10 +230,7 @@
 func (t *Table) groupByDistance(region string) [][]*wire.EntryMember {
 	byDistance := map[int64][]*wire.EntryMember{}
 	var distances []int64
-	for _, m := range t.view.Entries {
-		if m.GetState() != t.state {
-			continue
-		}
+	for _, m := range t.usable {
 		d := distanceTo(t.view.Configuration, region, m)
 		if byDistance[d] == nil {
 			distances = append(distances, d)
