--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -8,12 +8,14 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/peeker"
 )
 
 // Limits and timeouts of connections.
@@ -22,13 +24,22 @@
 	maxPipelined = 32
 	// acceptRetryDelay is the pause after a failed accept, such as for lack of file descriptors.
 	acceptRetryDelay = 10 * time.Millisecond
-	// acceptDrainTime is how long pending connections are still accepted before the listener closes.
-	acceptDrainTime = 20 * time.Millisecond
+	// acceptDrainTime is how long pending connections are still accepted before the listener closes, and
+	// maxAcceptDrainTime is the same while there are more.
+	acceptDrainTime    = 20 * time.Millisecond
+	maxAcceptDrainTime = 500 * time.Millisecond
+	// acceptPollInterval is how often it is checked whether connections are pending.
+	acceptPollInterval = time.Millisecond
+	// idleHold is how long a shutdown keeps idle connections open, so that a request on them is refused
+	// rather than cut.
+	idleHold = time.Second
 	// writeTimeout bounds each write to a caller that reads slowly.
 	writeTimeout = 10 * time.Second
 	// lingerTimeout is how long bytes after the last response are read and discarded. Closing a
 	// connection with unread bytes resets it, which can lose the response.
 	lingerTimeout = 500 * time.Millisecond
+	// loggedHeadBytes is how much of a discarded request is searched for its ID.
+	loggedHeadBytes = 1 << 10
 	// keepAliveInterval is the time between TCP keep-alive probes of an idle caller.
 	keepAliveInterval = 5 * time.Second
 )
@@ -45,12 +56,19 @@
 // Config configures an Acceptor.
 type Config struct {
 	Handler http.Handler
+	// Refuse responds to requests that arrive too late in a shutdown to be served; nil means that
+	// Handler does.
+	Refuse http.Handler
 	// Limits are read for each request.
 	Limits func() Limits
 	Logger logger.Logger
 	// SoftMaxConnections is the number of connections above which each response asks its caller to
 	// close, so that file descriptors are left for new callers and for targets; 0 means no limit.
 	SoftMaxConnections int
+	// RequestHeader is the header with a request's ID, for the log; empty if there is none.
+	RequestHeader string
+	// Scope counts discarded input; nil counts nothing.
+	Scope tally.Scope
 }
 
 // Acceptor serves the connections of one listener.
@@ -59,16 +77,21 @@
 	context         context.Context
 	cancel          context.CancelFunc
 	draining        atomic.Bool
+	refusing        atomic.Bool
 	mutex           sync.Mutex
 	listener        net.Listener
 	openConnections map[*connection]struct{}
 	connectionCount atomic.Int64
 	connectionsDone sync.WaitGroup
+	discarded       tally.Counter
 }
 
 // NewAcceptor returns an Acceptor without a listener.
 func NewAcceptor(c Config) *Acceptor {
-	a := &Acceptor{config: c, openConnections: map[*connection]struct{}{}}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	a := &Acceptor{config: c, openConnections: map[*connection]struct{}{}, discarded: c.Scope.Counter("inputDiscarded")}
 	a.context, a.cancel = context.WithCancel(context.Background())
 	return a
 }
@@ -81,39 +104,43 @@
 	for {
 		n, err := l.Accept()
 		switch {
-		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, net.ErrClosed):
 			return nil
 		case err != nil:
 			a.config.Logger.Log(logger.AcceptFailed, logger.F("error", err))
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := newConnection(a, n)
-		a.mutex.Lock()
-		a.openConnections[c] = struct{}{}
-		a.mutex.Unlock()
-		a.connectionCount.Add(1)
-		a.connectionsDone.Add(1)
-		go c.run()
+		a.add(newConnection(a, n))
 	}
 }
 
-// Drain closes idle connections at once, and the others after the responses that are due on them.
-// New connections get one response each.
+// Drain makes each response announce the end of its connection. Idle connections stay open, since a
+// request may be under way on them.
 func (a *Acceptor) Drain() {
 	a.draining.Store(true)
-	for _, c := range a.connections() {
-		c.closeWhenIdle()
-	}
 }
 
-// Shutdown drains, closes the listener and waits until all connections are closed. When the context
-// ends, it aborts those that are left and returns the context's error.
+// Shutdown drains, closes the listener and waits until all connections are closed. Further requests
+// are refused, and connections that stay idle are closed after idleHold. When the context ends,
+// Shutdown aborts the connections that are left and returns the context's error.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
 	a.Drain()
 	a.closeListener()
+	a.refusing.Store(true)
 	done := make(chan struct{})
 	go a.loop(done)
+	hold := time.NewTimer(idleHold)
+	defer hold.Stop()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+	case <-hold.C:
+	}
+	for _, c := range a.connections() {
+		c.closeIfIdle()
+	}
 	select {
 	case <-done:
 		return nil
@@ -126,8 +153,8 @@
 	return ctx.Err()
 }
 
-// closeListener accepts pending connections for acceptDrainTime, since closing a listener resets
-// those that are not accepted.
+// closeListener closes the listener once no connection waits to be accepted, since those that wait are
+// reset.
 func (a *Acceptor) closeListener() {
 	a.mutex.Lock()
 	l := a.listener
@@ -135,9 +162,9 @@
 	if l == nil {
 		return
 	}
-	if t, ok := l.(*net.TCPListener); ok {
-		_ = t.SetDeadline(time.Now().Add(acceptDrainTime)) // the listener may be closed already
-		time.Sleep(acceptDrainTime)
+	time.Sleep(acceptDrainTime)
+	for end := time.Now().Add(maxAcceptDrainTime - acceptDrainTime); peeker.HasPending(l) && time.Now().Before(end); {
+		time.Sleep(acceptPollInterval)
 	}
 	_ = l.Close() // the listener may be closed already
 }
@@ -157,11 +184,38 @@
 	return out
 }
 
+// handler returns the handler for a request that arrives now.
+func (a *Acceptor) handler() http.Handler {
+	if a.refusing.Load() && a.config.Refuse != nil {
+		return a.config.Refuse
+	}
+	return a.config.Handler
+}
+
 // exceedsSoftLimit reports whether responses ask callers to close their connections.
 func (a *Acceptor) exceedsSoftLimit() bool {
 	return a.config.SoftMaxConnections > 0 && a.connectionCount.Load() > int64(a.config.SoftMaxConnections)
 }
 
+// logDiscarded logs input that was discarded on a connection whose end no response announced.
+// delay is the time from the decision to close it until the input was read.
+func (a *Acceptor) logDiscarded(socket net.Conn, head []byte, size int64, delay time.Duration) {
+	a.discarded.Inc(1)
+	a.config.Logger.Log(logger.InputDiscarded, logger.F("request", findHeader(head, a.config.RequestHeader)),
+		logger.F("caller", socket.RemoteAddr().String()), logger.F("bytes", int(size)), logger.F("delay", delay),
+		logger.F("draining", a.draining.Load()))
+}
+
+// add begins to serve a connection.
+func (a *Acceptor) add(c *connection) {
+	a.mutex.Lock()
+	a.openConnections[c] = struct{}{}
+	a.mutex.Unlock()
+	a.connectionCount.Add(1)
+	a.connectionsDone.Add(1)
+	go c.run()
+}
+
 func (a *Acceptor) remove(c *connection) {
 	a.mutex.Lock()
 	delete(a.openConnections, c)
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -9,8 +9,27 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/filberthoist/filberthoist/core/peeker"
 )
 
+// input reads from a caller. A read whose deadline has passed still returns what has arrived: the
+// process may have been late, not the caller.
+type input struct {
+	net.Conn
+}
+
+// Read reads what has arrived, or waits for it until the deadline.
+func (n input) Read(b []byte) (int, error) {
+	size, err := n.Conn.Read(b)
+	if size == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if size = peeker.Receive(n.Conn, b); size > 0 {
+			return size, nil
+		}
+	}
+	return size, err
+}
+
 // connection is a connection of a caller. One loop reads requests; each request runs on its own
 // goroutine and writes its response once the earlier ones are written.
 type connection struct {
@@ -23,8 +42,13 @@
 	mutex sync.Mutex
 	// inFlight counts requests whose response is not finished.
 	inFlight int
-	// closing means that no further request is read.
+	// closing means that a response announced the end of the connection, so that no further request
+	// is read.
 	closing bool
+	// closeWhenIdle means that the connection ends as soon as no request runs.
+	closeWhenIdle bool
+	// finishing means that no further request is awaited, so that the idle timeout no longer counts.
+	finishing bool
 	// broken means that no response can be written.
 	broken bool
 	// pipelineSlots holds one element for each request that runs.
@@ -37,7 +61,7 @@
 	if t, ok := n.(*net.TCPConn); ok {
 		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2}) // best effort
 	}
-	c := &connection{acceptor: a, socket: n, reader: bufio.NewReader(n), pipelineSlots: make(chan struct{}, maxPipelined)}
+	c := &connection{acceptor: a, socket: n, reader: bufio.NewReader(input{n}), pipelineSlots: make(chan struct{}, maxPipelined)}
 	c.context, c.cancel = context.WithCancel(a.context)
 	return c
 }
@@ -64,18 +88,20 @@
 	}
 	_ = c.socket.SetReadDeadline(time.Time{}) // fails only when closed
 	e := c.startExchange()
+	if e == nil {
+		return false
+	}
 	if status != 0 {
 		e.reject(status)
 		return false
 	}
-	closeAfter := r.Close || c.acceptor.draining.Load()
-	e.prepare(r, closeAfter)
+	e.prepare(r)
 	c.exchangesDone.Add(1)
 	go e.run()
 	if e.body != nil && !e.body.wait() {
 		return false
 	}
-	return !closeAfter && !c.isClosing()
+	return !r.Close && !c.isClosing()
 }
 
 // waitForRequest waits for the first byte of a request. Meanwhile it detects a caller that closes
@@ -84,11 +110,11 @@
 	for {
 		_, err := c.reader.Peek(1)
 		switch {
-		case err == nil && !c.isClosing():
-			return true
+		case err == nil:
+			return !c.isClosing() // what follows an announced end is not read
 		case errors.Is(err, os.ErrDeadlineExceeded) && c.isBusy():
 			_ = c.socket.SetReadDeadline(time.Time{}) // a request started meanwhile
-		case errors.Is(err, os.ErrDeadlineExceeded), err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			return false
 		default:
 			c.cancel()
@@ -98,12 +124,16 @@
 }
 
 // startExchange adds an exchange to the order of responses. It blocks while maxPipelined requests
-// run.
+// run. It returns nil if a response has announced the end of the connection meanwhile.
 func (c *connection) startExchange() *exchange {
 	c.pipelineSlots <- struct{}{}
 	e := &exchange{connection: c, done: make(chan struct{})}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.closing {
+		<-c.pipelineSlots
+		return nil
+	}
 	c.inFlight++
 	if c.lastExchange != nil {
 		e.previous = c.lastExchange.done
@@ -128,28 +158,22 @@
 func (c *connection) setIdleDeadline() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.inFlight > 0 {
+	if c.inFlight > 0 || c.finishing {
 		return
 	}
-	limits := c.acceptor.config.Limits()
-	timeout := limits.IdleTimeout
-	switch {
-	case c.acceptor.draining.Load() && c.lastExchange == nil:
-		timeout = limits.HeaderTimeout // a new connection still gets one response
-	case c.acceptor.draining.Load():
-		timeout = 0
+	end := time.Now().Add(c.acceptor.config.Limits().IdleTimeout)
+	if c.closeWhenIdle || c.closing {
+		end = time.Now()
 	}
-	_ = c.socket.SetReadDeadline(time.Now().Add(timeout)) // fails only when closed
+	_ = c.socket.SetReadDeadline(end) // fails only when closed
 }
 
-// closeWhenIdle ends the connection once no request runs on it, or at once if none does.
-func (c *connection) closeWhenIdle() {
+// closeIfIdle ends the connection once no request runs on it and none has arrived.
+func (c *connection) closeIfIdle() {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.closing = true
-	if c.inFlight == 0 {
-		_ = c.socket.SetReadDeadline(time.Now()) // fails only when closed
-	}
+	c.closeWhenIdle = true
+	c.mutex.Unlock()
+	c.setIdleDeadline()
 }
 
 func (c *connection) isClosing() bool {
@@ -170,11 +194,17 @@
 	return c.broken
 }
 
-// markClosing stops the reading of requests, after a response announced it to the caller.
-func (c *connection) markClosing() {
+// announceEnd stops the reading of requests, so that the response of an exchange can announce the end
+// of the connection. It returns false if a later request has started, whose response then is the
+// last one.
+func (c *connection) announceEnd(e *exchange) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.lastExchange != e {
+		return false
+	}
 	c.closing = true
+	return true
 }
 
 // abort closes the connection at once and cancels its requests.
@@ -189,6 +219,11 @@
 // finish waits for the running requests and closes the connection. Meanwhile it detects a caller
 // that closes the connection.
 func (c *connection) finish() {
+	if !c.isClosing() && !c.isBusy() {
+		c.closeUnread()
+		return
+	}
+	c.stopIdleTimeout()
 	readerDone := make(chan struct{})
 	go c.loop(readerDone)
 	c.exchangesDone.Wait()
@@ -202,6 +237,22 @@
 	<-readerDone
 }
 
+// stopIdleTimeout makes reads wait for input until finish sets a deadline. The deadline of a request
+// or of the idle timeout would end the lingering close at once.
+func (c *connection) stopIdleTimeout() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.finishing = true
+	_ = c.socket.SetReadDeadline(time.Time{}) // fails only when closed
+}
+
+// closeUnread closes an idle connection. A request that is under way is not read, and the reset tells
+// its caller at once.
+func (c *connection) closeUnread() {
+	c.cancel()
+	_ = c.socket.Close() // the socket may be closed already
+}
+
 // loop discards what the caller sends after its last request, until the caller closes the
 // connection.
 func (c *connection) loop(readerDone chan struct{}) {
@@ -209,7 +260,17 @@
 	if c.context.Err() != nil {
 		return // the caller has disconnected
 	}
-	_, err := io.Copy(io.Discard, c.reader)
+	begun, head := time.Now(), make([]byte, loggedHeadBytes)
+	n, err := c.reader.Read(head)
+	delay, discarded := time.Since(begun), int64(n)
+	if err == nil {
+		var more int64
+		more, err = io.Copy(io.Discard, c.reader)
+		discarded += more
+	}
+	if discarded > 0 && !c.isClosing() {
+		c.acceptor.logDiscarded(c.socket, head[:n], discarded, delay)
+	}
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.cancel()
 	}
--- a/entry/acceptor/head.go
+++ b/entry/acceptor/head.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// findHeader returns the value of a header in the start of a head, or "".
+func findHeader(head []byte, name string) string {
+	for line := range bytes.Lines(head) {
+		n, value, ok := bytes.Cut(line, []byte(":"))
+		if ok && name != "" && bytes.EqualFold(n, []byte(name)) {
+			return string(bytes.TrimSpace(value))
+		}
+	}
+	return ""
+}
+
 // isAmbiguous reports whether a head frames its body in two ways, or in one that a target may parse
 // differently (RFC 9112, section 6.3).
 func isAmbiguous(head []byte) bool {
@@ -86,6 +97,8 @@
 	// result receives one value: whether the body was read to its end.
 	result   chan bool
 	reported bool
+	// complete means that the body was read to its end.
+	complete bool
 	// sendContinue is called before the first read if the caller expects it.
 	sendContinue func()
 }
@@ -111,7 +124,7 @@
 
 func (d *requestBody) report(complete bool) {
 	if !d.reported {
-		d.reported = true
+		d.reported, d.complete = true, complete
 		d.result <- complete // has capacity for one value
 	}
 }
--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -19,6 +19,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/filberthoist/filberthoist/core/peeker"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 )
 
@@ -174,7 +175,7 @@
 		return nil, &Failure{Err: err, Refused: true}
 	}
 	if r.BeforeSend != nil && !r.BeforeSend() {
-		c.putIdle(n)
+		n.close() // keeping it would hide how long the target has seen it idle
 		return nil, &Failure{Err: errors.New("stopped before the first byte"), Stopped: true}
 	}
 	stop := context.AfterFunc(ctx, n.close)
@@ -282,25 +283,7 @@
 
 // isOpen reports whether the target has neither closed the connection nor sent anything on it.
 func (n *connection) isOpen() bool {
-	if n.reader.Buffered() > 0 {
-		return false
-	}
-	s, ok := n.socket.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	return n.reader.Buffered() == 0 && peeker.Peek(n.socket) == peeker.Quiet
 }
 
 // isSending reports whether a body is still being sent.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -299,9 +299,9 @@
 	})
 }
 
-func newAcceptor(s Settings, x Extensions, l logger.Logger, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver) *acceptor.Acceptor {
+func newAcceptor(s Settings, x Extensions, l logger.Logger, r *reporter.Reporter, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver) *acceptor.Acceptor {
 	return acceptor.NewAcceptor(acceptor.Config{
-		Handler: newCallerHandler(x, h, n), Logger: l, SoftMaxConnections: int(callerConnectionFraction * float64(s.Descriptors)),
+		Handler: newCallerHandler(x, h, n), Refuse: http.HandlerFunc(h.Refuse), Logger: l, Scope: r.Scope, RequestHeader: x.Dialect.RequestID, SoftMaxConnections: int(callerConnectionFraction * float64(s.Descriptors)),
 		Limits: func() acceptor.Limits {
 			if c := v.View().Configuration; c != nil {
 				return acceptor.Limits{HeaderBytes: c.Limits.HeaderBytes, HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout}
@@ -415,19 +415,27 @@
 	leavePollInterval = 20 * time.Millisecond
 )
 
-// leave removes this entry from lookups and waits while it continues to serve, until the lookup
-// responses that callers cached expire, but at most for Settings.Leave.
+// leave removes this entry from lookups and continues to serve, until the lookup responses that callers
+// cached expire, but at most for Settings.Leave.
 func leave(p lifecycleParams) {
 	p.Receiver.Leave()
-	if !p.Settings.Roles {
-		p.Acceptor.Drain() // closes connections early, so that callers move to other entries before the shutdown
+	p.Acceptor.Drain() // callers move to other entries with their next response
+	var lifetime time.Duration
+	if c := p.Receiver.View().Configuration; c != nil {
+		lifetime = c.Limits.LookupLifetime
 	}
-	for end := time.Now().Add(leaveTimeout); !p.Receiver.HasLeft() && time.Now().Before(end); {
+	waitToLeave(p.Receiver.HasLeft, lifetime, p.Settings.Leave)
+}
+
+// waitToLeave waits until control has removed this entry from lookups, or leaveTimeout passes, and
+// for the lifetime of lookup responses. It waits for at most limit in all, since control may be
+// unreachable.
+func waitToLeave(hasLeft func() bool, lifetime, limit time.Duration) {
+	end := time.Now().Add(limit)
+	for removed := time.Now().Add(min(leaveTimeout, limit)); !hasLeft() && time.Now().Before(removed); {
 		time.Sleep(leavePollInterval)
 	}
-	if c := p.Receiver.View().Configuration; c != nil {
-		time.Sleep(min(c.Limits.LookupLifetime, p.Settings.Leave))
-	}
+	time.Sleep(min(lifetime, time.Until(end)))
 }
 
 // newCallerHandler returns the handler for requests and, unless an additional listener serves them,
