--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -54,6 +54,7 @@
 	EntryJoined        = Event{401, "entryJoined", log.InfoLevel, "An entry joined or rejoined."}
 	EntryRemoved       = Event{402, "entryRemoved", log.WarnLevel, "An entry was removed because it was silent past its lease or left."}
 	RoleAssigned       = Event{403, "roleAssigned", log.InfoLevel, "A role was assigned to an entry under a new epoch."}
+	EntryStateChanged  = Event{404, "entryStateChanged", log.InfoLevel, "An entry leaves, is isolated from all targets or is live again; the field shows which."}
 	RequestCut         = Event{501, "requestCut", log.WarnLevel, "A response broke off partway; the caller's connection was closed."}
 	RequestServed      = Event{503, "requestServed", log.InfoLevel, "A target responded to a request; the fields show how it was routed."}
 	RequestRefused     = Event{504, "requestRefused", log.WarnLevel, "A request was refused; the fields show the step, the reason and when to retry."}
@@ -65,6 +66,8 @@
 	TargetLeaving      = Event{603, "targetLeaving", log.InfoLevel, "A target is leaving and gets no new requests."}
 	DispatcherReady    = Event{604, "dispatcherReady", log.InfoLevel, "A new dispatcher recovered the permits in use and begins to grant."}
 	RepeatsSpent       = Event{605, "repeatsSpent", log.WarnLevel, "The retry budget of a service is spent on this entry; its requests are not retried."}
+	TargetsUnreachable = Event{606, "targetsUnreachable", log.WarnLevel, "No probed target can be reached from this entry; other entries serve its requests."}
+	TargetsReachable   = Event{607, "targetsReachable", log.InfoLevel, "Targets can be reached from this entry again; it serves its requests itself."}
 	MoveBegun          = Event{611, "moveBegun", log.InfoLevel, "A move began, or continues under a changed schedule."}
 	MoveStepped        = Event{612, "moveStepped", log.InfoLevel, "A move advanced to its next share."}
 	MoveTakenBack      = Event{613, "moveTakenBack", log.WarnLevel, "The new side of a move is significantly worse; all traffic is back on the old side."}
@@ -93,9 +96,9 @@
 	LeaseLapsed, LeaseRenewed, ControlUnreachable,
 	OrderAccepted, OrderRefused, OrderUnknown, AllocationInUse, EvacuationsInForce,
 	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed,
-	EntryJoined, EntryRemoved, RoleAssigned,
+	EntryJoined, EntryRemoved, RoleAssigned, EntryStateChanged,
 	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed, InputDiscarded,
-	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent,
+	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent, TargetsUnreachable, TargetsReachable,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
 	OwnerStarted, SharesInUse, TokensUnavailable, TokensAvailable, SharesAwaited, SharesOverdrawn, SharesCovered, AllowanceBegun,
 	InvariantBroken,
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,6 +24,8 @@
 	TeamHeader = "Filberthoist-Team"
 	// OutcomeHeader states to the caller whether the request ran.
 	OutcomeHeader = "Filberthoist-Outcome"
+	// DelegatedHeader marks a request that one entry delegates to another.
+	DelegatedHeader = "Filberthoist-Delegated"
 	// HeaderPrefix is the prefix of every header of the system. Headers with it are removed from
 	// callers' requests.
 	HeaderPrefix = "Filberthoist-"
@@ -57,6 +60,10 @@
 	ChargeRetry func(ctx context.Context) bool
 	// Key is the configured key whose digest matches the caller's; nil on open routes.
 	Key *parser.Key
+	// CallerKey is the key that the caller sent, for another entry to which the request is delegated.
+	CallerKey string
+	// Delegated is set if another entry delegated the request to this one.
+	Delegated bool
 	// Body is the whole body of the request, read before the request is forwarded.
 	Body []byte
 	// OnFinish is called with the outcome at the end of the request; steps may set it.
@@ -145,6 +152,24 @@
 	return e.Route.Name + "/" + c.Value
 }
 
+// AllowedRegions returns the regions that may serve the request: the homes of its route or its
+// team, or those in both if both have homes. It is empty if all may.
+func (e *Exchange) AllowedRegions() []string {
+	if e.Team == nil || len(e.Team.Homes) == 0 {
+		return e.Route.Homes
+	}
+	if len(e.Route.Homes) == 0 {
+		return e.Team.Homes
+	}
+	out := []string{"-"} // matches no region, since an empty list would allow all
+	for _, h := range e.Route.Homes {
+		if slices.Contains(e.Team.Homes, h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // TeamName returns the team's name, or OpenTeam if there is none.
 func (e *Exchange) TeamName() string {
 	if e.Team == nil {
