Count a probed connection that ends at once as failed

An entry counted a target as reached once a connect succeeded. A middlebox that accepts and resets connections, or a target over its connection limit, thus kept an entry without any usable target from counting as isolated. A probe now waits 50 ms, within its timeout, for the other side to end the connection.

TestDial fails without the wait in its cases closed, closed late and reset.

--- a/entry/detector/detector.go
+++ b/entry/detector/detector.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +27,8 @@
 	// probesPerRound is the number of targets that a round dials.
 	probesPerRound = 5
 	probeTimeout   = 250 * time.Millisecond
+	// settleTime is how long a new connection must stay open, within probeTimeout.
+	settleTime = 50 * time.Millisecond
 	// isolatedInterval is the time between rounds while the entry is isolated.
 	isolatedInterval = 500 * time.Millisecond
 	// minInterval and maxInterval bound the time between rounds while it is not. The interval
@@ -45,7 +49,8 @@
 	Scope  tally.Scope
 	// Targets returns the targets that may be probed.
 	Targets func() []*parser.Target
-	// Dial opens a connection to an address and closes it; nil means over TCP.
+	// Dial opens a connection to an address, checks that the target keeps it open, and closes it; nil
+	// means over TCP.
 	Dial func(ctx context.Context, address string) error
 }
 
@@ -88,7 +93,25 @@
 	if err != nil {
 		return err
 	}
-	return c.Close()
+	defer func() { _ = c.Close() }() // nothing was written
+	return settle(ctx, c)
+}
+
+// settle returns an error if the other side ends a new connection within settleTime, as middleboxes
+// and overloaded targets do.
+func settle(ctx context.Context, c net.Conn) error {
+	until := time.Now().Add(settleTime)
+	if end, ok := ctx.Deadline(); ok && end.Before(until) {
+		until = end
+	}
+	if err := c.SetReadDeadline(until); err != nil {
+		return err
+	}
+	_, err := c.Read(make([]byte, 1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
 }
 
 // IsIsolated reports whether this entry can reach none of its targets.
--- a/entry/detector/detector_test.go
+++ b/entry/detector/detector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"strconv"
 	"sync"
 	"testing"
@@ -214,3 +215,57 @@
 	cancel()
 	is.Equal(<-done, context.Canceled)
 }
+
+// TestDial checks that a connection counts only if the target keeps it open or sends a byte.
+func TestDial(t *testing.T) {
+	cases := []struct {
+		name    string
+		serve   func(c *net.TCPConn) error
+		reached bool
+	}{
+		{"silent", func(*net.TCPConn) error { return nil }, true},
+		{"a byte", func(c *net.TCPConn) error { _, err := c.Write([]byte{1}); return err }, true},
+		{"closed", (*net.TCPConn).Close, false},
+		{"closed late", func(c *net.TCPConn) error { time.Sleep(settleTime / 5); return c.Close() }, false},
+		{"reset", func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+			defer cancel()
+			is.Equal(dial(ctx, serveOnce(t, c.serve)) == nil, c.reached)
+		})
+	}
+	t.Run("refused", func(t *testing.T) {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		is.NoErr(l.Close())
+		is.True(dial(context.Background(), l.Addr().String()) != nil)
+	})
+}
+
+// serveOnce returns an address at which one connection is accepted. It stays open until the test ends
+// unless serve closes it.
+func serveOnce(t *testing.T, serve func(c *net.TCPConn) error) string {
+	t.Helper()
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	done := make(chan net.Conn, 1)
+	go func() {
+		defer close(done)
+		if c, err := l.Accept(); err == nil {
+			_ = serve(c.(*net.TCPConn)) // the dialer may have closed it
+			done <- c
+		}
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		if c := <-done; c != nil {
+			_ = c.Close() // it may be closed already
+		}
+	})
+	return l.Addr().String()
+}
