Make the first poll of TestSlowResponse fail whenever its timeout is noticed

Its response took half a pollTimeout longer than the timeout; a process that is not scheduled for so long finds both due, and the response may win. The first response now waits until the poll has given up; the second still takes 1.5 timeouts, so that it arrives only if the timeout was doubled.

--- a/entry/receiver/receiver_test.go
+++ b/entry/receiver/receiver_test.go
@@ -107,11 +107,16 @@
 		is := is.New(t)
 		b, err := proto.Marshal(&wire.PollResponse{Index: 7, Snapshot: true, Fresh: true})
 		is.NoErr(err)
+		attempts := 0
 		r := newReceiver(t, func(w http.ResponseWriter, q *http.Request) {
 			w.Header().Set("Content-Type", "application/proto")
 			w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 			_, _ = w.Write(b[:1])
 			_ = http.NewResponseController(w).Flush()
+			if attempts++; attempts == 1 {
+				<-q.Context().Done() // the first poll gives up, however late it notices its timeout
+				return
+			}
 			select {
 			case <-time.After(pollTimeout * 3 / 2):
 			case <-q.Context().Done():
