Count a probed target as reached only if it responds

Cause: a probe of the detector succeeded once its connection had stayed open for 50 ms. Targets (or something before them) that accept connections and stay silent counted as reached, so the entry never handed its requests on; and a connection that was reset later than 50 ms, as on a busy host, counted too. Ruled out: late suspicion. Requests without a response are recorded at their deadline and did start rounds of probes, which then succeeded. Change: a probe sends a request that a target answers without running it, and needs a byte of response. The case silent of TestDial demanded the fault; it is replaced by TestProbe, which demands the opposite and more.

--- a/entry/detector/detector.go
+++ b/entry/detector/detector.go
@@ -1,13 +1,10 @@
 // Package detector detects that this entry can reach none of its targets although it is up. It
-// considers only whether connections work: what targets respond does not matter.
+// considers only whether targets respond: what they respond does not matter.
 package detector
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,11 +21,12 @@
 	// suspectedTargets is the number of distinct targets that must fail, with no success between,
 	// before a round. A deployment with a single target is therefore never probed.
 	suspectedTargets = 2
-	// probesPerRound is the number of targets that a round dials.
+	// probesPerRound is the number of targets that a round probes.
 	probesPerRound = 5
-	probeTimeout   = 250 * time.Millisecond
-	// settleTime is how long a new connection must stay open, within probeTimeout.
-	settleTime = 50 * time.Millisecond
+	// dialTimeout bounds establishing a probe's connection, and responseTimeout the wait for the
+	// first byte of the response.
+	dialTimeout     = 250 * time.Millisecond
+	responseTimeout = 250 * time.Millisecond
 	// isolatedInterval is the time between rounds while the entry is isolated.
 	isolatedInterval = 500 * time.Millisecond
 	// minInterval and maxInterval bound the time between rounds while it is not. The interval
@@ -49,9 +47,13 @@
 	Scope  tally.Scope
 	// Targets returns the targets that may be probed.
 	Targets func() []*parser.Target
-	// Dial opens a connection to an address, checks that the target keeps it open, and closes it; nil
+	// ExpectedTarget is the header that names the intended target of a request, which any other
+	// target refuses without a slot; empty means that targets know no such header, and that
+	// probes ask for their health.
+	ExpectedTarget string
+	// Probe sends a request to an address and returns an error unless any response arrives; nil
 	// means over TCP.
-	Dial func(ctx context.Context, address string) error
+	Probe func(ctx context.Context, address string) error
 }
 
 // Detector decides from the results of requests, and of probes once these give cause, whether this
@@ -79,8 +81,8 @@
 
 // NewDetector returns a Detector of an entry that is not isolated.
 func NewDetector(c Config) *Detector {
-	if c.Dial == nil {
-		c.Dial = dial
+	if c.Probe == nil {
+		c.Probe = httpProbe{request: probeRequest(c.ExpectedTarget)}.probe
 	}
 	return &Detector{
 		config: c, wake: make(chan struct{}, 1), failed: map[string]bool{}, interval: minInterval,
@@ -88,32 +90,6 @@
 	}
 }
 
-func dial(ctx context.Context, address string) error {
-	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = c.Close() }() // nothing was written
-	return settle(ctx, c)
-}
-
-// settle returns an error if the other side ends a new connection within settleTime, as middleboxes
-// and overloaded targets do.
-func settle(ctx context.Context, c net.Conn) error {
-	until := time.Now().Add(settleTime)
-	if end, ok := ctx.Deadline(); ok && end.Before(until) {
-		until = end
-	}
-	if err := c.SetReadDeadline(until); err != nil {
-		return err
-	}
-	_, err := c.Read(make([]byte, 1))
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil
-	}
-	return err
-}
-
 // IsIsolated reports whether this entry can reach none of its targets.
 func (d *Detector) IsIsolated() bool {
 	return d.isolated.Load()
@@ -196,22 +172,20 @@
 	succeeded := 0
 	if len(targets) >= suspectedTargets {
 		d.rounds.Inc(1)
-		succeeded = d.dialAll(ctx, targets)
+		succeeded = d.probeAll(ctx, targets)
 	}
 	if ctx.Err() == nil {
 		d.judge(len(targets), succeeded)
 	}
 }
 
-// dialAll dials the targets concurrently and returns the number of successes.
-func (d *Detector) dialAll(ctx context.Context, targets []*parser.Target) int {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
+// probeAll probes the targets concurrently and returns the number of successes.
+func (d *Detector) probeAll(ctx context.Context, targets []*parser.Target) int {
 	var succeeded atomic.Int64
 	var all sync.WaitGroup
 	for _, t := range targets {
 		all.Go(func() {
-			if d.config.Dial(ctx, t.Address) == nil {
+			if d.config.Probe(ctx, t.Address) == nil {
 				succeeded.Add(1)
 			}
 		})
--- a/entry/detector/detector_test.go
+++ b/entry/detector/detector_test.go
@@ -1,9 +1,12 @@
 package detector
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"testing"
@@ -47,18 +50,21 @@
 	}
 	n.Detector = NewDetector(Config{
 		Clock: timekeeper.Clock{Now: func() time.Duration { return n.now }}, Scope: tally.NoopScope,
-		Targets: func() []*parser.Target { return n.targets }, Dial: n.dial,
+		Targets: func() []*parser.Target { return n.targets }, Probe: n.probeTarget,
 	})
 	return n
 }
 
-func (n *network) dial(ctx context.Context, address string) error {
+func (n *network) probeTarget(ctx context.Context, address string) error {
 	n.mutex.Lock()
 	n.dials++
 	cut, failed := n.cut, n.cut || n.dead[address]
 	n.mutex.Unlock()
 	if cut && n.hang {
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case <-time.After(dialTimeout):
+		}
 	}
 	if failed {
 		return errors.New("unreachable")
@@ -216,25 +222,29 @@
 	is.Equal(<-done, context.Canceled)
 }
 
-// TestDial checks that a connection counts only if the target keeps it open or sends a byte.
-func TestDial(t *testing.T) {
+// TestProbe checks that a target is reached only if it responds, and that probes can't run there.
+func TestProbe(t *testing.T) {
 	cases := []struct {
 		name    string
 		serve   func(c *net.TCPConn) error
 		reached bool
 	}{
-		{"silent", func(*net.TCPConn) error { return nil }, true},
+		{"silent", func(*net.TCPConn) error { return nil }, false},
 		{"a byte", func(c *net.TCPConn) error { _, err := c.Write([]byte{1}); return err }, true},
 		{"closed", (*net.TCPConn).Close, false},
-		{"closed late", func(c *net.TCPConn) error { time.Sleep(settleTime / 5); return c.Close() }, false},
+		{"closed late", func(c *net.TCPConn) error { time.Sleep(10 * time.Millisecond); return c.Close() }, false},
+		{"closed after the request", func(c *net.TCPConn) error { _, _ = c.Read(make([]byte, 1)); return c.Close() }, false},
 		{"reset", func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) }, false},
+		{"reset after the request", func(c *net.TCPConn) error {
+			time.Sleep(100 * time.Millisecond)
+			return errors.Join(c.SetLinger(0), c.Close())
+		}, false},
 	}
+	probe := httpProbe{probeRequest("")}.probe
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-			defer cancel()
-			is.Equal(dial(ctx, serveOnce(t, c.serve)) == nil, c.reached)
+			is.Equal(probe(context.Background(), serveOnce(t, c.serve)) == nil, c.reached)
 		})
 	}
 	t.Run("refused", func(t *testing.T) {
@@ -242,8 +252,17 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
 		is.NoErr(l.Close())
-		is.True(dial(context.Background(), l.Addr().String()) != nil)
+		is.True(probe(context.Background(), l.Addr().String()) != nil)
 	})
+	for header, path := range map[string]string{"": "/health", "X-Expected-Target": "/"} {
+		t.Run("request with "+header, func(t *testing.T) {
+			is := is.New(t)
+			r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(probeRequest(header))))
+			is.NoErr(err)
+			is.Equal(r.URL.Path, path)
+			is.True(header == "" || r.Header.Get(header) != "")
+		})
+	}
 }
 
 // serveOnce returns an address at which one connection is accepted. It stays open until the test ends
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -243,9 +243,10 @@
 	return &detectorRef{}
 }
 
-func newDetector(c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, d *detectorRef) *detector.Detector {
+func newDetector(x Extensions, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, d *detectorRef) *detector.Detector {
 	d.value = detector.NewDetector(detector.Config{
-		Clock: c, Logger: l, Scope: r.Scope, Targets: func() []*parser.Target { return listTargets(v.View()) },
+		Clock: c, Logger: l, Scope: r.Scope, ExpectedTarget: x.Dialect.ExpectedTarget,
+		Targets: func() []*parser.Target { return listTargets(v.View()) },
 	})
 	return d.value
 }
