Allocate before the first demand, and follow another leader's allocation gradually

Change: the first allocation exists with the first list of targets; a new leader allocates once entries have reported their demand; entries approach an allocation by at most 5 % of the requests a second.

--- a/control/allocator/allocator.go
+++ b/control/allocator/allocator.go
@@ -32,6 +32,9 @@
 	minDemand = 1
 	// reportExpiry is how long an entry's report is used.
 	reportExpiry = 3 * time.Second
+	// settleTime is how long a new leader collects reports before it replaces the allocation of an
+	// earlier one.
+	settleTime = 2 * time.Second
 	// termBits is the number of low bits that number the allocations within a term.
 	termBits = 32
 )
@@ -45,12 +48,18 @@
 
 // Allocator holds the allocation of the current leader's term. It is safe for concurrent use.
 type Allocator struct {
-	config  Config
-	mutex   sync.Mutex
-	term    uint64
-	number  uint64
-	stepped time.Duration
-	entries map[string]report
+	config Config
+	mutex  sync.Mutex
+	term   uint64
+	number uint64
+	// begun is when the first poll of the term arrived, and inherited is set if entries use the
+	// allocation of an earlier term.
+	begun     time.Duration
+	inherited bool
+	// demanded is set once there was demand in this term.
+	demanded bool
+	stepped  time.Duration
+	entries  map[string]report
 	// fractions holds the fraction of requests by service, region of the callers and region of the
 	// targets.
 	fractions map[string]map[string]map[string]float64
@@ -77,6 +86,10 @@
 	now := a.config.Clock.Now()
 	if term != a.term {
 		a.term, a.number, a.fractions, a.entries = term, 0, nil, map[string]report{}
+		a.begun, a.inherited, a.demanded = now, false, false
+	}
+	if !a.inherited && r.GetAllocation() != 0 && r.GetAllocation()>>termBits != term {
+		a.inherited, a.fractions = true, nil
 	}
 	a.recordReport(now, r)
 	if now-a.stepped >= stepInterval {
@@ -84,7 +97,7 @@
 		a.step(now)
 	}
 	number := a.term<<termBits + a.number
-	if a.number == 0 || r.GetAllocation() == number {
+	if len(a.fractions) == 0 || r.GetAllocation() == number {
 		return nil
 	}
 	out := &wire.Allocation{Number: number}
@@ -109,24 +122,17 @@
 	a.entries[r.GetMember().GetName()] = n
 }
 
-// step moves the fractions of each service with a strained region towards balance. A service without
-// fractions first gets those for even demand.
+// step moves the fractions of each service with a strained region towards balance.
 func (a *Allocator) step(now time.Duration) {
 	slots := a.config.Slots()
 	changed := false
 	for service, bySlots := range slots {
 		demand := a.demand(now, service, bySlots)
-		if demand == nil {
-			continue
-		}
-		if a.fractions == nil {
-			a.fractions = map[string]map[string]map[string]float64{}
-		}
-		if a.fractions[service] == nil {
-			a.fractions[service] = Balance(evenDemand(bySlots), bySlots)
+		a.demanded = a.demanded || demand != nil
+		if a.begin(now, service, demand, bySlots) {
 			changed = true
 		}
-		if !isStrained(a.fractions[service], demand, bySlots) {
+		if demand == nil || a.fractions[service] == nil || !isStrained(a.fractions[service], demand, bySlots) {
 			continue
 		}
 		for region, row := range Balance(demand, bySlots) {
@@ -138,6 +144,28 @@
 	}
 }
 
+// begin sets the first fractions of a service, and reports whether they changed. They are those for
+// even demand, so that entries have them before the first requests arrive. Where entries use the
+// allocation of an earlier term, they are those for the demand that the entries report.
+func (a *Allocator) begin(now time.Duration, service string, demand, slots map[string]float64) bool {
+	known := a.fractions[service]
+	var next map[string]map[string]float64
+	switch {
+	case a.inherited && known == nil && demand != nil && now-a.begun >= settleTime:
+		next = Balance(demand, slots)
+	case !a.inherited && (known == nil || !a.demanded):
+		next = Balance(evenDemand(slots), slots)
+	}
+	if next == nil || maps.EqualFunc(known, next, maps.Equal) {
+		return false
+	}
+	if a.fractions == nil {
+		a.fractions = map[string]map[string]map[string]float64{}
+	}
+	a.fractions[service] = next
+	return true
+}
+
 // demand returns the busy slots of a service by region, as entries reported them, or nil if there
 // are fewer than minDemand.
 func (a *Allocator) demand(now time.Duration, service string, slots map[string]float64) map[string]float64 {
--- a/control/allocator/allocator_test.go
+++ b/control/allocator/allocator_test.go
@@ -91,3 +91,78 @@
 	}
 	is.True(lowest < 0.9)
 }
+
+// model is an Allocator with simulated time and one entry in each region.
+type model struct {
+	*Allocator
+	now   time.Duration
+	slots map[string]map[string]float64
+	// latest is the allocation that the entry of each region received last.
+	latest map[string]*wire.Allocation
+}
+
+func newModel() *model {
+	m := &model{now: time.Hour, latest: map[string]*wire.Allocation{}, slots: map[string]map[string]float64{"drafts": {"south": 36, "north": 24, "west": 12}}}
+	m.Allocator = NewAllocator(Config{Clock: timekeeper.Clock{Now: func() time.Duration { return m.now }}, Slots: func() map[string]map[string]float64 { return m.slots }})
+	return m
+}
+
+// play lets every entry poll for a time, with the same demand in each region.
+func (m *model) play(term uint64, load float64, d time.Duration) {
+	for end := m.now + d; m.now < end; m.now += 250 * time.Millisecond {
+		for region := range m.slots["drafts"] {
+			r := &wire.PollRequest{Member: &wire.EntryMember{Name: region, Region: region}, Allocation: m.latest[region].GetNumber()}
+			if load > 0 {
+				r.Services = []*wire.ServiceDemand{{Service: "drafts", Load: load}}
+			}
+			if a := m.Answer(term, r); a != nil {
+				m.latest[region] = a
+			}
+		}
+	}
+}
+
+func (m *model) part(region, to string) float64 {
+	for _, p := range m.latest[region].GetParts() {
+		if p.GetRegion() == to {
+			return p.GetPart()
+		}
+	}
+	return -1
+}
+
+// TestFirstAllocation checks that entries have the allocation before the first requests, and that
+// these don't change it.
+func TestFirstAllocation(t *testing.T) {
+	is := is.New(t)
+	m := newModel()
+	m.play(1, 0, time.Second)
+	before := m.part("west", "west")
+	is.True(before > 0.5 && before < 0.6)
+	m.play(1, 20, 5*time.Second)
+	is.True(math.Abs(m.part("west", "west")-before) < deadBand)
+	t.Run("targets that join before", func(t *testing.T) {
+		is := is.New(t)
+		m := newModel()
+		m.play(1, 0, time.Second)
+		m.slots["drafts"] = map[string]float64{"south": 36, "north": 24, "west": 36}
+		m.play(1, 0, time.Second)
+		is.Equal(m.part("west", "west"), 1.0)
+	})
+}
+
+// TestAllocationOfNextLeader checks that a new leader allocates by the demand that entries report
+// rather than by even demand, and nothing until it knows it.
+func TestAllocationOfNextLeader(t *testing.T) {
+	is := is.New(t)
+	m := newModel()
+	m.play(1, 0, time.Second)
+	m.slots["drafts"] = map[string]float64{"south": 36, "north": 24, "west": 24}
+	m.play(1, 20, 20*time.Second)
+	before, number := m.part("west", "west"), m.latest["west"].GetNumber()
+	m.play(2, 20, time.Second)
+	is.Equal(m.latest["west"].GetNumber(), number)
+	m.play(2, 20, 5*time.Second)
+	is.True(m.latest["west"].GetNumber() != number)
+	is.True(math.Abs(m.part("west", "west")-before) < 0.1)
+}
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -105,6 +105,7 @@
 	controlUnreachable bool
 	// compileFailed means that received records don't compile, so that the View is out of date.
 	compileFailed bool
+	fractions     fractions
 	// loggedFractions are the fractions of the allocation as last logged.
 	loggedFractions map[string]float64
 	// timeoutDoublings counts consecutive polls whose response started but did not finish, up to
@@ -374,22 +375,19 @@
 	return out
 }
 
-// applyAllocation publishes a View with a newer allocation.
+// applyAllocation takes over a newer allocation, and publishes a View with fractions nearer to the
+// latest one.
 func (r *Receiver) applyAllocation(a *wire.Allocation) {
-	if a == nil {
-		return
+	if a != nil {
+		r.allocationNumber = a.GetNumber()
+		r.fractions.allocate(a)
+		r.logAllocation(a)
 	}
-	r.allocationNumber = a.GetNumber()
-	n := *r.View()
-	n.RegionFractions = map[string]map[string]float64{}
-	for _, p := range a.GetParts() {
-		if n.RegionFractions[p.GetService()] == nil {
-			n.RegionFractions[p.GetService()] = map[string]float64{}
-		}
-		n.RegionFractions[p.GetService()][p.GetRegion()] = p.GetPart()
+	if next := r.fractions.advance(r.config.Clock.Now()); next != nil {
+		n := *r.View()
+		n.RegionFractions = next
+		r.publish(&n)
 	}
-	r.publish(&n)
-	r.logAllocation(a)
 }
 
 // logAllocation logs an allocation if a fraction differs by minLoggedChange or more from the one
