Report parts of a state dump that can't be encoded

Cause: /dump and /dump/settings of an entry were empty with status 200, since the settings hold a function and the encoder's error was dropped. Change: each part is encoded on its own; one that can't be is named with its error, or answered 500 alone. The settings leave out functions. Before: 0 bytes; after: all parts (TestDump, TestSettingsDump).

--- a/core/reporter/reporter.go
+++ b/core/reporter/reporter.go
@@ -93,9 +93,13 @@
 }
 
 func (r *Reporter) serveDump(w http.ResponseWriter, _ *http.Request) {
-	out := map[string]any{}
+	out := map[string]json.RawMessage{}
 	for _, name := range r.dumpNames() {
-		out[name] = r.findDump(name)()
+		b, err := json.Marshal(r.findDump(name)())
+		if err != nil {
+			b, _ = json.Marshal(map[string]string{"error": err.Error()}) // strings are always encoded
+		}
+		out[name] = b
 	}
 	writeJSON(w, out)
 }
@@ -128,7 +132,10 @@
 
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	e := json.NewEncoder(w)
-	e.SetIndent("", "  ")
-	_ = e.Encode(v) // fails if the client has disconnected
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(append(b, '\n')) // fails if the client has disconnected
 }
--- a/entry/balancer/budget.go
+++ b/entry/balancer/budget.go
@@ -19,11 +19,11 @@
 	// a while; as many are added in each Window.
 	Reserve float64
 	// Entries returns the number of entries that share the reserve; if nil, this entry has all of it.
-	Entries func() int
+	Entries func() int `json:"-"`
 	// Window is 0 if only requests add retries.
 	Window time.Duration
-	Clock  timekeeper.Clock
-	Logger logger.Logger
+	Clock  timekeeper.Clock `json:"-"`
+	Logger logger.Logger    `json:"-"`
 }
 
 // bucket is the token bucket of one service; a token pays for one retry.
