Keep to what targets state about themselves: leaving, and Retry-After

Cause: an announcement that a target leaves counted for 10 s only, where it was a Connection: close, and Server-Leaving was not read; Retry-After of a target's 503 was not read. An entry out of touch with control therefore sent to a target that had said that it leaves. Change: what a target states holds by its identity until the list has lost it (or shows another start of it, born) and outlives ejections, changes of the list and isolation; a response that another entry relayed names the target, so that the entry that passes it on keeps to it, too. While all targets of a service leave, they serve for 1 s more; then requests are refused at once. A target that turns this entry away gets no request until then (probes of the detector included), after a random spread one at a time; while all do so, callers are told that time. Ruled out: stripping the header, which would hide the fact from callers.

--- a/control/surveyor/surveyor.go
+++ b/control/surveyor/surveyor.go
@@ -34,6 +34,8 @@
 	Version          string
 	Slots            int
 	Leaving          bool
+	// Born identifies the start of the target, which may start again under its ID; 0 if unknown.
+	Born int64
 	// ColdFor is how long the target stays cold.
 	ColdFor time.Duration
 }
@@ -239,6 +241,12 @@
 	if k == nil {
 		k = &knownTarget{target: t, coldUntil: coldUntil}
 		s.targets[t.ID] = k
+	} else if k.gone == 0 && k.target.Born != 0 && t.Born != 0 && k.target.Born != t.Born {
+		// Entries drop what they know of the earlier start. The next reading adds the new one.
+		s.change++
+		k.gone, k.change = now, s.change
+		s.logTarget(k)
+		return
 	} else if k.matches(now, t, coldUntil) {
 		return
 	}
--- a/control/surveyor/surveyor_test.go
+++ b/control/surveyor/surveyor_test.go
@@ -11,11 +11,31 @@
 	"github.com/filberthoist/filberthoist/core/wire"
 )
 
+// TestStartedAgain checks that a target that starts again under its ID is reported as gone, and as
+// ready with the next reading.
+func TestStartedAgain(t *testing.T) {
+	is := is.New(t)
+	s := NewSurveyor(Config{Clock: timekeeper.NewClock(), Scope: tally.NoopScope})
+	n := Target{ID: "a", Service: "lamps", Address: "10.0.0.1:1", AvailabilityZone: "z1", Version: "v1", Slots: 6, Born: 1}
+	s.update(7, []Target{n})
+	n.Born = 2
+	for _, state := range []wire.TargetState{wire.TargetState_TARGET_STATE_GONE, wire.TargetState_TARGET_STATE_READY} {
+		v := s.Since(nil).GetVersion()
+		s.update(7, []Target{n})
+		is.Equal(s.Since(v).GetTargets()[0].GetState(), state)
+	}
+	v := s.Since(nil).GetVersion()
+	s.update(7, []Target{n})
+	is.True(s.Since(v) == nil)
+}
+
 // TestChanges checks that entries are sent exactly the changes since the version that they have.
 func TestChanges(t *testing.T) {
 	ready := Target{ID: "a", Service: "lamps", Address: "10.0.0.1:1", AvailabilityZone: "z1", Version: "v1", Slots: 6}
 	other := Target{ID: "b", Service: "lamps", Address: "10.0.0.2:1", AvailabilityZone: "z1", Version: "v1", Slots: 6}
 	leaving, cold, warming := ready, ready, ready
+	started, startedAgain := ready, ready
+	started.Born, startedAgain.Born = 1, 2
 	leaving.Leaving, cold.ColdFor, warming.ColdFor = true, 3*time.Second, 2500*time.Millisecond
 	cases := []struct {
 		name          string
@@ -29,6 +49,7 @@
 		{"joined", []Target{ready}, []Target{ready, other}, map[string]wire.TargetState{"b": wire.TargetState_TARGET_STATE_READY}},
 		{"cold again", []Target{ready}, []Target{cold}, map[string]wire.TargetState{"a": wire.TargetState_TARGET_STATE_READY}},
 		{"warming up as sent before", []Target{cold}, []Target{warming}, nil},
+		{"started again", []Target{started}, []Target{startedAgain}, map[string]wire.TargetState{"a": wire.TargetState_TARGET_STATE_GONE}},
 		{"empty list", []Target{ready}, nil, map[string]wire.TargetState{"a": wire.TargetState_TARGET_STATE_GONE}},
 	}
 	for _, c := range cases {
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -30,7 +30,8 @@
 	// another entry.
 	maxUnreachable = 2
 	// minRetryAfter and maxRetryAfter bound the expected wait from which the Retry-After of a
-	// refused request is drawn; it is one to two times that wait.
+	// refused request is drawn; it is one to two times that wait. While all targets turn this entry
+	// away, the wait is until the first takes requests again.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = time.Second
 	// ordinaryWaitFraction is the fraction of the aim that a request may wait in a target's queue,
@@ -234,9 +235,13 @@
 		return
 	case Readmitted:
 		event = logger.TargetReadmitted
+	case Leaving:
+		event = logger.TargetLeaving
+	case TurnedAway:
+		event = logger.TargetTurnsAway
 	}
 	b.config.Logger.Log(event, logger.F("target", k.Target.Name), logger.F("service", k.Target.Service),
-		logger.F("unreachable", s.Unreachable))
+		logger.F("unreachable", s.Unreachable), logger.F("turnedAway", s.TurnedAway), logger.F("invalid", s.TurnAwayInvalid))
 }
 
 // keepUncertain sets the outcome of a request that an attempt may have run to "may have run",
@@ -266,7 +271,7 @@
 	if w.runs > 0 {
 		return
 	}
-	wait := min(maxRetryAfter, max(minRetryAfter, delay))
+	wait := max(minRetryAfter, delay)
 	e.RetryAfter = (wait + time.Duration(rand.Int64N(int64(wait)))).Round(time.Millisecond)
 	w.lastOutcome = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoCapacity)
 }
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/core/wire"
 	"github.com/filberthoist/filberthoist/entry/forwarder"
@@ -136,18 +137,18 @@
 	best := p.cheapest(now, v, d)
 	switch {
 	case best == nil:
-		return nil, 0
+		return nil, p.timeTurnedAway(now, v, d)
 	case best.Cost > d.Remaining:
-		return nil, max(best.Wait, best.Cost-d.Remaining)
+		return nil, min(maxRetryAfter, max(best.Wait, best.Cost-d.Remaining))
 	case best.Wait > d.MaxQueueWait:
-		return nil, best.Wait
+		return nil, min(maxRetryAfter, best.Wait)
 	}
 	if best.state.isCold(now) {
 		best.state.coldTokens--
 	}
 	best.state.running++
 	best.state.tried = true
-	if best.state.ejectedUntil > 0 {
+	if best.state.ejectedUntil > 0 || best.state.turnedAwayUntil > 0 {
 		best.state.probing = true
 	}
 	return best, 0
@@ -184,6 +185,10 @@
 	NoChange Change = iota
 	Ejected
 	Readmitted
+	// Leaving means that the target stated for the first time that it is leaving, and TurnedAway that
+	// it wants no requests for some time.
+	Leaving
+	TurnedAway
 )
 
 // Done records the result of a picked request and returns its effect on the target.
@@ -197,22 +202,47 @@
 	if dialed > 0 {
 		p.recordRoundTrip(t.listed.Region, dialed)
 	}
-	if s.Result.Leaving {
-		t.leavingUntil = now + leavingExpiry
-	}
+	change := p.recordStatements(now, k, s)
 	switch {
 	case s.Misdirected:
 		t.replaced = true
 	case s.Result.Failed:
-		if t.recordFailure(now, s.Unreachable) {
+		if t.recordFailure(now, s.Unreachable) && change == NoChange {
 			return Ejected
 		}
 	case s.Result.Latency > 0:
-		if p.recordResponse(now, k, d, s.Result.Latency) {
+		if p.recordResponse(now, k, d, s.Result.Latency) && change == NoChange {
 			return Readmitted
 		}
 	}
-	return NoChange
+	return change
+}
+
+// recordStatements records what a target stated about itself.
+func (p *Picker) recordStatements(now time.Duration, k *Pick, s *forwarder.SendResult) Change {
+	t, change := k.state, NoChange
+	if s.Result.Leaving {
+		t.leavingUntil = now + leavingExpiry
+	}
+	if s.TurnedAway > 0 {
+		t.recordTurnAway(now, s.TurnedAway)
+		change = TurnedAway
+	}
+	if s.LeavingTarget != "" && t.recordStatedLeave(now) {
+		change = Leaving
+	}
+	return change
+}
+
+// RecordLeaving records that a target stated to another entry that it is leaving.
+func (p *Picker) RecordLeaving(name string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, s := range p.services {
+		if t := s.targets[name]; t != nil {
+			t.recordStatedLeave(p.config.Clock.Now())
+		}
+	}
 }
 
 func (p *Picker) recordRoundTrip(region string, d time.Duration) {
@@ -258,11 +288,11 @@
 			s = &service{targets: map[string]*target{}}
 			p.services[name] = s
 		}
-		s.setTargets(list)
+		s.setTargets(p.config.Clock.Now(), list)
 	}
 	for name, s := range p.services {
 		if len(v.Targets[name]) == 0 {
-			s.setTargets(nil)
+			s.setTargets(p.config.Clock.Now(), nil)
 		}
 	}
 }
@@ -279,7 +309,7 @@
 	return true
 }
 
-func (s *service) setTargets(list []*receiver.ListedTarget) {
+func (s *service) setTargets(now time.Duration, list []*receiver.ListedTarget) {
 	next := make(map[string]*target, len(list))
 	s.list = s.list[:0:0]
 	for _, l := range list {
@@ -287,7 +317,13 @@
 		if t == nil || t.listed.Address != l.Address {
 			t = newTarget(l)
 		}
+		if t.listed.Leaving && !l.Leaving && !t.statedLeave {
+			t.leavingSince = 0 // the platform says otherwise
+		}
 		t.listed = l
+		if l.Leaving {
+			t.recordLeaving(now)
+		}
 		next[l.Name] = t
 		s.list = append(s.list, t)
 	}
@@ -352,17 +388,24 @@
 	}
 	eligible := make([]*target, 0, len(s.list))
 	for _, t := range s.list {
-		if p.isEligible(now, v, d, t) {
+		if p.isEligible(now, v, d, t) && !t.isLeaving(now) {
 			eligible = append(eligible, t)
 		}
 	}
+	if len(eligible) == 0 {
+		for _, t := range s.list {
+			if p.isEligible(now, v, d, t) && t.mayServeLast(now) {
+				eligible = append(eligible, t)
+			}
+		}
+	}
 	eligible = limitNewSide(v, d.Service, eligible)
 	w := p.regionWeights(eligible, v.RegionFractions[d.Service])
 	out := make([]candidate, 0, len(eligible))
 	ejected := 0
 	for _, t := range eligible {
 		switch {
-		case slices.Contains(d.Excluded, t.listed.Name):
+		case slices.Contains(d.Excluded, t.listed.Name), t.isTurnedAway(now):
 		case t.isCold(now) && d.ColdRate > 0 && !(p.warmsTarget(v, t.listed) && t.hasColdToken(now, d.ColdRate)):
 		case t.isEjected(now):
 			ejected++
@@ -374,7 +417,7 @@
 		return out
 	}
 	for _, t := range eligible { // too many are ejected, so use them as well
-		if t.isEjected(now) && !slices.Contains(d.Excluded, t.listed.Name) {
+		if t.isEjected(now) && !t.isTurnedAway(now) && !slices.Contains(d.Excluded, t.listed.Name) {
 			out = append(out, candidate{t, w.rendezvousScore(d.Object, t.listed)})
 		}
 	}
@@ -444,11 +487,39 @@
 	return -math.Log(u) / (w[l.Region] * float64(l.Slots))
 }
 
-// isEligible reports whether a target may serve a request, apart from ejection and cold start.
+// timeTurnedAway returns the least time until a target that turns this entry away takes requests
+// again, or 0 if there is none.
+func (p *Picker) timeTurnedAway(now time.Duration, v *receiver.View, d PickRequest) time.Duration {
+	least := time.Duration(0)
+	if s := p.services[d.Service]; s != nil {
+		for _, t := range s.list {
+			left := t.turnedAwayUntil - now
+			if left > 0 && !t.isLeaving(now) && p.isEligible(now, v, d, t) && (least == 0 || left < least) {
+				least = left
+			}
+		}
+	}
+	return least
+}
+
+// MayProbe reports whether a target may get requests that are not a caller's.
+func (p *Picker) MayProbe(t *parser.Target) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	s := p.services[t.Service]
+	if s == nil || s.targets[t.Name] == nil {
+		return true
+	}
+	now, k := p.config.Clock.Now(), s.targets[t.Name]
+	return !k.isTurnedAway(now) && !k.isLeaving(now)
+}
+
+// isEligible reports whether a target may serve a request, apart from ejection, cold start and whether
+// it is leaving.
 func (p *Picker) isEligible(now time.Duration, v *receiver.View, d PickRequest, t *target) bool {
 	l := t.listed
 	switch {
-	case t.isLeaving(now), v.Evacuated[l.AvailabilityZone], !d.Allows(l.Version):
+	case v.Evacuated[l.AvailabilityZone], !d.Allows(l.Version):
 		return false
 	case len(d.Homes) > 0 && !slices.Contains(d.Homes, l.Region):
 		return false
@@ -541,8 +612,12 @@
 	Pace     float64
 	Ejected  bool
 	Leaving  bool
-	Cold     bool
-	Objects  int
+	// LeavingFor is the time since the target was first known to be leaving, and TurnedAwayFor the time
+	// for which it wants no requests of this entry.
+	LeavingFor    time.Duration
+	TurnedAwayFor time.Duration
+	Cold          bool
+	Objects       int
 }
 
 // Dump returns the TargetDumps by service.
@@ -552,10 +627,15 @@
 	now, out := p.config.Clock.Now(), map[string][]TargetDump{}
 	for name, s := range p.services {
 		for _, t := range s.list {
-			out[name] = append(out[name], TargetDump{
+			n := TargetDump{
 				Name: t.listed.Name, Region: t.listed.Region, Load: t.load(now), Failures: t.failureRate, Pace: t.currentSlowness(now),
 				Ejected: t.isEjected(now), Leaving: t.isLeaving(now), Cold: t.isCold(now), Objects: len(t.objects),
-			})
+				TurnedAwayFor: max(0, t.turnedAwayUntil-now),
+			}
+			if t.leavingSince > 0 {
+				n.LeavingFor = now - t.leavingSince
+			}
+			out[name] = append(out[name], n)
 		}
 	}
 	return out
--- a/entry/balancer/target.go
+++ b/entry/balancer/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/filberthoist/filberthoist/entry/forwarder"
@@ -29,6 +30,12 @@
 	// leavingExpiry is how long a target's announcement that it is leaving holds if the platform's
 	// list does not say so.
 	leavingExpiry = 10 * time.Second
+	// lastUseTime is how long a leaving target may still serve if no other target is left. It is less
+	// than targets go on serving after they announce it.
+	lastUseTime = time.Second
+	// maxReturnSpread bounds the random time that is added to the one for which a target turns
+	// this entry away.
+	maxReturnSpread = time.Second
 	// slownessWeight is the weight of a new response in a target's slowness.
 	slownessWeight = 0.2
 	// slownessTimeConstant is the time constant with which slowness decays to 1 without responses.
@@ -65,8 +72,16 @@
 	ejectedUntil time.Duration
 	// probing is set while a request is in flight whose result decides on the readmission.
 	probing bool
-	// leavingUntil is when the target's announcement that it is leaving expires.
+	// leavingUntil is when the sign that the target is leaving expires that it gave by closing a
+	// connection.
 	leavingUntil time.Duration
+	// leavingSince is when the target first stated that it is leaving, or the platform's list first
+	// showed it so; 0 if neither did. What the target stated itself holds until it is gone.
+	leavingSince time.Duration
+	statedLeave  bool
+	// turnedAwayUntil is until when the target wants no requests from this entry. After that, one
+	// request at a time tries it until one succeeds.
+	turnedAwayUntil time.Duration
 	// replaced is set if another target answers at the address.
 	replaced bool
 	tried    bool
@@ -109,7 +124,39 @@
 }
 
 func (t *target) isLeaving(now time.Duration) bool {
-	return t.listed.Leaving || t.replaced || now < t.leavingUntil
+	return t.leavingSince > 0 || t.replaced || now < t.leavingUntil
+}
+
+// mayServeLast reports whether a leaving target may still get requests if no other target is left.
+func (t *target) mayServeLast(now time.Duration) bool {
+	return !t.replaced && (t.leavingSince == 0 || now-t.leavingSince < lastUseTime)
+}
+
+// recordStatedLeave records that the target stated that it is leaving. It reports whether that is new.
+func (t *target) recordStatedLeave(now time.Duration) bool {
+	t.statedLeave = true
+	return t.recordLeaving(now)
+}
+
+// recordLeaving records that the target is leaving. It reports whether that is new.
+func (t *target) recordLeaving(now time.Duration) bool {
+	if t.leavingSince > 0 {
+		return false
+	}
+	t.leavingSince = max(now, 1)
+	return true
+}
+
+// isTurnedAway reports whether the target wants no request now.
+func (t *target) isTurnedAway(now time.Duration) bool {
+	return now < t.turnedAwayUntil || (t.turnedAwayUntil > 0 && t.probing)
+}
+
+// recordTurnAway records that the target wants no requests for some time. Entries return at
+// different times, since the target would turn all of them away again at once.
+func (t *target) recordTurnAway(now, d time.Duration) {
+	spread := time.Duration(rand.Float64() * float64(min(d/2, maxReturnSpread)))
+	t.turnedAwayUntil = max(t.turnedAwayUntil, now+d+spread)
 }
 
 func (t *target) isWarm(now time.Duration, object string) bool {
@@ -153,6 +200,9 @@
 // the target is readmitted.
 func (t *target) recordSuccess(now time.Duration, ratio float64) bool {
 	t.failureRate *= 1 - failureWeight
+	if now >= t.turnedAwayUntil {
+		t.turnedAwayUntil = 0
+	}
 	current := t.currentSlowness(now)
 	t.slowness = min(maxSlowness, max(minSlowness, current+slownessWeight*(ratio-current)))
 	t.slownessUpdatedAt = now
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -50,6 +50,8 @@
 	// response to the caller.
 	Send  func(ctx context.Context, e *handler.Exchange, address string) *forwarder.SendResult
 	Relay func(ctx context.Context, e *handler.Exchange, s *forwarder.SendResult) handler.Outcome
+	// Leaving records that a target stated to another entry that it is leaving.
+	Leaving func(target string)
 }
 
 // Delegator is the pipeline step that sends requests to other entries while this one is isolated.
@@ -143,6 +145,9 @@
 			d.avoid(d.entries, m.GetName())
 		case s.Response != nil:
 			d.delegated.Inc(1)
+			if s.LeavingTarget != "" {
+				d.config.Leaving(s.LeavingTarget)
+			}
 			return d.config.Relay(ctx, e, s), true
 		default:
 			return s.Outcome, true
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -243,10 +243,12 @@
 	return &detectorRef{}
 }
 
-func newDetector(x Extensions, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, d *detectorRef) *detector.Detector {
+func newDetector(x Extensions, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, p *balancer.Picker, d *detectorRef) *detector.Detector {
 	d.value = detector.NewDetector(detector.Config{
 		Clock: c, Logger: l, Scope: r.Scope, ExpectedTarget: x.Dialect.ExpectedTarget,
-		Targets: func() []*parser.Target { return listTargets(v.View()) },
+		Targets: func() []*parser.Target {
+			return slices.DeleteFunc(listTargets(v.View()), func(t *parser.Target) bool { return !p.MayProbe(t) })
+		},
 	})
 	return d.value
 }
@@ -268,9 +270,9 @@
 	return out
 }
 
-func newDelegator(c timekeeper.Clock, r *reporter.Reporter, self *wire.EntryMember, n *detector.Detector, f *forwarder.Forwarder) *delegator.Delegator {
+func newDelegator(c timekeeper.Clock, r *reporter.Reporter, self *wire.EntryMember, n *detector.Detector, f *forwarder.Forwarder, p *balancer.Picker) *delegator.Delegator {
 	return delegator.NewDelegator(delegator.Config{
-		Clock: c, Scope: r.Scope, Self: self, Isolated: n.IsIsolated, Send: f.Delegate, Relay: f.Relay,
+		Clock: c, Scope: r.Scope, Self: self, Isolated: n.IsIsolated, Send: f.Delegate, Relay: f.Relay, Leaving: p.RecordLeaving,
 	})
 }
 
--- a/entry/forwarder/delegate.go
+++ b/entry/forwarder/delegate.go
@@ -34,7 +34,11 @@
 		}
 		return &SendResult{Outcome: handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUnmatched)}
 	}
-	return &SendResult{Response: response}
+	s := &SendResult{Response: response}
+	if statesLeaving(f.config.Dialect.Leaving, response.Header) {
+		s.LeavingTarget = response.Header.Get(f.config.Dialect.Delegated)
+	}
+	return s
 }
 
 // Relay writes the response of another entry to the caller unchanged, and returns the outcome that
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -53,6 +53,12 @@
 	Misdirected bool
 	// Unreachable reports whether no connection could be established.
 	Unreachable bool
+	// LeavingTarget names the target if it stated that it is leaving; else it is empty.
+	LeavingTarget string
+	// TurnedAway is how long the target wants no further requests of this entry; 0 if it did not say
+	// so. TurnAwayInvalid reports whether it stated a time that can't be used.
+	TurnedAway      time.Duration
+	TurnAwayInvalid bool
 	// Load is the load that the target reported; nil if it reported none.
 	Load *Load
 	// DialTime is the time that establishing the connection took; 0 for a reused one.
@@ -113,7 +119,7 @@
 		return failed
 	}
 	f.record(t, true)
-	return f.classifyResponse(e, response, f.config.Clock.Now()-begun)
+	return f.classifyResponse(e, t, response, f.config.Clock.Now()-begun)
 }
 
 // exchange sends a request and waits for the response, for the time that is left. That time also
@@ -184,7 +190,7 @@
 }
 
 // classifyResponse returns what a response means for the request and for its target.
-func (f *Forwarder) classifyResponse(e *handler.Exchange, response *carrier.Response, took time.Duration) *SendResult {
+func (f *Forwarder) classifyResponse(e *handler.Exchange, t *parser.Target, response *carrier.Response, took time.Duration) *SendResult {
 	d := f.config.Dialect
 	s := &SendResult{Load: parseLoad(response.Header.Get(d.Load)), DialTime: response.DialTime}
 	switch {
@@ -205,12 +211,27 @@
 			Leaving: response.CloseAfter && e.Route.Retryable(),
 		}
 	}
+	f.readStatements(s, t, response)
 	if s.Response == nil && response.Remainder != nil {
 		_ = response.Remainder.Close() // the response is not used
 	}
 	return s
 }
 
+// readStatements reads what a target states in a response about itself.
+func (f *Forwarder) readStatements(s *SendResult, t *parser.Target, response *carrier.Response) {
+	if s.Misdirected {
+		return // another target responded
+	}
+	if statesLeaving(f.config.Dialect.Leaving, response.Header) {
+		s.LeavingTarget, s.Result.Leaving = t.Name, true
+	}
+	if response.Status == http.StatusServiceUnavailable {
+		d, ok := parseRetryAfter(response.Header)
+		s.TurnedAway, s.TurnAwayInvalid = d, !ok
+	}
+}
+
 // isOwnResponse reports whether the target itself made a response. Where the dialect has a
 // signature, a successful response must carry it and the request's ID.
 func (f *Forwarder) isOwnResponse(status int, h http.Header) bool {
@@ -229,6 +250,9 @@
 		e.Writer.Header().Set(f.config.Dialect.Outcome, string(handler.Done))
 	}
 	e.Writer.Header().Set(f.config.Dialect.RequestID, e.ID)
+	if e.Delegated && s.LeavingTarget != "" {
+		e.Writer.Header().Set(f.config.Dialect.Delegated, s.LeavingTarget) // the other entry must know it, too
+	}
 	return f.write(ctx, e, s)
 }
 
--- a/entry/handler/dialect.go
+++ b/entry/handler/dialect.go
@@ -39,6 +39,9 @@
 	Delegated string
 	// Load carries the numbers of running and waiting requests and of slots of a target; optional.
 	Load string
+	// Leaving is the response header by which a target states, with the value 1, that it is leaving;
+	// optional.
+	Leaving string
 	// Prefix is the prefix of further headers that are removed from callers' requests; optional.
 	Prefix string
 	// Status maps the outcome of a request without a response to its HTTP status; nil means
