Count requests that only one region may serve against its slots

Requests of teams with homes can't move: about a quarter of what canal and upper send goes to delta, which has a tenth of the slots and was to keep 0.34 to 0.57 of its own requests as well. Its targets got more objects than they keep warm, served 60 in 100 of delta's requests in the first two seconds and 19 in 100 in the next, and 169 of 330 were refused (trace with all requests logged). Change: entries report the demand that only one region may serve; the allocator takes it from what that region can serve for others. An older leader ignores the new field. An idle entry takes an allocation at once.

--- a/control/allocator/allocator.go
+++ b/control/allocator/allocator.go
@@ -67,10 +67,24 @@
 
 // report is the demand that an entry reported.
 type report struct {
-	region string
-	at     time.Duration
-	// loads is the number of slots that the requests keep busy, by service.
-	loads map[string]float64
+	region   string
+	at       time.Duration
+	services map[string]*wire.ServiceDemand
+}
+
+// demand is the number of slots that the requests for a service keep busy: by the region of their
+// callers for those that any region may serve, and by the region that must serve them for all others.
+type demand struct {
+	free  map[string]float64
+	bound map[string]float64
+}
+
+func (d demand) total() float64 {
+	total := 0.0
+	for region := range d.free {
+		total += d.free[region] + d.bound[region]
+	}
+	return total
 }
 
 // NewAllocator returns an Allocator without an allocation.
@@ -115,9 +129,9 @@
 	if len(r.GetServices()) == 0 {
 		return
 	}
-	n := report{region: r.GetMember().GetRegion(), at: now, loads: map[string]float64{}}
+	n := report{region: r.GetMember().GetRegion(), at: now, services: map[string]*wire.ServiceDemand{}}
 	for _, s := range r.GetServices() {
-		n.loads[s.GetService()] = s.GetLoad()
+		n.services[s.GetService()] = s
 	}
 	a.entries[r.GetMember().GetName()] = n
 }
@@ -127,15 +141,16 @@
 	slots := a.config.Slots()
 	changed := false
 	for service, bySlots := range slots {
-		demand := a.demand(now, service, bySlots)
-		a.demanded = a.demanded || demand != nil
-		if a.begin(now, service, demand, bySlots) {
+		d := a.demand(now, service, bySlots)
+		known := d.total() >= minDemand
+		a.demanded = a.demanded || known
+		if a.begin(now, service, d, bySlots) {
 			changed = true
 		}
-		if demand == nil || a.fractions[service] == nil || !isStrained(a.fractions[service], demand, bySlots) {
+		if !known || a.fractions[service] == nil || !isStrained(a.fractions[service], d, bySlots) {
 			continue
 		}
-		for region, row := range Balance(demand, bySlots) {
+		for region, row := range balance(d, bySlots) {
 			changed = advance(a.fractions[service], region, row) || changed
 		}
 	}
@@ -147,14 +162,14 @@
 // begin sets the first fractions of a service, and reports whether they changed. They are those for
 // even demand, so that entries have them before the first requests arrive. Where entries use the
 // allocation of an earlier term, they are those for the demand that the entries report.
-func (a *Allocator) begin(now time.Duration, service string, demand, slots map[string]float64) bool {
+func (a *Allocator) begin(now time.Duration, service string, d demand, slots map[string]float64) bool {
 	known := a.fractions[service]
 	var next map[string]map[string]float64
 	switch {
-	case a.inherited && known == nil && demand != nil && now-a.begun >= settleTime:
-		next = Balance(demand, slots)
+	case a.inherited && known == nil && d.total() >= minDemand && now-a.begun >= settleTime:
+		next = balance(d, slots)
 	case !a.inherited && (known == nil || !a.demanded):
-		next = Balance(evenDemand(slots), slots)
+		next = balance(evenDemand(slots), slots)
 	}
 	if next == nil || maps.EqualFunc(known, next, maps.Equal) {
 		return false
@@ -166,75 +181,76 @@
 	return true
 }
 
-// demand returns the busy slots of a service by region, as entries reported them, or nil if there
-// are fewer than minDemand.
-func (a *Allocator) demand(now time.Duration, service string, slots map[string]float64) map[string]float64 {
-	out, total := map[string]float64{}, 0.0
+// demand returns the busy slots of a service, as entries reported them.
+func (a *Allocator) demand(now time.Duration, service string, slots map[string]float64) demand {
+	out := demand{free: map[string]float64{}, bound: map[string]float64{}}
 	for region := range slots {
-		out[region] = 0
+		out.free[region] = 0
 	}
 	for name, r := range a.entries {
 		if now-r.at > reportExpiry {
 			delete(a.entries, name)
 			continue
 		}
-		out[r.region] += r.loads[service]
-		total += r.loads[service]
-	}
-	if total < minDemand {
-		return nil
+		free := r.services[service].GetLoad()
+		for region, load := range r.services[service].GetBound() {
+			if _, ok := slots[region]; ok {
+				out.bound[region] += load
+			}
+			free -= load
+		}
+		out.free[r.region] += max(0, free)
 	}
 	return out
 }
 
 // evenDemand returns the same demand for every region.
-func evenDemand(slots map[string]float64) map[string]float64 {
-	out := map[string]float64{}
+func evenDemand(slots map[string]float64) demand {
+	out := demand{free: map[string]float64{}}
 	for region := range slots {
-		out[region] = 1
+		out.free[region] = 1
 	}
 	return out
 }
 
 // isStrained reports whether the slots of some region are much busier than the average of all, and
 // busier than minStrainedLoad.
-func isStrained(fractions map[string]map[string]float64, demand, slots map[string]float64) bool {
-	served, load, capacity := map[string]float64{}, 0.0, 0.0
-	for region, d := range demand {
-		load += d
+func isStrained(fractions map[string]map[string]float64, d demand, slots map[string]float64) bool {
+	served, capacity := maps.Clone(d.bound), 0.0
+	for region, load := range d.free {
 		capacity += slots[region]
 		for other, fraction := range fractions[region] {
-			served[other] += d * fraction
+			served[other] += load * fraction
 		}
 	}
 	for region, s := range served {
-		if s > slots[region]*max(minStrainedLoad, maxHomeLoad*load/max(1, capacity)) {
+		movable := s > d.bound[region]
+		if movable && s > slots[region]*max(minStrainedLoad, maxHomeLoad*d.total()/max(1, capacity)) {
 			return true
 		}
 	}
 	return false
 }
 
-// Balance returns, by region of the callers and region of the targets, the fraction of the callers'
-// demand that the targets should serve for a balanced load.
-func Balance(demand, slots map[string]float64) map[string]map[string]float64 {
-	load, capacity := 0.0, 0.0
-	for region, d := range demand {
-		load += d
+// balance returns, by region of the callers and region of the targets, the fraction of the callers'
+// free demand that the targets should serve for a balanced load.
+func balance(d demand, slots map[string]float64) map[string]map[string]float64 {
+	capacity := 0.0
+	for region := range d.free {
 		capacity += slots[region]
 	}
-	average := load / max(1, capacity)
+	average := d.total() / max(1, capacity)
 	home, spare, total := map[string]float64{}, map[string]float64{}, 0.0
-	for region, d := range demand {
-		home[region] = min(d, maxHomeLoad*average*slots[region])
-		spare[region] = max(0, average*slots[region]-home[region])
+	for region, load := range d.free {
+		home[region] = min(load, max(0, maxHomeLoad*average*slots[region]-d.bound[region]))
+		spare[region] = max(0, average*slots[region]-d.bound[region]-home[region])
 		total += spare[region]
 	}
 	out := map[string]map[string]float64{}
-	for region, d := range demand {
+	for region, load := range d.free {
 		row := map[string]float64{region: 1}
-		if d > 0 {
-			row[region] = home[region] / d
+		if load > 0 && total-spare[region] > 0 {
+			row[region] = home[region] / load
 		}
 		for other, s := range spare {
 			if other != region && total-spare[region] > 0 {
--- a/control/allocator/allocator_test.go
+++ b/control/allocator/allocator_test.go
@@ -43,7 +43,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			best := Balance(c.demand, slots)
+			best := balance(demand{free: c.demand}, slots)
 			for _, row := range best {
 				checkSumsToOne(t, row)
 			}
@@ -52,6 +52,41 @@
 	}
 }
 
+// TestBoundDemand checks that a region with many requests that only it may serve keeps few others, so
+// that its targets are not busier than those of other regions.
+func TestBoundDemand(t *testing.T) {
+	cases := []struct {
+		name  string
+		bound map[string]float64
+		// home is the highest fraction that the small region may keep.
+		home float64
+	}{
+		{"none", nil, 0.7},
+		{"half of its slots", map[string]float64{"west": 5}, 0.35},
+		{"all of its slots", map[string]float64{"west": 10}, 0.1},
+		{"more than its slots", map[string]float64{"west": 20}, 0},
+		{"a region without slots", map[string]float64{"east": 5}, 0.7},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newModel()
+			m.play(1, 0, time.Second)
+			for range 60 {
+				m.playBound(1, 15, c.bound, 500*time.Millisecond)
+			}
+			is.True(m.part("west", "west") <= c.home+deadBand)
+			for _, region := range []string{"south", "north", "west"} {
+				row := map[string]float64{}
+				for _, p := range m.latest[region].GetParts() {
+					row[p.GetRegion()] = p.GetPart()
+				}
+				checkSumsToOne(t, row)
+			}
+		})
+	}
+}
+
 // TestWave simulates a wave of demand in one region. Fractions must change by at most 4 % a second,
 // and not at all while no region is strained.
 func TestWave(t *testing.T) {
@@ -108,12 +143,20 @@
 }
 
 // play lets every entry poll for a time, with the same demand in each region.
-func (m *model) play(term uint64, load float64, d time.Duration) {
+func (m *model) play(term uint64, load float64, d time.Duration) { m.playBound(term, load, nil, d) }
+
+// playBound is play with further demand, which only the given regions may serve.
+func (m *model) playBound(term uint64, load float64, bound map[string]float64, d time.Duration) {
 	for end := m.now + d; m.now < end; m.now += 250 * time.Millisecond {
 		for region := range m.slots["drafts"] {
 			r := &wire.PollRequest{Member: &wire.EntryMember{Name: region, Region: region}, Allocation: m.latest[region].GetNumber()}
 			if load > 0 {
-				r.Services = []*wire.ServiceDemand{{Service: "drafts", Load: load}}
+				s := &wire.ServiceDemand{Service: "drafts", Load: load, Bound: map[string]float64{}}
+				for to, b := range bound {
+					s.Bound[to] = b / float64(len(m.slots["drafts"]))
+					s.Load += s.Bound[to]
+				}
+				r.Services = []*wire.ServiceDemand{s}
 			}
 			if a := m.Answer(term, r); a != nil {
 				m.latest[region] = a
--- a/entry/balanced_test.go
+++ b/entry/balanced_test.go
@@ -78,7 +78,7 @@
 	p := balancer.NewPicker(balancer.PickerConfig{Clock: clock, Entry: "entry1", Zone: "north1", Region: "north", Regions: 1, ControlReachable: fresh})
 	s := balancer.NewBalancer(balancer.Config{
 		Clock: clock, Scope: tally.NoopScope, Picker: p, Send: f.Send, WriteResponse: f.WriteResponse, Delegate: g.DelegateUnreachable,
-		RetryBudget: balancer.NewBudget(balancer.BudgetConfig{Share: 0.1, Reserve: 10, Clock: clock}), Meter: balancer.NewMeter(clock),
+		RetryBudget: balancer.NewBudget(balancer.BudgetConfig{Share: 0.1, Reserve: 10, Clock: clock}), Meter: balancer.NewMeter(clock, "south"),
 	})
 	d := limiter.NewShareLimiter(limiter.ShareLimiterConfig{Clock: clock, View: currentView, Share: func(string) float64 { return 1 }})
 	k := classifier.NewClassifier(classifier.Config{Clock: clock})
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -99,7 +99,7 @@
 func (b *Balancer) balance(ctx context.Context, e *handler.Exchange) handler.Outcome {
 	b.config.RetryBudget.Deposit(e.Service.Name)
 	w := &retryState{request: b.pickRequest(e), chargedRuns: 1}
-	b.config.Meter.Add(e.Service.Name, b.config.Picker.ExpectedWork(w.request))
+	b.config.Meter.Add(e.Service.Name, w.request.Homes, b.config.Picker.ExpectedWork(w.request))
 	for w.sent < maxSends {
 		w.request.Remaining = e.Deadline - b.config.Clock.Now()
 		if w.sent > 0 && !b.mayRetry(ctx, e, w) {
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -57,7 +57,7 @@
 	budget := NewBudget(BudgetConfig{Share: 0, Reserve: reserve, Clock: clock})
 	budget.services["drafts"] = &bucket{tokens: reserve}
 	b := NewBalancer(Config{
-		Clock: clock, Scope: tally.NoopScope, Meter: NewMeter(clock), RetryBudget: budget,
+		Clock: clock, Scope: tally.NoopScope, Meter: NewMeter(clock, "south"), RetryBudget: budget,
 		Picker: NewPicker(PickerConfig{Clock: clock, Entry: "e", Zone: "south1", Region: "south", Regions: 1, ControlReachable: func() bool { return true }}),
 		Send: func(_ context.Context, _ *handler.Exchange, t *parser.Target) *forwarder.SendResult {
 			*sent = append(*sent, t.Name)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,7 +103,7 @@
 			newSelf,
 			newShifter,
 			newShareLimiterRef,
-			balancer.NewMeter,
+			newMeter,
 			newReceiver,
 			newOwner,
 			newGrantLimiter,
@@ -207,7 +207,7 @@
 ) *receiver.Receiver {
 	return receiver.NewReceiver(receiver.Config{
 		Clock: c, Logger: l, Assert: a, Scope: r.Scope, Connector: n, Controls: s.Controls, Self: self,
-		Evidence: t.Evidence, RequestRates: d.requestRates, Demands: m.Loads, Zones: s.Zones, Lenient: s.Lenient,
+		Evidence: t.Evidence, RequestRates: d.requestRates, Demands: m.Demands, Zones: s.Zones, Lenient: s.Lenient,
 		Isolated: i.isIsolated,
 	})
 }
@@ -339,6 +339,10 @@
 	})
 }
 
+func newMeter(s Settings, c timekeeper.Clock) *balancer.Meter {
+	return balancer.NewMeter(c, s.Region)
+}
+
 func countRegions(zones map[string]string) int {
 	regions := map[string]bool{}
 	for _, r := range zones {
--- a/entry/receiver/fractions.go
+++ b/entry/receiver/fractions.go
@@ -14,6 +14,8 @@
 	maxFractionRate = 0.05
 	// maxFractionPause bounds the time that one change may make up for.
 	maxFractionPause = time.Second
+	// maxIdleLoad is the number of busy slots below which an entry takes an allocation at once.
+	maxIdleLoad = 0.01
 )
 
 // fractions are the fractions of requests that go to each region, by service. They approach the
@@ -35,10 +37,13 @@
 	}
 }
 
-// advance moves the used fractions towards the allocation. It returns new maps, or nil if nothing
-// changed.
-func (f *fractions) advance(now time.Duration) map[string]map[string]float64 {
+// advance moves the used fractions towards the allocation, or sets them to it while the entry is idle.
+// It returns new maps, or nil if nothing changed.
+func (f *fractions) advance(now time.Duration, idle bool) map[string]map[string]float64 {
 	step := maxFractionRate * min(now-f.changedAt, maxFractionPause).Seconds()
+	if idle {
+		step = 1
+	}
 	f.changedAt = now
 	next, changed := make(map[string]map[string]float64, len(f.allocated)), len(f.used) != len(f.allocated)
 	for service, row := range f.allocated {
--- a/entry/receiver/fractions_test.go
+++ b/entry/receiver/fractions_test.go
@@ -38,16 +38,16 @@
 			is := is.New(t)
 			f, now := &fractions{}, time.Hour
 			f.allocate(allocation(c.from))
-			f.advance(now)
+			f.advance(now, false)
 			f.allocate(allocation(c.to))
 			if c.from == nil {
-				is.Equal(f.advance(now)["lamps"], c.to)
+				is.Equal(f.advance(now, false)["lamps"], c.to)
 				return
 			}
 			last := f.used["lamps"]
 			for end := now + c.within; now < end; {
 				now += 250 * time.Millisecond
-				f.advance(now)
+				f.advance(now, false)
 				sum := 0.0
 				for region, p := range f.used["lamps"] {
 					is.True(math.Abs(p-last[region]) <= maxFractionRate/4+1e-9)
@@ -59,26 +59,34 @@
 			for region, p := range c.to {
 				is.True(math.Abs(last[region]-p) < 1e-9)
 			}
-			is.True(f.advance(now+time.Second) == nil) // nothing changes any more
+			is.True(f.advance(now+time.Second, false) == nil) // nothing changes any more
 		})
 	}
 	t.Run("after a pause", func(t *testing.T) {
 		is := is.New(t)
 		f := &fractions{}
 		f.allocate(allocation(map[string]float64{"north": 1}))
-		f.advance(time.Hour)
+		f.advance(time.Hour, false)
 		f.allocate(allocation(map[string]float64{"south": 1}))
-		f.advance(2 * time.Hour)
+		f.advance(2*time.Hour, false)
 		is.True(f.used["lamps"]["south"] <= maxFractionRate+1e-9)
 	})
+	t.Run("idle", func(t *testing.T) {
+		is := is.New(t)
+		f := &fractions{}
+		f.allocate(allocation(map[string]float64{"north": 1}))
+		f.advance(time.Hour, false)
+		f.allocate(allocation(map[string]float64{"south": 1}))
+		is.Equal(f.advance(time.Hour, true)["lamps"]["south"], 1.0)
+	})
 	t.Run("another service", func(t *testing.T) {
 		is := is.New(t)
 		f := &fractions{}
 		f.allocate(allocation(map[string]float64{"north": 1}))
-		f.advance(time.Hour)
+		f.advance(time.Hour, false)
 		a := allocation(map[string]float64{"north": 1})
 		a.Parts = append(a.Parts, &wire.RegionPart{Service: "bills", Region: "south", Part: 1})
 		f.allocate(a)
-		is.Equal(f.advance(time.Hour)["bills"]["south"], 1.0)
+		is.Equal(f.advance(time.Hour, false)["bills"]["south"], 1.0)
 	})
 }
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -58,7 +58,7 @@
 	RequestRates func() map[string]float64
 	// Demands returns the number of slots that this entry's requests for each service keep busy;
 	// nil means that none is reported.
-	Demands func() map[string]float64
+	Demands func() []*wire.ServiceDemand
 	// Zones maps availability zones to their regions, for listed targets.
 	Zones map[string]string
 	// Lenient serves keyed requests from the last known state while control is unreachable.
@@ -351,7 +351,9 @@
 	if r.config.RequestRates != nil && r.shares.ReportDue(address, now) {
 		rates := r.config.RequestRates()
 		q.Demands = r.shares.Demands(rates, now, address)
-		q.Services = serviceDemands(r.config.Demands)
+		if r.config.Demands != nil {
+			q.Services = r.config.Demands()
+		}
 		reported = rates != nil // before the first configuration there is nothing to report
 	}
 	q.Allocation = r.allocationNumber
@@ -364,17 +366,6 @@
 	return wireconnect.NewDistributionServiceClient(r.client, r.config.Connector.URL(address), connect.WithAcceptCompression("gzip", nil, nil))
 }
 
-func serviceDemands(demands func() map[string]float64) []*wire.ServiceDemand {
-	if demands == nil {
-		return nil
-	}
-	var out []*wire.ServiceDemand
-	for name, load := range demands() {
-		out = append(out, &wire.ServiceDemand{Service: name, Load: load})
-	}
-	return out
-}
-
 // applyAllocation takes over a newer allocation, and publishes a View with fractions nearer to the
 // latest one.
 func (r *Receiver) applyAllocation(a *wire.Allocation) {
@@ -383,13 +374,24 @@
 		r.fractions.allocate(a)
 		r.logAllocation(a)
 	}
-	if next := r.fractions.advance(r.config.Clock.Now()); next != nil {
+	if next := r.fractions.advance(r.config.Clock.Now(), r.isIdle()); next != nil {
 		n := *r.View()
 		n.RegionFractions = next
 		r.publish(&n)
 	}
 }
 
+// isIdle reports whether this entry has hardly any requests that a change of fractions could move.
+func (r *Receiver) isIdle() bool {
+	load := 0.0
+	if r.config.Demands != nil {
+		for _, d := range r.config.Demands() {
+			load += d.GetLoad()
+		}
+	}
+	return load < maxIdleLoad
+}
+
 // logAllocation logs an allocation if a fraction differs by minLoggedChange or more from the one
 // logged last.
 func (r *Receiver) logAllocation(a *wire.Allocation) {
