Follow a new leader at once that did not respond before it led

Entries had polled it before it was up, and avoided it for 1.5 s although others named it. Avoidance is meant for a leader that others still name. Ruled out: the election (0.54 s), the load of the list. Change: only a leader that fails is avoided. TestFollowLeader fails before.

--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -37,7 +37,7 @@
 	// borrowTimeout bounds a call for tokens. It covers two trips between distant regions and a
 	// pause of the leader.
 	borrowTimeout = 400 * time.Millisecond
-	// avoidDuration is how long a member that did not respond is polled only if there is no other.
+	// avoidDuration is how long a leader that did not respond is polled only if there is no other.
 	avoidDuration = timekeeper.RoleLease
 )
 
@@ -83,8 +83,8 @@
 	nextControl int
 	// leader is the address of the leader to poll; empty if none is known.
 	leader string
-	// avoided is the address of the member that failed to respond last. Other members may still
-	// name it as the leader.
+	// avoided is the address of the leader that failed to respond last. Other members may still name
+	// it.
 	avoided      string
 	avoidedUntil time.Duration
 	// leaderAddress is the address of the leader that responded last, for other goroutines; nil
@@ -519,8 +519,10 @@
 		r.config.Logger.Log(logger.ControlUnreachable, logger.F("address", address), logger.F("error", err))
 	}
 	r.controlUnreachable = true
+	if address == r.leader {
+		r.avoided, r.avoidedUntil = address, r.config.Clock.Now()+avoidDuration
+	}
 	r.leader = ""
-	r.avoided, r.avoidedUntil = address, r.config.Clock.Now()+avoidDuration
 	r.nextControl++
 }
 
--- a/entry/receiver/receiver_test.go
+++ b/entry/receiver/receiver_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
@@ -42,6 +43,42 @@
 	}
 }
 
+// TestFollowLeader checks that a leader that stopped responding is avoided although others still name
+// it, and that a member that did not respond before it became the leader is followed at once.
+func TestFollowLeader(t *testing.T) {
+	const named = "10.0.0.2:1"
+	cases := []struct {
+		name string
+		// leads is set if the member was the leader when it did not respond.
+		leads    bool
+		after    time.Duration
+		followed bool
+	}{
+		{"a failed leader", true, 0, false},
+		{"a failed leader, later", true, avoidDuration, true},
+		{"a new leader that was not up before", false, 0, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Hour
+			n, err := connector.NewConnector(connector.Config{})
+			is.NoErr(err)
+			r := NewReceiver(Config{
+				Clock: timekeeper.Clock{Now: func() time.Duration { return now }}, Scope: tally.NoopScope, Connector: n,
+				Self: &wire.EntryMember{Name: "e"}, Controls: []string{"10.0.0.1:1", named, "10.0.0.3:1"},
+			})
+			if c.leads {
+				r.leader = named
+			}
+			r.markUnreachable(named, errors.New("no response"))
+			now += c.after
+			r.followLeader(named)
+			is.Equal(r.nextAddress() == named, c.followed)
+		})
+	}
+}
+
 // TestTargetList checks that changes are applied incrementally and that those of a leader of an
 // earlier term are ignored.
 func TestTargetList(t *testing.T) {
