Tell all entries of targets that stated to one that they are leaving

Cause: only the platform's list told entries that don't use a target that it leaves. Change: a poll names the targets that stated to the entry that they are leaving and that the list does not show so, at most 64; the leader marks them in its list and sends that change like any other, until the target is gone or starts again. Older leaders ignore the field. TestRecordLeaving, TestReportedLeaving.

--- a/control/distributor/distributor.go
+++ b/control/distributor/distributor.go
@@ -96,6 +96,9 @@
 	if v.Standing != replicator.Leader {
 		return connect.NewResponse(notLeader(v)), nil
 	}
+	if d.config.Surveyor != nil {
+		d.config.Surveyor.RecordLeaving(v.Term, r.GetLeavingTargets())
+	}
 	batchTimer := time.NewTimer(max(0, d.recordPoll(r)+batchInterval-d.config.Clock.Now()))
 	defer batchTimer.Stop()
 	round := d.config.Sequencer.NextRound()
--- a/control/surveyor/surveyor.go
+++ b/control/surveyor/surveyor.go
@@ -73,6 +73,9 @@
 	target    Target
 	change    uint64
 	coldUntil time.Duration
+	// statedLeave is set once an entry reported that the target stated that it is leaving. The list
+	// shows it later.
+	statedLeave bool
 	// gone is when the target was first missing from the list, or 0 while it is listed.
 	gone time.Duration
 }
@@ -127,6 +130,37 @@
 	return s.change > 0 && (v.GetTerm() != s.term || v.GetChange() < s.change)
 }
 
+// RecordLeaving records that targets stated to an entry that they are leaving.
+func (s *Surveyor) RecordLeaving(term uint64, ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before := s.change
+	for _, id := range ids {
+		k := s.targets[id]
+		if term != s.term || k == nil || k.gone != 0 || k.statedLeave {
+			continue
+		}
+		k.statedLeave = true
+		if !k.target.Leaving {
+			s.change++
+			k.target.Leaving, k.change = true, s.change
+			s.logTarget(k)
+		}
+	}
+	s.notify(before)
+}
+
+// notify wakes those who wait for changes after one.
+func (s *Surveyor) notify(before uint64) {
+	if s.change != before {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
 // Version returns the term and the number of the latest change.
 func (s *Surveyor) Version() (term, change uint64) {
 	s.mutex.Lock()
@@ -221,31 +255,25 @@
 		switch {
 		case seen[id]:
 		case k.gone == 0:
-			s.change++
-			k.gone, k.change = now, s.change
-			s.logTarget(k)
+			s.recordGone(now, k)
 		case now-k.gone > goneRetention:
 			delete(s.targets, id)
 		}
 	}
-	if s.change != before {
-		close(s.changed)
-		s.changed = make(chan struct{})
-	}
+	s.notify(before)
 }
 
 // updateTarget records a listed target as a change, unless entries need not be sent it.
 func (s *Surveyor) updateTarget(now time.Duration, t Target) {
 	coldUntil := now + t.ColdFor
 	k := s.targets[t.ID]
+	t.Leaving = t.Leaving || (k != nil && k.statedLeave)
 	if k == nil {
 		k = &knownTarget{target: t, coldUntil: coldUntil}
 		s.targets[t.ID] = k
 	} else if k.gone == 0 && k.target.Born != 0 && t.Born != 0 && k.target.Born != t.Born {
 		// Entries drop what they know of the earlier start. The next reading adds the new one.
-		s.change++
-		k.gone, k.change = now, s.change
-		s.logTarget(k)
+		s.recordGone(now, k)
 		return
 	} else if k.matches(now, t, coldUntil) {
 		return
@@ -255,6 +283,12 @@
 	s.logTarget(k)
 }
 
+func (s *Surveyor) recordGone(now time.Duration, k *knownTarget) {
+	s.change++
+	k.gone, k.change, k.statedLeave = now, s.change, false
+	s.logTarget(k)
+}
+
 func (s *Surveyor) logTarget(k *knownTarget) {
 	state := "ready"
 	if k.gone != 0 {
--- a/control/surveyor/surveyor_test.go
+++ b/control/surveyor/surveyor_test.go
@@ -29,6 +29,32 @@
 	is.True(s.Since(v) == nil)
 }
 
+// TestRecordLeaving checks that what a target stated to an entry is told to all entries once, holds
+// while the list still shows the target as ready, and ends when it is gone.
+func TestRecordLeaving(t *testing.T) {
+	is := is.New(t)
+	s := NewSurveyor(Config{Clock: timekeeper.NewClock(), Scope: tally.NoopScope})
+	ready := Target{ID: "a", Service: "lamps", Address: "10.0.0.1:1", AvailabilityZone: "z1", Version: "v1", Slots: 6}
+	s.update(7, []Target{ready})
+	changed, v := s.Changed(), s.Since(nil).GetVersion()
+	s.RecordLeaving(6, []string{"a"}) // a poll of an earlier term
+	s.RecordLeaving(7, []string{"unknown"})
+	is.True(s.Since(v) == nil)
+	for range 2 { // two entries
+		s.RecordLeaving(7, []string{"a", "unknown"})
+		s.update(7, []Target{ready}) // the list shows it later
+	}
+	list := s.Since(v)
+	is.Equal(len(list.GetTargets()), 1)
+	is.Equal(list.GetTargets()[0].GetState(), wire.TargetState_TARGET_STATE_LEAVING)
+	is.Equal(list.GetVersion().GetChange(), v.GetChange()+1)
+	is.Equal(len(s.Slots()), 0)
+	<-changed
+	s.update(7, nil)
+	s.update(7, []Target{ready}) // it started again
+	is.Equal(s.Since(v).GetTargets()[0].GetState(), wire.TargetState_TARGET_STATE_READY)
+}
+
 // TestChanges checks that entries are sent exactly the changes since the version that they have.
 func TestChanges(t *testing.T) {
 	ready := Target{ID: "a", Service: "lamps", Address: "10.0.0.1:1", AvailabilityZone: "z1", Version: "v1", Slots: 6}
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -44,6 +44,8 @@
 	// maxCandidates is the number of targets in an object's order among which healthy ones are
 	// sought.
 	maxCandidates = 8
+	// maxLeavingTargets is the number of leaving targets that a poll reports.
+	maxLeavingTargets = 64
 	// slowThreshold is the slowness from which a target does not count as healthy.
 	slowThreshold = 2.5
 	// maxEjectedFraction is the fraction of a service's targets that may be ejected at the same time.
@@ -234,6 +236,22 @@
 	return change
 }
 
+// LeavingTargets returns the names of targets that stated that they are leaving and that the platform's
+// list does not show so yet, at most maxLeavingTargets.
+func (p *Picker) LeavingTargets() []string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var out []string
+	for _, s := range p.services {
+		for name, t := range s.targets {
+			if t.statedLeave && !t.listed.Leaving && len(out) < maxLeavingTargets {
+				out = append(out, name)
+			}
+		}
+	}
+	return out
+}
+
 // RecordLeaving records that a target stated to another entry that it is leaving.
 func (p *Picker) RecordLeaving(name string) {
 	p.mutex.Lock()
--- a/entry/balancer/statement_test.go
+++ b/entry/balancer/statement_test.go
@@ -150,6 +150,23 @@
 	is.Equal(s.countPicks(time.Minute)["south-1"], 0)
 }
 
+// TestReportedLeaving checks which targets are reported as leaving: those that the list does not show
+// so.
+func TestReportedLeaving(t *testing.T) {
+	is := is.New(t)
+	s := newStatements(2)
+	is.Equal(len(s.entry.picker.LeavingTargets()), 0)
+	name, _ := s.send(leaving())
+	is.Equal(s.entry.picker.LeavingTargets(), []string{name})
+	var list []*receiver.ListedTarget
+	for _, l := range s.view.Targets["drafts"] {
+		list = append(list, copyOf(l, l.Name == name))
+	}
+	s.list(list...)
+	s.countPicks(time.Second)
+	is.Equal(len(s.entry.picker.LeavingTargets()), 0)
+}
+
 // TestAllTargetsLeave checks that targets serve for a short while after all have announced that they
 // leave, and that requests are refused afterwards.
 func TestAllTargetsLeave(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,6 +115,7 @@
 			newDispatcher,
 			newPicker,
 			newDetectorRef,
+			newPickerRef,
 			newDetector,
 			newDelegator,
 			newBalancer,
@@ -203,11 +204,11 @@
 }
 
 func newReceiver(s Settings, c timekeeper.Clock, l logger.Logger, a *asserter.Asserter, r *reporter.Reporter,
-	n *connector.Connector, self *wire.EntryMember, t *shifter.Shifter, d *shareLimiterRef, m *balancer.Meter, i *detectorRef,
+	n *connector.Connector, self *wire.EntryMember, t *shifter.Shifter, d *shareLimiterRef, m *balancer.Meter, i *detectorRef, k *pickerRef,
 ) *receiver.Receiver {
 	return receiver.NewReceiver(receiver.Config{
 		Clock: c, Logger: l, Assert: a, Scope: r.Scope, Connector: n, Controls: s.Controls, Self: self,
-		Evidence: t.Evidence, RequestRates: d.requestRates, Demands: m.Demands, Zones: s.Zones, Lenient: s.Lenient,
+		Evidence: t.Evidence, RequestRates: d.requestRates, Demands: m.Demands, LeavingTargets: k.leavingTargets, Zones: s.Zones, Lenient: s.Lenient,
 		Isolated: i.isIsolated,
 	})
 }
@@ -243,6 +244,23 @@
 	return &detectorRef{}
 }
 
+// pickerRef breaks the dependency cycle between the receiver, which reports leaving targets, and the
+// picker, which depends on the receiver.
+type pickerRef struct {
+	value *balancer.Picker
+}
+
+func (p *pickerRef) leavingTargets() []string {
+	if p.value == nil {
+		return nil
+	}
+	return p.value.LeavingTargets()
+}
+
+func newPickerRef() *pickerRef {
+	return &pickerRef{}
+}
+
 func newDetector(x Extensions, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, p *balancer.Picker, d *detectorRef) *detector.Detector {
 	d.value = detector.NewDetector(detector.Config{
 		Clock: c, Logger: l, Scope: r.Scope, ExpectedTarget: x.Dialect.ExpectedTarget,
@@ -333,10 +351,11 @@
 	})
 }
 
-func newPicker(s Settings, c timekeeper.Clock, v *receiver.Receiver) *balancer.Picker {
-	return balancer.NewPicker(balancer.PickerConfig{
+func newPicker(s Settings, c timekeeper.Clock, v *receiver.Receiver, r *pickerRef) *balancer.Picker {
+	r.value = balancer.NewPicker(balancer.PickerConfig{
 		Clock: c, Entry: s.Name, Zone: s.AvailabilityZone, Region: s.Region, Regions: countRegions(s.Zones), ControlReachable: v.MayAct,
 	})
+	return r.value
 }
 
 func newMeter(s Settings, c timekeeper.Clock) *balancer.Meter {
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -59,6 +59,9 @@
 	// Demands returns the number of slots that this entry's requests for each service keep busy;
 	// nil means that none is reported.
 	Demands func() []*wire.ServiceDemand
+	// LeavingTargets returns the targets that stated to this entry that they are leaving while the
+	// list does not show it; nil means that none are reported.
+	LeavingTargets func() []string
 	// Zones maps availability zones to their regions, for listed targets.
 	Zones map[string]string
 	// Lenient serves keyed requests from the last known state while control is unreachable.
@@ -344,6 +347,9 @@
 		q.Evidence = r.config.Evidence()
 	}
 	q.Targets = r.targets.version
+	if r.config.LeavingTargets != nil {
+		q.LeavingTargets = r.config.LeavingTargets()
+	}
 	q.SharesInUse = r.shares.InUse()
 	if n := len(v.Entries); n > 0 {
 		q.LeastEntries = uint32(r.shares.LeastEntries(now, n))
