--- a/control/allocator/allocator.go
+++ b/control/allocator/allocator.go
@@ -136,7 +136,7 @@
 	a.entries[r.GetMember().GetName()] = n
 }
 
-// step moves the fractions of each service with a strained region towards balance.
+// step sets the first fractions of each service, and moves those with a strained region towards balance.
 func (a *Allocator) step(now time.Duration) {
 	slots := a.config.Slots()
 	changed := false
@@ -216,7 +216,8 @@
 // isStrained reports whether the slots of some region are much busier than the average of all, and
 // busier than minStrainedLoad.
 func isStrained(fractions map[string]map[string]float64, d demand, slots map[string]float64) bool {
-	served, capacity := maps.Clone(d.bound), 0.0
+	served, capacity := map[string]float64{}, 0.0
+	maps.Copy(served, d.bound)
 	for region, load := range d.free {
 		capacity += slots[region]
 		for other, fraction := range fractions[region] {
@@ -224,8 +225,8 @@
 		}
 	}
 	for region, s := range served {
-		movable := s > d.bound[region]
-		if movable && s > slots[region]*max(minStrainedLoad, maxHomeLoad*d.total()/max(1, capacity)) {
+		isMovable := s > d.bound[region]
+		if isMovable && s > slots[region]*max(minStrainedLoad, maxHomeLoad*d.total()/max(1, capacity)) {
 			return true
 		}
 	}
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -66,7 +66,7 @@
 	TargetLeaving      = Event{603, "targetLeaving", log.InfoLevel, "A target is leaving and gets no new requests."}
 	DispatcherReady    = Event{604, "dispatcherReady", log.InfoLevel, "A new dispatcher recovered the permits in use and begins to grant."}
 	RepeatsSpent       = Event{605, "repeatsSpent", log.WarnLevel, "The retry budget of a service is spent on this entry; its requests are not retried."}
-	TargetTurnsAway    = Event{608, "targetTurnsAway", log.WarnLevel, "A target wants no requests of this entry for the time in the field turnedAway."}
+	TargetTurnsAway    = Event{608, "targetTurnsAway", log.WarnLevel, "A target wants no requests of this entry for the time in the field turnedAway; invalid tells of a time that can't be used."}
 	TargetsUnreachable = Event{606, "targetsUnreachable", log.WarnLevel, "No probed target can be reached from this entry; other entries serve its requests."}
 	TargetsReachable   = Event{607, "targetsReachable", log.InfoLevel, "Targets can be reached from this entry again; it serves its requests itself."}
 	MoveBegun          = Event{611, "moveBegun", log.InfoLevel, "A move began, or continues under a changed schedule."}
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -31,7 +31,7 @@
 	maxUnreachable = 2
 	// minRetryAfter and maxRetryAfter bound the expected wait from which the Retry-After of a
 	// refused request is drawn; it is one to two times that wait. While all targets turn this entry
-	// away, the wait is until the first takes requests again.
+	// away, it is up to maxRetryAfter longer than until the first takes requests again.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = time.Second
 	// ordinaryWaitFraction is the fraction of the aim that a request may wait in a target's queue,
@@ -272,7 +272,7 @@
 		return
 	}
 	wait := max(minRetryAfter, delay)
-	e.RetryAfter = (wait + time.Duration(rand.Int64N(int64(wait)))).Round(time.Millisecond)
+	e.RetryAfter = (wait + rand.N(min(wait, maxRetryAfter))).Round(time.Millisecond)
 	w.lastOutcome = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoCapacity)
 }
 
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -188,7 +188,7 @@
 	Ejected
 	Readmitted
 	// Leaving means that the target stated for the first time that it is leaving, and TurnedAway that
-	// it wants no requests for some time.
+	// it wants no requests for some time, or for one that can't be used.
 	Leaving
 	TurnedAway
 )
@@ -228,6 +228,8 @@
 	}
 	if s.TurnedAway > 0 {
 		t.recordTurnAway(now, s.TurnedAway)
+	}
+	if s.TurnedAway > 0 || s.TurnAwayInvalid {
 		change = TurnedAway
 	}
 	if s.LeavingTarget != "" && t.recordStatedLeave(now) {
@@ -412,7 +414,7 @@
 	}
 	if len(eligible) == 0 {
 		for _, t := range s.list {
-			if p.isEligible(now, v, d, t) && t.mayServeLast(now) {
+			if p.isEligible(now, v, d, t) && t.isLastResort(now) {
 				eligible = append(eligible, t)
 			}
 		}
@@ -520,8 +522,8 @@
 	return least
 }
 
-// MayProbe reports whether a target may get requests that are not a caller's.
-func (p *Picker) MayProbe(t *parser.Target) bool {
+// AcceptsProbes reports whether a target may get requests that are not a caller's.
+func (p *Picker) AcceptsProbes(t *parser.Target) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	s := p.services[t.Service]
--- a/entry/balancer/statement_test.go
+++ b/entry/balancer/statement_test.go
@@ -130,7 +130,7 @@
 			n := s.countPicks(time.Minute)
 			is.Equal(n[name], 0)
 			is.Equal(n[""], 0) // the others serve all requests
-			is.True(!s.entry.picker.MayProbe(left.Target))
+			is.True(!s.entry.picker.AcceptsProbes(left.Target))
 			s.list(others...)
 			s.countPicks(time.Second)
 			s.list(append(others, copyOf(left, false))...) // it started again
@@ -176,7 +176,7 @@
 		s.send(leaving())
 	}
 	n := s.countPicks(5 * time.Second)
-	is.True(n[""] >= int((5*time.Second-lastUseTime)/(50*time.Millisecond)))
+	is.True(n[""] >= int((5*time.Second-lastResortTime)/(50*time.Millisecond)))
 	is.True(n[""] < 100)
 	is.Equal(s.countPicks(time.Minute), map[string]int{"": 1200})
 }
@@ -196,7 +196,7 @@
 				}
 			}
 			is.Equal(s.countPicks(d - 50*time.Millisecond)[name], 0)
-			is.True(!s.entry.picker.MayProbe(&parser.Target{Service: "drafts", Name: name}))
+			is.True(!s.entry.picker.AcceptsProbes(&parser.Target{Service: "drafts", Name: name}))
 			s.now = begun + d + maxReturnSpread
 			var picked []*Pick
 			var last PickRequest
@@ -224,6 +224,14 @@
 		_, delay = s.send(served())
 		is.True(delay >= time.Second && delay <= time.Second+maxReturnSpread)
 	})
+	t.Run("a time that can't be used", func(t *testing.T) {
+		is := is.New(t)
+		s := newStatements(1)
+		d := s.request()
+		k, _ := s.entry.picker.Pick(s.view, d)
+		is.Equal(s.entry.picker.Done(k, d, &forwarder.SendResult{Refused: true, Result: failure, TurnAwayInvalid: true}, 0), TurnedAway) // it is logged
+		is.True(s.entry.picker.AcceptsProbes(k.Target.Target))
+	})
 	t.Run("entries return at different times", func(t *testing.T) {
 		is := is.New(t)
 		times := map[time.Duration]bool{}
--- a/entry/balancer/target.go
+++ b/entry/balancer/target.go
@@ -30,9 +30,9 @@
 	// leavingExpiry is how long a target's announcement that it is leaving holds if the platform's
 	// list does not say so.
 	leavingExpiry = 10 * time.Second
-	// lastUseTime is how long a leaving target may still serve if no other target is left. It is less
+	// lastResortTime is how long a leaving target may still serve if no other target is left. It is less
 	// than targets go on serving after they announce it.
-	lastUseTime = time.Second
+	lastResortTime = time.Second
 	// maxReturnSpread bounds the random time that is added to the one for which a target turns
 	// this entry away.
 	maxReturnSpread = time.Second
@@ -127,9 +127,9 @@
 	return t.leavingSince > 0 || t.replaced || now < t.leavingUntil
 }
 
-// mayServeLast reports whether a leaving target may still get requests if no other target is left.
-func (t *target) mayServeLast(now time.Duration) bool {
-	return !t.replaced && (t.leavingSince == 0 || now-t.leavingSince < lastUseTime)
+// isLastResort reports whether a leaving target may still get requests if no other target is left.
+func (t *target) isLastResort(now time.Duration) bool {
+	return !t.replaced && (t.leavingSince == 0 || now-t.leavingSince < lastResortTime)
 }
 
 // recordStatedLeave records that the target stated that it is leaving. It reports whether that is new.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -265,7 +265,7 @@
 	d.value = detector.NewDetector(detector.Config{
 		Clock: c, Logger: l, Scope: r.Scope, ExpectedTarget: x.Dialect.ExpectedTarget,
 		Targets: func() []*parser.Target {
-			return slices.DeleteFunc(listTargets(v.View()), func(t *parser.Target) bool { return !p.MayProbe(t) })
+			return slices.DeleteFunc(listTargets(v.View()), func(t *parser.Target) bool { return !p.AcceptsProbes(t) })
 		},
 	})
 	return d.value
