--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -408,13 +408,13 @@
 	}
 	eligible := make([]*target, 0, len(s.list))
 	for _, t := range s.list {
-		if p.isEligible(now, v, d, t) && !t.isLeaving(now) {
+		if p.isEligible(v, d, t) && !t.isLeaving(now) {
 			eligible = append(eligible, t)
 		}
 	}
 	if len(eligible) == 0 {
 		for _, t := range s.list {
-			if p.isEligible(now, v, d, t) && t.isLastResort(now) {
+			if p.isEligible(v, d, t) && t.isLastResort(now) {
 				eligible = append(eligible, t)
 			}
 		}
@@ -514,7 +514,7 @@
 	if s := p.services[d.Service]; s != nil {
 		for _, t := range s.list {
 			left := t.turnedAwayUntil - now
-			if left > 0 && !t.isLeaving(now) && p.isEligible(now, v, d, t) && (least == 0 || left < least) {
+			if left > 0 && !t.isLeaving(now) && p.isEligible(v, d, t) && (least == 0 || left < least) {
 				least = left
 			}
 		}
@@ -536,7 +536,7 @@
 
 // isEligible reports whether a target may serve a request, apart from ejection, cold start and whether
 // it is leaving.
-func (p *Picker) isEligible(now time.Duration, v *receiver.View, d PickRequest, t *target) bool {
+func (p *Picker) isEligible(v *receiver.View, d PickRequest, t *target) bool {
 	l := t.listed
 	switch {
 	case v.Evacuated[l.AvailabilityZone], !d.Allows(l.Version):
