--- a/core/connector/trimmer.go
+++ b/core/connector/trimmer.go
@@ -2,8 +2,7 @@
 
 import "net/http"
 
-// Headers that tell the other process nothing it needs. Small calls are most of the bytes between
-// processes, and these headers would be a fifth of them.
+// Headers that no process reads. They would be a good part of the bytes of small calls.
 var (
 	spareRequestHeaders  = []string{"Connect-Protocol-Version"}
 	spareResponseHeaders = []string{"Date", "Accept-Encoding"}
