Log requests that were read and whose response was lost, and who ended the connection

A request that was read and whose response was not sent left no line of its own, so that its log can't tell a caller that left from a shutdown that ended, nor a request that was read from one that crossed a close. idleConnectionsClosed also counted connections that their callers closed.

Event 507 names the request, who ended the connection, its age, and the status of the response that the caller should have got; its targets are in the request's line. Event 508 names idle connections that this side closed. No decision changes.

--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -151,7 +151,7 @@
 	}
 	a.cancel()
 	for _, c := range a.connections() {
-		c.abort()
+		c.abort(shutdownEnded)
 	}
 	return ctx.Err()
 }
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -49,6 +49,10 @@
 	finishing bool
 	// broken means that no response can be written.
 	broken bool
+	// idleSince is when the last response was finished, or when the connection was accepted.
+	idleSince time.Time
+	// endCause tells who ended the connection early; empty until then.
+	endCause endCause
 	// pipelineSlots holds one element for each request that runs.
 	pipelineSlots chan struct{}
 	lastExchange  *exchange
@@ -118,6 +122,7 @@
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return false
 		default:
+			c.recordEnd(callerClosed)
 			c.cancel()
 			return false
 		}
@@ -128,7 +133,7 @@
 // run. It returns nil if a response has announced the end of the connection meanwhile.
 func (c *connection) startExchange() *exchange {
 	c.pipelineSlots <- struct{}{}
-	e := &exchange{connection: c, done: make(chan struct{})}
+	e := &exchange{connection: c, begun: time.Now(), done: make(chan struct{})}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.closing {
@@ -162,7 +167,8 @@
 	if c.inFlight > 0 || c.finishing {
 		return
 	}
-	end := time.Now().Add(c.acceptor.idleTimeout())
+	c.idleSince = time.Now()
+	end := c.idleSince.Add(c.acceptor.idleTimeout())
 	if c.closing {
 		end = time.Now()
 	}
@@ -194,6 +200,12 @@
 	return c.inFlight == 0 && !c.closing
 }
 
+func (c *connection) idleTime() time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return time.Since(c.idleSince)
+}
+
 func (c *connection) isBroken() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -213,8 +225,24 @@
 	return true
 }
 
+// recordEnd records who ended the connection early. The first cause counts.
+func (c *connection) recordEnd(e endCause) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.endCause == "" {
+		c.endCause = e
+	}
+}
+
+func (c *connection) earlyEnd() endCause {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.endCause
+}
+
 // abort closes the connection at once and cancels its requests.
-func (c *connection) abort() {
+func (c *connection) abort(e endCause) {
+	c.recordEnd(e)
 	c.mutex.Lock()
 	c.broken, c.closing = true, true
 	c.mutex.Unlock()
@@ -255,7 +283,9 @@
 // closeUnread closes an idle connection. A request that is under way is not read, and the reset tells
 // its caller at once.
 func (c *connection) closeUnread() {
-	c.acceptor.idleClosed.Inc(1)
+	if c.earlyEnd() == "" {
+		c.acceptor.logIdleClosed(c)
+	}
 	c.cancel()
 	_ = c.socket.Close() // the socket may be closed already
 }
@@ -279,6 +309,7 @@
 		c.acceptor.logDiscarded(c.socket, head[:n], discarded, delay)
 	}
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.recordEnd(callerClosed)
 		c.cancel()
 	}
 }
@@ -289,7 +320,7 @@
 	buffers := net.Buffers(parts)
 	_, err := buffers.WriteTo(c.socket)
 	if err != nil {
-		c.abort()
+		c.abort(writeFailed)
 	}
 	return err
 }
--- /dev/null
+++ b/entry/acceptor/ending.go
@@ -0,0 +1,46 @@
+package acceptor
+
+import (
+	"time"
+
+	"github.com/filberthoist/filberthoist/core/logger"
+)
+
+// endCause tells why a connection ended before all of its responses were sent.
+type endCause string
+
+// Values of endCause.
+const (
+	// callerClosed means that the caller closed or reset the connection.
+	callerClosed endCause = "callerClosed"
+	// writeFailed means that the caller did not take the response within writeTimeout, or that the
+	// connection failed.
+	writeFailed endCause = "writeFailed"
+	// handlerAborted means that the handler ended a response partway.
+	handlerAborted endCause = "handlerAborted"
+	// shutdownEnded means that the time of the shutdown was over.
+	shutdownEnded endCause = "shutdownEnded"
+)
+
+// logLost logs a request whose response was not sent as a whole. status is that of the response, or 0
+// if there was none yet.
+func (a *Acceptor) logLost(e *exchange) {
+	c := e.connection
+	cause := c.earlyEnd()
+	a.config.Scope.Tagged(map[string]string{"cause": string(cause)}).Counter("responsesLost").Inc(1)
+	id := ""
+	if e.request != nil && a.config.RequestHeader != "" {
+		id = e.request.Header.Get(a.config.RequestHeader)
+	}
+	a.config.Logger.Log(logger.ResponseLost, logger.F("request", id), logger.F("caller", c.socket.RemoteAddr().String()),
+		logger.F("cause", string(cause)), logger.F("age", time.Since(e.begun).Round(time.Millisecond)), logger.F("status", e.status),
+		logger.F("pipelined", e.previous != nil), logger.F("draining", a.draining.Load()))
+}
+
+// logIdleClosed logs the close of a connection on which a request may be under way.
+func (a *Acceptor) logIdleClosed(c *connection) {
+	a.idleClosed.Inc(1)
+	a.config.Logger.Log(logger.IdleConnectionClosed, logger.F("caller", c.socket.RemoteAddr().String()),
+		logger.F("idle", c.idleTime().Round(time.Millisecond)), logger.F("partial", c.reader.Buffered()),
+		logger.F("draining", a.draining.Load()))
+}
--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -21,6 +21,8 @@
 	connection *connection
 	request    *http.Request
 	body       *requestBody
+	// begun is when the head was read.
+	begun time.Time
 	// previous is closed once the preceding response is written or aborted; nil for the first.
 	previous chan struct{}
 	// done is closed once this response is written or aborted.
@@ -79,10 +81,14 @@
 	}
 	if !completed || !e.waitForTurn() {
 		e.waitForTurn()
-		e.connection.abort()
+		e.connection.abort(handlerAborted)
+		e.connection.acceptor.logLost(e)
 		return
 	}
 	e.finishResponse()
+	if e.connection.earlyEnd() != "" {
+		e.connection.acceptor.logLost(e)
+	}
 }
 
 // handle runs the handler and reports whether it completed; it did not if it panicked.
