--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -62,7 +62,7 @@
 	RequestUnknown       = Event{502, "requestUnknown", log.WarnLevel, "A request may have run; the response to the caller says so."}
 	InputDiscarded       = Event{506, "inputDiscarded", log.WarnLevel, "A connection was closed that no response had announced, and input from its caller was discarded."}
 	ResponseLost         = Event{507, "responseLost", log.WarnLevel, "A request was read and its response not sent as a whole; the fields show who ended the connection, and the status of the response, or 0 if there was none."}
-	IdleConnectionClosed = Event{508, "idleConnectionClosed", log.InfoLevel, "A connection was closed on which no request had been read; one that was under way gets no response."}
+	IdleConnectionClosed = Event{508, "idleConnectionClosed", log.InfoLevel, "A shutdown closed a connection on which no request had been read; one that was under way gets no response."}
 	TargetEjected        = Event{601, "targetEjected", log.WarnLevel, "A target failed repeatedly and gets only probes."}
 	TargetReadmitted     = Event{602, "targetReadmitted", log.InfoLevel, "A probe succeeded; the target gets requests again."}
 	TargetLeaving        = Event{603, "targetLeaving", log.InfoLevel, "A target is leaving and gets no new requests."}
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -284,7 +284,7 @@
 // its caller at once.
 func (c *connection) closeUnread() {
 	if c.earlyEnd() == "" {
-		c.acceptor.logIdleClosed(c)
+		c.acceptor.recordIdleClosed(c)
 	}
 	c.cancel()
 	_ = c.socket.Close() // the socket may be closed already
--- a/entry/acceptor/ending.go
+++ b/entry/acceptor/ending.go
@@ -28,19 +28,18 @@
 	c := e.connection
 	cause := c.earlyEnd()
 	a.config.Scope.Tagged(map[string]string{"cause": string(cause)}).Counter("responsesLost").Inc(1)
-	id := ""
-	if e.request != nil && a.config.RequestHeader != "" {
-		id = e.request.Header.Get(a.config.RequestHeader)
-	}
-	a.config.Logger.Log(logger.ResponseLost, logger.F("request", id), logger.F("caller", c.socket.RemoteAddr().String()),
+	a.config.Logger.Log(logger.ResponseLost, logger.F("request", e.id), logger.F("caller", c.socket.RemoteAddr().String()),
 		logger.F("cause", string(cause)), logger.F("age", time.Since(e.begun).Round(time.Millisecond)), logger.F("status", e.status),
 		logger.F("pipelined", e.previous != nil), logger.F("draining", a.draining.Load()))
 }
 
-// logIdleClosed logs the close of a connection on which a request may be under way.
-func (a *Acceptor) logIdleClosed(c *connection) {
+// recordIdleClosed counts the close of a connection on which a request may be under way. Those that a
+// shutdown closes are logged too; those that time out are many, and rarely used at that moment.
+func (a *Acceptor) recordIdleClosed(c *connection) {
 	a.idleClosed.Inc(1)
+	if !a.draining.Load() {
+		return
+	}
 	a.config.Logger.Log(logger.IdleConnectionClosed, logger.F("caller", c.socket.RemoteAddr().String()),
-		logger.F("idle", c.idleTime().Round(time.Millisecond)), logger.F("partial", c.reader.Buffered()),
-		logger.F("draining", a.draining.Load()))
+		logger.F("idle", c.idleTime().Round(time.Millisecond)), logger.F("partial", c.reader.Buffered()))
 }
--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -21,6 +21,8 @@
 	connection *connection
 	request    *http.Request
 	body       *requestBody
+	// id is the request's ID, for the log; empty if it has none.
+	id string
 	// begun is when the head was read.
 	begun time.Time
 	// previous is closed once the preceding response is written or aborted; nil for the first.
@@ -44,6 +46,9 @@
 	c := e.connection
 	r.RemoteAddr = c.socket.RemoteAddr().String()
 	e.request = r.WithContext(c.context)
+	if name := c.acceptor.config.RequestHeader; name != "" {
+		e.id = r.Header.Get(name) // the handler removes the header
+	}
 	e.header = http.Header{}
 	var source io.Reader
 	switch {
