End connections whose callers always send ahead when a drain begins

What callers saw: on a connection with a request under way at every moment no response ever announced the end, so that the shutdown cut it at its end, with requests that had been read.

Cause: a response announced the end only if no later request had been read, and reading went on.

A drain now stops the reading of further requests with the first response, and the response to the last request that was read announces the end. What follows counts as not read and is sent again. The same holds when there are too many connections.

--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -42,8 +42,9 @@
 	mutex sync.Mutex
 	// inFlight counts requests whose response is not finished.
 	inFlight int
-	// closing means that a response announced the end of the connection, so that no further request
-	// is read.
+	// ending means that no further request is read, and closing that a response announced the end of
+	// the connection.
+	ending  bool
 	closing bool
 	// finishing means that no further request is awaited, so that the idle timeout no longer counts.
 	finishing bool
@@ -106,7 +107,7 @@
 		}
 		c.removeDeadline() // the timeout of the body
 	}
-	return !r.Close && !c.isClosing()
+	return !r.Close && !c.isEnding()
 }
 
 // waitForRequest waits for the first byte of a request. Meanwhile it detects a caller that closes
@@ -116,7 +117,7 @@
 		_, err := c.reader.Peek(1)
 		switch {
 		case err == nil:
-			return !c.isClosing() // what follows an announced end is not read
+			return !c.isEnding() // what follows the last request is not read
 		case errors.Is(err, os.ErrDeadlineExceeded) && c.removeDeadline():
 			// a request runs
 		case errors.Is(err, os.ErrDeadlineExceeded):
@@ -130,13 +131,13 @@
 }
 
 // startExchange adds an exchange to the order of responses. It blocks while maxPipelined requests
-// run. It returns nil if a response has announced the end of the connection meanwhile.
+// run. It returns nil if no further request is read.
 func (c *connection) startExchange() *exchange {
 	c.pipelineSlots <- struct{}{}
 	e := &exchange{connection: c, begun: time.Now(), done: make(chan struct{})}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.closing {
+	if c.ending {
 		<-c.pipelineSlots
 		return nil
 	}
@@ -187,10 +188,10 @@
 	return true
 }
 
-func (c *connection) isClosing() bool {
+func (c *connection) isEnding() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.closing
+	return c.ending
 }
 
 // isIdle reports whether no request runs and no response announced the end of the connection.
@@ -212,17 +213,15 @@
 	return c.broken
 }
 
-// announceEnd stops the reading of requests, so that the response of an exchange can announce the end
-// of the connection. It returns false if a later request has started, whose response then is the
-// last one.
+// announceEnd stops the reading of requests, and reports whether the response of an exchange can
+// announce the end of the connection. If a later request has started, the response to the last one
+// does.
 func (c *connection) announceEnd(e *exchange) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.lastExchange != e {
-		return false
-	}
-	c.closing = true
-	return true
+	c.ending = true
+	c.closing = c.lastExchange == e
+	return c.closing
 }
 
 // recordEnd records who ended the connection early. The first cause counts.
@@ -244,7 +243,7 @@
 func (c *connection) abort(e endCause) {
 	c.recordEnd(e)
 	c.mutex.Lock()
-	c.broken, c.closing = true, true
+	c.broken, c.ending, c.closing = true, true, true
 	c.mutex.Unlock()
 	c.cancel()
 	_ = c.socket.Close() // the socket may be closed already
@@ -305,7 +304,7 @@
 		more, err = io.Copy(io.Discard, c.reader)
 		discarded += more
 	}
-	if discarded > 0 && !c.isClosing() {
+	if discarded > 0 && !c.isEnding() {
 		c.acceptor.logDiscarded(c.socket, head[:n], discarded, delay)
 	}
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -200,7 +200,7 @@
 // encodeHead returns the status line and the header, and decides whether the connection closes.
 func (e *exchange) encodeHead() []byte {
 	a, unread := e.connection.acceptor, e.body != nil && !e.body.complete
-	closeAfter := e.closeAfter || e.header.Get("Connection") == "close" || a.draining.Load() || a.exceedsSoftLimit() || unread
+	closeAfter := e.closeAfter || e.header.Get("Connection") == "close" || a.draining.Load() || a.exceedsSoftLimit() || unread || e.connection.isEnding()
 	e.header.Del("Connection")
 	if closeAfter && e.connection.announceEnd(e) {
 		e.header.Set("Connection", "close")
