Answer requests that still run when the time of a shutdown is over

What callers saw: a request that was read, and still waited in the entry or for its target when the drain ended, got neither a response nor a refusal; its connection was aborted (event 507, cause shutdownEnded).

Cause: the end of the drain is a deadline of its own that only closed connections. Now the contexts of such requests end 200 ms before it, and each gets the response of its step: what was not sent is refused (503, stopping, to be sent elsewhere at once), what was sent may have run (502). A shutdown only counts as failed if requests were cut, not if a caller is slow to close a connection that has ended.

TestShutdownAnswersAtItsEnd failed before: the shutdown returned context.DeadlineExceeded and the caller read EOF. TestStoppedRequests holds the outcomes.

--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -33,6 +33,9 @@
 	// idleHold bounds the idle timeout during a shutdown, which is half of the time left. Requests that
 	// are under way to an idle connection are refused rather than cut.
 	idleHold = time.Second
+	// stopMargin is the part of a shutdown's time that is left for the responses to requests that are
+	// stopped because they still run. It is a quarter of the time if that is shorter.
+	stopMargin = 200 * time.Millisecond
 	// writeTimeout bounds each write to a caller that reads slowly.
 	writeTimeout = 10 * time.Second
 	// lingerTimeout is how long bytes after the last response are read and discarded. Closing a
@@ -59,6 +62,9 @@
 	// Refuse responds to requests that arrive too late in a shutdown to be served; nil means that
 	// Handler does.
 	Refuse http.Handler
+	// StopCause is the cause of the end of a request's context if the request is stopped at the end of a
+	// shutdown; nil means context.Canceled.
+	StopCause error
 	// Limits are read for each request.
 	Limits func() Limits
 	Logger logger.Logger
@@ -130,11 +136,15 @@
 }
 
 // Shutdown drains, closes the listener and waits until all connections are closed. Further requests
-// are refused, and connections that stay idle for up to idleHold are closed. When the context ends,
-// Shutdown aborts the connections that are left and returns the context's error.
+// are refused, and connections that stay idle for up to idleHold are closed. Shortly before the
+// context's deadline, the contexts of the requests that still run end, so that these are answered. When
+// the context ends, Shutdown aborts the connections that are left, and returns the context's error if
+// requests ran on them.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
 	if end, ok := ctx.Deadline(); ok {
 		a.shutdownEnd.Store(&end)
+		left := time.Until(end)
+		defer time.AfterFunc(left-min(stopMargin, left/4), a.stopRequests).Stop()
 	}
 	a.Drain()
 	a.closeListener()
@@ -149,11 +159,22 @@
 		return nil
 	case <-ctx.Done():
 	}
-	a.cancel()
+	var err error
 	for _, c := range a.connections() {
+		if c.isRunning() {
+			err = ctx.Err()
+		}
 		c.abort(shutdownEnded)
 	}
-	return ctx.Err()
+	a.cancel()
+	return err
+}
+
+// stopRequests ends the contexts of all requests. Their connections stay open for the responses.
+func (a *Acceptor) stopRequests() {
+	for _, c := range a.connections() {
+		c.stopRequests(a.config.StopCause)
+	}
 }
 
 // closeListener closes the listener once no connection waits to be accepted, since those that wait are
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -38,6 +38,9 @@
 	reader   *bufio.Reader
 	context  context.Context
 	cancel   context.CancelFunc
+	// requests is the context of the requests, which ends with context at the latest.
+	requests     context.Context
+	stopRequests context.CancelCauseFunc
 
 	mutex sync.Mutex
 	// inFlight counts requests whose response is not finished.
@@ -66,6 +69,7 @@
 	}
 	c := &connection{acceptor: a, socket: n, reader: bufio.NewReader(input{n}), pipelineSlots: make(chan struct{}, maxPipelined)}
 	c.context, c.cancel = context.WithCancel(a.context)
+	c.requests, c.stopRequests = context.WithCancelCause(c.context)
 	return c
 }
 
@@ -201,6 +205,13 @@
 	return c.inFlight == 0 && !c.closing
 }
 
+// isRunning reports whether a request has no finished response.
+func (c *connection) isRunning() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.inFlight > 0
+}
+
 func (c *connection) idleTime() time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/entry/acceptor/ending_shutdown_test.go
+++ b/entry/acceptor/ending_shutdown_test.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -47,3 +48,36 @@
 	_, err := b.ReadByte()
 	is.Equal(err, io.EOF)
 }
+
+// TestShutdownAnswersAtItsEnd guards against requests without an answer that still run, or wait inside
+// the process, when the time of the shutdown is over.
+func TestShutdownAnswersAtItsEnd(t *testing.T) {
+	for _, pipelined := range []int{0, 3} {
+		t.Run(map[int]string{0: "one request", 3: "pipelined requests"}[pipelined], func(t *testing.T) {
+			is := is.New(t)
+			began := make(chan struct{}, 4)
+			a, c, b := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+				began <- struct{}{}
+				<-r.Context().Done() // as a request that waits for a target
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			for range pipelined + 1 {
+				_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+				is.NoErr(err)
+				<-began
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 800*time.Millisecond)
+			defer cancel()
+			stopped := make(chan error, 1)
+			go func() { stopped <- a.Shutdown(ctx) }()
+			var last *http.Response
+			for range pipelined + 1 {
+				last = checkResponse(t, b, http.StatusServiceUnavailable, "")
+			}
+			is.True(last.Close)
+			_, err := b.ReadByte()
+			is.Equal(err, io.EOF)
+			is.NoErr(<-stopped)
+		})
+	}
+}
--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -45,7 +45,7 @@
 	e.closeAfter = r.Close
 	c := e.connection
 	r.RemoteAddr = c.socket.RemoteAddr().String()
-	e.request = r.WithContext(c.context)
+	e.request = r.WithContext(c.requests)
 	if name := c.acceptor.config.RequestHeader; name != "" {
 		e.id = r.Header.Get(name) // the handler removes the header
 	}
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -147,7 +147,7 @@
 	case attempt > 0:
 		return last
 	case ctx.Err() != nil:
-		return handler.Refuse(statusClientClosedRequest, handler.ReasonCallerGone)
+		return handler.Abandoned(ctx, statusClientClosedRequest)
 	case d.config.Clock.Now() >= e.Deadline:
 		return handler.Refuse(http.StatusGatewayTimeout, handler.ReasonDeadline)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -383,7 +383,7 @@
 
 func newAcceptor(s Settings, x Extensions, l logger.Logger, r *reporter.Reporter, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver) *acceptor.Acceptor {
 	return acceptor.NewAcceptor(acceptor.Config{
-		Handler: newCallerHandler(x, h, n), Refuse: http.HandlerFunc(h.Refuse),
+		Handler: newCallerHandler(x, h, n), Refuse: http.HandlerFunc(h.Refuse), StopCause: handler.ErrStopping,
 		Logger: l, Scope: r.Scope, RequestHeader: x.Dialect.RequestID,
 		SoftMaxConnections: int(callerConnectionFraction * float64(s.Descriptors)),
 		Limits: func() acceptor.Limits {
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -174,13 +174,15 @@
 	case n.Stopped:
 		s.Outcome, s.Result = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonStale), dispatcher.Result{}
 	case !n.Sent && ctx.Err() != nil && !late:
-		s.Outcome = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonCallerGone)
+		s.Outcome = handler.Abandoned(ctx, http.StatusServiceUnavailable)
 	case !n.Sent && late:
 		s.Outcome = handler.Refuse(http.StatusGatewayTimeout, handler.ReasonDeadline)
 	case !n.Sent:
 		s.Outcome = handler.Refuse(http.StatusBadGateway, handler.ReasonUpstream)
 	case late:
 		s.Outcome = handler.MayHaveRun(http.StatusGatewayTimeout, handler.ReasonDeadline)
+	case handler.IsStopped(ctx):
+		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonStopping)
 	case errors.Is(n.Err, carrier.ErrUnmatched):
 		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUnmatched)
 	default:
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -178,6 +178,35 @@
 	})
 }
 
+// TestStoppedRequests checks what a caller is told of a request that still runs, or was not sent yet,
+// when the process stops.
+func TestStoppedRequests(t *testing.T) {
+	r := newRawUpstream(t, upstreamBehaviors["stays silent"])
+	cases := []struct {
+		name  string
+		delay time.Duration
+		run   handler.Run
+	}{
+		{"before it is sent", 0, handler.NotRun},
+		{"while the upstream is silent", 100 * time.Millisecond, handler.Unknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancelCause(context.Background())
+			if c.delay == 0 {
+				cancel(handler.ErrStopping)
+			}
+			defer time.AfterFunc(c.delay, func() { cancel(handler.ErrStopping) }).Stop()
+			e, _ := newExchange(parser.ClassAtMostOnce, http.MethodPost, "12.50")
+			o, result := newForwarder(t, true).Forward(ctx, e, &parser.Target{Address: r.address})
+			is.Equal(o.Run, c.run)
+			is.Equal(o.Reason, handler.ReasonStopping)
+			is.True(!result.Failed) // the target is not to blame
+		})
+	}
+}
+
 // TestLateRequestsBlameNobody checks that a missed deadline counts as a failure of the target
 // only if at least half of the route's timeout was left when the request was sent.
 func TestLateRequestsBlameNobody(t *testing.T) {
--- a/entry/handler/handler.go
+++ b/entry/handler/handler.go
@@ -78,7 +78,7 @@
 func (h *Handler) Refuse(w http.ResponseWriter, r *http.Request) {
 	e := &Exchange{
 		Writer: w, Request: r, View: h.config.View(), Dialect: h.config.Dialect,
-		ID: h.requestID(r), Start: h.config.Clock.Now(), RetryAfter: stoppingRetryAfter,
+		ID: h.requestID(r), Start: h.config.Clock.Now(),
 	}
 	o := Refuse(http.StatusServiceUnavailable, ReasonStopping)
 	h.record(e, o, "")
@@ -120,6 +120,9 @@
 	header.Set(h.config.Dialect.RequestID, e.ID)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Cache-Control", "no-store")
+	if o.Reason == ReasonStopping && e.RetryAfter == 0 {
+		e.RetryAfter = stoppingRetryAfter
+	}
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 		header.Set("Retry-After", formatRetryAfter(e.RetryAfter))
 	}
--- a/entry/handler/outcome.go
+++ b/entry/handler/outcome.go
@@ -1,6 +1,14 @@
 package handler
 
-import "net/http"
+import (
+	"context"
+	"errors"
+	"net/http"
+)
+
+// ErrStopping is the cause of the end of a request's context if the process stops before the request
+// is finished.
+var ErrStopping = errors.New("the process stops")
 
 // Run states whether a request ran on an upstream.
 type Run string
@@ -66,6 +74,20 @@
 	return Outcome{Run: Done, Status: http.StatusOK}
 }
 
+// Abandoned returns the Outcome of a request that did not run before its context ended: because the
+// process stops, or else because the caller disconnected.
+func Abandoned(ctx context.Context, status int) Outcome {
+	if IsStopped(ctx) {
+		return Refuse(http.StatusServiceUnavailable, ReasonStopping)
+	}
+	return Refuse(status, ReasonCallerGone)
+}
+
+// IsStopped reports whether a request's context ended because the process stops.
+func IsStopped(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), ErrStopping)
+}
+
 // IsFinal reports whether the request ends with this outcome.
 func (o Outcome) IsFinal() bool {
 	return o.Run != ""
--- a/entry/limiter/share.go
+++ b/entry/limiter/share.go
@@ -155,7 +155,7 @@
 	case <-timer.C:
 		return handler.Outcome{}
 	case <-ctx.Done():
-		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonCallerGone)
+		return handler.Abandoned(ctx, http.StatusTooManyRequests)
 	}
 }
 
@@ -171,7 +171,7 @@
 	case v.Admitted:
 		return handler.Outcome{}, false
 	case ctx.Err() != nil:
-		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonCallerGone), false
+		return handler.Abandoned(ctx, http.StatusTooManyRequests), false
 	case v.Unreachable:
 		e.RetryAfter = v.RetryAfter
 		return handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNotAvailable), false
