Send the results of at-most-once requests that are left when an entry stops

What callers saw: a request that was sent again under its Idempotency-Key after a planned stop of the entry got 'may have run' (409, begun) though the first one had been answered. Found by reading.

Cause: the workers that tell control the results ended with the group, and the calls under way with them; up to 4,096 queued results were dropped. They now send what is left for up to 500 ms. All requests have ended by then, so that nothing is added.

--- a/entry/deduplicator/deduplicator.go
+++ b/entry/deduplicator/deduplicator.go
@@ -31,6 +31,8 @@
 	finishAttempts    = 5
 	retryInterval     = 200 * time.Millisecond
 	finishQueueLength = 4096
+	// stopTimeout bounds the sending of the commands that are left when the process stops.
+	stopTimeout = 500 * time.Millisecond
 	// finishWorkers is the number of finish commands that are sent to control concurrently. Their
 	// order does not matter, since only the request that began under a key may finish it.
 	finishWorkers = 8
@@ -123,13 +125,23 @@
 	}
 }
 
+// run sends finish commands until the context ends, and then those that are left.
 func (d *Deduplicator) run(ctx context.Context) error {
+	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { time.AfterFunc(stopTimeout, cancel) })()
 	for {
+		select {
+		case f := <-d.finishQueue:
+			d.sendFinish(calls, f)
+			continue
+		default:
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case f := <-d.finishQueue:
-			d.sendFinish(ctx, f)
+			d.sendFinish(calls, f)
 		}
 	}
 }
