Read pipelined requests until a shutdown refuses them, and count what is discarded behind an end

While requests are still served, the response to the last one that was read announces the end, as before; once requests are refused, reading stops with the next response. TestShutdownEndsPipelines (renamed, it now begins the shutdown rather than the drain) fails without the change: no response announced the end within 1 s.

Event 509 and the counter inputBehindEnd show such requests, which nothing did.

--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -63,6 +63,7 @@
 	InputDiscarded       = Event{506, "inputDiscarded", log.WarnLevel, "A connection was closed that no response had announced, and input from its caller was discarded."}
 	ResponseLost         = Event{507, "responseLost", log.WarnLevel, "A request was read and its response not sent as a whole; the fields show who ended the connection, and the status of the response, or 0 if there was none."}
 	IdleConnectionClosed = Event{508, "idleConnectionClosed", log.InfoLevel, "A shutdown closed a connection on which no request had been read; one that was under way gets no response."}
+	InputBehindEnd       = Event{509, "inputBehindEnd", log.InfoLevel, "Input behind a response that announced the end of its connection was discarded; its caller sends it again."}
 	TargetEjected        = Event{601, "targetEjected", log.WarnLevel, "A target failed repeatedly and gets only probes."}
 	TargetReadmitted     = Event{602, "targetReadmitted", log.InfoLevel, "A probe succeeded; the target gets requests again."}
 	TargetLeaving        = Event{603, "targetLeaving", log.InfoLevel, "A target is leaving and gets no new requests."}
@@ -100,7 +101,7 @@
 	OrderAccepted, OrderRefused, OrderUnknown, AllocationInUse, EvacuationsInForce,
 	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed,
 	EntryJoined, EntryRemoved, RoleAssigned, EntryStateChanged,
-	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed, InputDiscarded, ResponseLost, IdleConnectionClosed,
+	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed, InputDiscarded, ResponseLost, IdleConnectionClosed, InputBehindEnd,
 	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent, TargetsUnreachable, TargetsReachable, TargetTurnsAway,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
 	OwnerStarted, SharesInUse, TokensUnavailable, TokensAvailable, SharesAwaited, SharesOverdrawn, SharesCovered, AllowanceBegun,
--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -92,6 +92,7 @@
 	connectionCount atomic.Int64
 	connectionsDone sync.WaitGroup
 	discarded       tally.Counter
+	discardedBehind tally.Counter
 	idleClosed      tally.Counter
 }
 
@@ -102,7 +103,7 @@
 	}
 	a := &Acceptor{
 		config: c, openConnections: map[*connection]struct{}{},
-		discarded: c.Scope.Counter("inputDiscarded"), idleClosed: c.Scope.Counter("idleConnectionsClosed"),
+		discarded: c.Scope.Counter("inputDiscarded"), discardedBehind: c.Scope.Counter("inputBehindEnd"), idleClosed: c.Scope.Counter("idleConnectionsClosed"),
 	}
 	a.context, a.cancel = context.WithCancel(context.Background())
 	return a
@@ -233,15 +234,6 @@
 	return a.config.SoftMaxConnections > 0 && a.connectionCount.Load() > int64(a.config.SoftMaxConnections)
 }
 
-// logDiscarded logs input that was discarded on a connection whose end no response announced.
-// delay is the time from the decision to close it until the input was read.
-func (a *Acceptor) logDiscarded(socket net.Conn, head []byte, size int64, delay time.Duration) {
-	a.discarded.Inc(1)
-	a.config.Logger.Log(logger.InputDiscarded, logger.F("request", findHeader(head, a.config.RequestHeader)),
-		logger.F("caller", socket.RemoteAddr().String()), logger.F("bytes", int(size)), logger.F("delay", delay),
-		logger.F("draining", a.draining.Load()))
-}
-
 // add begins to serve a connection.
 func (a *Acceptor) add(c *connection) {
 	a.mutex.Lock()
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -224,14 +224,14 @@
 	return c.broken
 }
 
-// announceEnd stops the reading of requests, and reports whether the response of an exchange can
-// announce the end of the connection. If a later request has started, the response to the last one
-// does.
+// announceEnd reports whether the response of an exchange can announce the end of the connection, after
+// which no request is read. If a later request has started, the response to the last one does. Once
+// requests are refused, no more of them are read before that.
 func (c *connection) announceEnd(e *exchange) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.ending = true
 	c.closing = c.lastExchange == e
+	c.ending = c.ending || c.closing || c.acceptor.refusing.Load()
 	return c.closing
 }
 
@@ -315,8 +315,8 @@
 		more, err = io.Copy(io.Discard, c.reader)
 		discarded += more
 	}
-	if discarded > 0 && !c.isEnding() {
-		c.acceptor.logDiscarded(c.socket, head[:n], discarded, delay)
+	if discarded > 0 {
+		c.acceptor.logDiscarded(c, head[:n], discarded, delay)
 	}
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.recordEnd(callerClosed)
--- a/entry/acceptor/ending.go
+++ b/entry/acceptor/ending.go
@@ -43,3 +43,16 @@
 	a.config.Logger.Log(logger.IdleConnectionClosed, logger.F("caller", c.socket.RemoteAddr().String()),
 		logger.F("idle", c.idleTime().Round(time.Millisecond)), logger.F("partial", c.reader.Buffered()))
 }
+
+// logDiscarded logs input that was discarded. delay is the time from the decision to close the
+// connection until the input was read. Callers send again what follows an announced end.
+func (a *Acceptor) logDiscarded(c *connection, head []byte, size int64, delay time.Duration) {
+	event, count := logger.InputDiscarded, a.discarded
+	if c.isEnding() {
+		event, count = logger.InputBehindEnd, a.discardedBehind
+	}
+	count.Inc(1)
+	a.config.Logger.Log(event, logger.F("request", findHeader(head, a.config.RequestHeader)),
+		logger.F("caller", c.socket.RemoteAddr().String()), logger.F("bytes", int(size)), logger.F("delay", delay),
+		logger.F("draining", a.draining.Load()))
+}
--- a/entry/acceptor/ending_shutdown_test.go
+++ b/entry/acceptor/ending_shutdown_test.go
@@ -27,9 +27,9 @@
 	}
 }
 
-// TestDrainEndsPipelines guards against requests without an answer on a connection whose caller always
+// TestShutdownEndsPipelines guards against requests without an answer on a connection whose caller always
 // sends ahead: no response is the last one, and the shutdown cuts the connection at its end.
-func TestDrainEndsPipelines(t *testing.T) {
+func TestShutdownEndsPipelines(t *testing.T) {
 	is := is.New(t)
 	a, c, b := newServer(t, func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(20 * time.Millisecond)
@@ -38,7 +38,10 @@
 	s := &sender{socket: c, interval: 4 * time.Millisecond}
 	go s.loop()
 	checkResponse(t, b, http.StatusOK, "GET / ")
-	a.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- a.Shutdown(ctx) }()
 	for begun := time.Now(); ; {
 		if checkResponse(t, b, http.StatusOK, "GET / ").Close {
 			break
@@ -47,6 +50,8 @@
 	}
 	_, err := b.ReadByte()
 	is.Equal(err, io.EOF)
+	is.NoErr(c.Close())
+	is.NoErr(<-ended)
 }
 
 // TestShutdownAnswersAtItsEnd guards against requests without an answer that still run, or wait inside
