Serve no listener once a shutdown has begun

What users saw: an entry that got SIGTERM during its start did not exit, in one of 80 starts of the soak's TestStopDuringStart; it accepted connections until it was killed.

Cause: the goroutine that serves the listener had not run yet when the shutdown closed 'the listener', of which the acceptor knew nothing, and served it afterwards.

TestShutdownBeforeServe failed before: the listener was still served after 10 s.

--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -85,9 +85,11 @@
 	draining atomic.Bool
 	refusing atomic.Bool
 	// shutdownEnd is when a shutdown aborts connections; nil if never.
-	shutdownEnd     atomic.Pointer[time.Time]
-	mutex           sync.Mutex
-	listener        net.Listener
+	shutdownEnd atomic.Pointer[time.Time]
+	mutex       sync.Mutex
+	listener    net.Listener
+	// closed means that a shutdown began without a listener, so that none is served any more.
+	closed          bool
 	openConnections map[*connection]struct{}
 	connectionCount atomic.Int64
 	connectionsDone sync.WaitGroup
@@ -111,10 +113,9 @@
 
 // Serve accepts connections until the listener closes.
 func (a *Acceptor) Serve(l net.Listener) error {
-	a.mutex.Lock()
-	a.listener = l
-	a.connectionsDone.Add(1) // until every connection that was accepted is counted
-	a.mutex.Unlock()
+	if !a.begin(l) {
+		return l.Close()
+	}
 	defer a.connectionsDone.Done()
 	for {
 		n, err := l.Accept()
@@ -130,6 +131,18 @@
 	}
 }
 
+// begin takes over a listener; false means that a shutdown began before.
+func (a *Acceptor) begin(l net.Listener) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.closed {
+		return false
+	}
+	a.listener = l
+	a.connectionsDone.Add(1) // until every connection that was accepted is counted
+	return true
+}
+
 // Drain makes each response announce the end of its connection. Idle connections stay open, since a
 // request may be under way on them.
 func (a *Acceptor) Drain() {
@@ -183,6 +196,7 @@
 func (a *Acceptor) closeListener() {
 	a.mutex.Lock()
 	l := a.listener
+	a.closed = l == nil
 	a.mutex.Unlock()
 	if l == nil {
 		return
--- a/entry/acceptor/ending_shutdown_test.go
+++ b/entry/acceptor/ending_shutdown_test.go
@@ -86,3 +86,23 @@
 		})
 	}
 }
+
+// TestShutdownBeforeServe guards against a process that does not exit, since its shutdown begins before
+// its listener is served.
+func TestShutdownBeforeServe(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	a := NewAcceptor(Config{Limits: func() Limits { return Limits{} }})
+	is.NoErr(a.Shutdown(context.Background()))
+	served := make(chan error, 1)
+	go func() { served <- a.Serve(l) }()
+	select {
+	case err := <-served:
+		is.NoErr(err)
+	case <-time.After(waitLimit):
+		t.Fatal("the listener is still served")
+	}
+	_, err = l.Accept()
+	is.True(err != nil) // it is closed
+}
