Refuse requests whose body ends once the entry refuses requests

Cause: whether a request is refused was decided once, when its head was read, however long its body took. It is asked again after the body; the caller learns at once that the request has not run.

TestBodyThatEndsWhileStopping failed before: the request went on.

--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -191,6 +191,11 @@
 	}
 }
 
+// IsRefusing reports whether a shutdown has begun to refuse requests.
+func (a *Acceptor) IsRefusing() bool {
+	return a.refusing.Load()
+}
+
 // closeListener closes the listener once no connection waits to be accepted, since those that wait are
 // reset.
 func (a *Acceptor) closeListener() {
--- a/entry/classifier/classifier.go
+++ b/entry/classifier/classifier.go
@@ -20,6 +20,8 @@
 // Config configures a Classifier.
 type Config struct {
 	Clock timekeeper.Clock
+	// Stopping reports whether the process is stopping and refuses requests; nil means never.
+	Stopping func() bool
 }
 
 // Classifier is the first step of the pipeline.
@@ -127,6 +129,10 @@
 	if c.config.Clock.Now() >= e.Deadline {
 		return handler.Refuse(http.StatusGatewayTimeout, handler.ReasonDeadline)
 	}
+	if c.config.Stopping != nil && c.config.Stopping() {
+		// The head arrived before the process began to refuse requests; too little time is left now.
+		return handler.Refuse(http.StatusServiceUnavailable, handler.ReasonStopping)
+	}
 	return handler.Outcome{}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,6 +119,7 @@
 			newDetector,
 			newDelegator,
 			newBalancer,
+			newAcceptorRef,
 			newAcceptor,
 			newDeduplicator,
 			newProber,
@@ -152,11 +153,12 @@
 	Dispatcher   *dispatcher.Dispatcher
 	Balancer     *balancer.Balancer
 	Delegator    *delegator.Delegator
+	AcceptorRef  *acceptorRef
 }
 
 // newHandler composes the pipeline: the steps that each request runs through, in this order.
 func newHandler(s Settings, x Extensions, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, p stepParams) *handler.Handler {
-	n := classifier.NewClassifier(classifier.Config{Clock: c})
+	n := classifier.NewClassifier(classifier.Config{Clock: c, Stopping: p.AcceptorRef.isRefusing})
 	a := authenticator.NewAuthenticator(authenticator.Config{Fresh: v.Fresh})
 	limit, send := p.ShareLimiter.Step(), p.Balancer.Step()
 	if s.Roles {
@@ -381,8 +383,22 @@
 	})
 }
 
-func newAcceptor(s Settings, x Extensions, l logger.Logger, r *reporter.Reporter, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver) *acceptor.Acceptor {
-	return acceptor.NewAcceptor(acceptor.Config{
+// acceptorRef breaks the dependency cycle between the pipeline, which refuses requests while the process
+// stops, and the acceptor, which runs the pipeline.
+type acceptorRef struct {
+	value *acceptor.Acceptor
+}
+
+func (a *acceptorRef) isRefusing() bool {
+	return a.value != nil && a.value.IsRefusing()
+}
+
+func newAcceptorRef() *acceptorRef {
+	return &acceptorRef{}
+}
+
+func newAcceptor(s Settings, x Extensions, l logger.Logger, r *reporter.Reporter, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver, a *acceptorRef) *acceptor.Acceptor {
+	a.value = acceptor.NewAcceptor(acceptor.Config{
 		Handler: newCallerHandler(x, h, n), Refuse: http.HandlerFunc(h.Refuse), StopCause: handler.ErrStopping,
 		Logger: l, Scope: r.Scope, RequestHeader: x.Dialect.RequestID,
 		SoftMaxConnections: int(callerConnectionFraction * float64(s.Descriptors)),
@@ -393,6 +409,7 @@
 			return acceptor.Limits{HeaderBytes: callerHeaderBytes, HeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
 		},
 	})
+	return a.value
 }
 
 func newDeduplicator(n *connector.Connector, v *receiver.Receiver, g *supervisor.Group) *deduplicator.Deduplicator {
