--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -21,6 +21,10 @@
 	connection *connection
 	request    *http.Request
 	body       *requestBody
+	// id is the request's ID, for the log; empty if it has none.
+	id string
+	// begun is when the head was read.
+	begun time.Time
 	// previous is closed once the preceding response is written or aborted; nil for the first.
 	previous chan struct{}
 	// done is closed once this response is written or aborted.
@@ -42,6 +46,9 @@
 	c := e.connection
 	r.RemoteAddr = c.socket.RemoteAddr().String()
 	e.request = r.WithContext(c.context)
+	if name := c.acceptor.config.RequestHeader; name != "" {
+		e.id = r.Header.Get(name) // the handler removes the header
+	}
 	e.header = http.Header{}
 	var source io.Reader
 	switch {
@@ -79,10 +86,14 @@
 	}
 	if !completed || !e.waitForTurn() {
 		e.waitForTurn()
-		e.connection.abort()
+		e.connection.abort(handlerAborted)
+		e.connection.acceptor.logLost(e)
 		return
 	}
 	e.finishResponse()
+	if e.connection.earlyEnd() != "" {
+		e.connection.acceptor.logLost(e)
+	}
 }
 
 // handle runs the handler and reports whether it completed; it did not if it panicked.
