--- a/control/recorder/folder.go
+++ b/control/recorder/folder.go
@@ -12,6 +12,8 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"github.com/filberthoist/filberthoist/core/wire"
 )
 
 // Names and modes of the files in the data folder.
@@ -40,6 +42,8 @@
 	logLength int64
 	// tailDamaged is set if a failed write may have left bytes after logLength.
 	tailDamaged bool
+	// state is the last one written, which a new log file repeats.
+	state *wire.HardState
 	// Restored is what the folder held when it was opened.
 	Restored Restored
 }
@@ -63,14 +67,22 @@
 	if w.Empty() {
 		return nil
 	}
+	if w.State == nil && w.Snapshot != nil {
+		w.State = r.state // the new log replaces the one that holds it
+	}
 	b, err := encodeFrame(w)
 	if err != nil {
 		return err
 	}
 	if w.Snapshot != nil {
-		return r.startLog(b)
+		err = r.startLog(b)
+	} else {
+		err = r.appendFrame(b)
+	}
+	if err == nil && w.State != nil {
+		r.state = w.State
 	}
-	return r.appendFrame(b)
+	return err
 }
 
 // Close closes the log and releases the lock on the folder.
@@ -149,7 +161,7 @@
 	if err != nil {
 		return errors.Wrap(err, path)
 	}
-	r.Restored, r.logLength = restored, length
+	r.Restored, r.state, r.logLength = restored, restored.State, length
 	r.log, err = os.OpenFile(path, os.O_RDWR, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "opening the log")
@@ -207,7 +219,7 @@
 
 func (r *Recorder) removeLogFiles(numbers []uint64) {
 	for _, n := range numbers {
-		_ = os.Remove(r.logPath(n)) // a file that remains is removed at the next start
+		_ = r.config.Disk.Remove(r.logPath(n)) // a file that remains is removed at the next start
 	}
 }
 
