Sync what a start reads before anything depends on it

What callers saw: nothing yet; the case was suspected from reading and shown by a model of disks. A kill between the write and the sync of entries leaves them in the file. The next start read them and took them for durable: the member acknowledged them to its leader without a sync. A power loss then dropped them.

Evidence: TestStartSyncsWhatItRead on the old code: 1 entry after the power loss, want 2.

Ruled out: a torn tail, which was cut and synced.

Fix: a start syncs the log that it read before it returns, also if nothing was cut.

--- a/control/recorder/folder.go
+++ b/control/recorder/folder.go
@@ -167,10 +167,11 @@
 		return errors.Wrap(err, "opening the log")
 	}
 	r.removeLogFiles(numbers[:len(numbers)-1])
-	if restored.TruncatedBytes == 0 {
-		return nil
+	if restored.TruncatedBytes > 0 {
+		return r.truncateTail()
 	}
-	return r.truncateTail()
+	// A killed process may have left writes that are not synced.
+	return errors.Wrap(r.config.Disk.Sync(r.log), "syncing the log")
 }
 
 // truncateTail drops the bytes after the last whole frame.
--- a/control/recorder/losses_test.go
+++ b/control/recorder/losses_test.go
@@ -289,3 +289,14 @@
 	is.Equal(got.State.GetTerm(), uint64(3))
 	is.Equal(got.State.GetVote(), uint64(7))
 }
+
+// Guards against acknowledging entries that a start read before they were synced.
+func TestStartSyncsWhatItRead(t *testing.T) {
+	is := is.New(t)
+	d := newLossyDisk(t.TempDir())
+	save(t, d, writeOf(1, 1))
+	crash(t, d, 1, writeOf(2, 1)) // the write is done, its sync is not
+	is.Equal(len(save(t, d).Entries), 2)
+	d.losePower(t)
+	is.Equal(len(save(t, d).Entries), 2)
+}
