Sync the names of log files before an old one is removed, and keep no identity without a log

What callers saw: nothing yet; suspected from reading and shown by a model of disks. A kill between the rename of a new log file and the sync of the folder leaves both logs. The next start read the new one and removed the old one. If power was lost then, the removal could be kept and the rename not: the folder held an incarnation and no log, and the member went on under its old identity with nothing, though others counted on what it had acknowledged.

Ruled out: a save in one run, which syncs the folder before it removes the old log.

Fix, on both ends: a start syncs the log and the folder before it removes older logs. A folder without a log gets a new incarnation, so that the member joins as a new one. A crash during the first start leaves at most an incarnation that nobody has seen, since the log exists before anything is served.

--- a/control/recorder/folder.go
+++ b/control/recorder/folder.go
@@ -100,11 +100,18 @@
 	if err := r.acquireLock(); err != nil {
 		return err
 	}
+	numbers, err := r.logNumbers()
+	if err != nil {
+		return err
+	}
+	if len(numbers) == 0 {
+		return r.createFiles()
+	}
 	incarnation, err := r.readIncarnation()
 	if err != nil {
 		return err
 	}
-	if err := r.readLog(); err != nil {
+	if err := r.readLog(numbers); err != nil {
 		return err
 	}
 	r.Restored.Incarnation = incarnation
@@ -121,36 +128,35 @@
 	return errors.Wrapf(err, "another process uses the data folder %s", r.config.Folder)
 }
 
-func (r *Recorder) readIncarnation() (uint64, error) {
-	b, err := os.ReadFile(r.path(incarnationFile))
-	if err == nil {
-		n, err := strconv.ParseUint(strings.TrimSpace(string(b)), 16, 64)
-		return n, errors.Wrap(err, "reading the incarnation")
-	}
-	if !os.IsNotExist(err) {
-		return 0, errors.Wrap(err, "reading the incarnation")
-	}
-	if logs, err := r.logNumbers(); err != nil || len(logs) > 0 {
-		return 0, errors.Errorf("the data folder %s holds a log but no incarnation", r.config.Folder)
-	}
+// createFiles draws an incarnation and starts its log. An incarnation without a log is replaced, since
+// other members may know it as one that stored what is gone.
+func (r *Recorder) createFiles() error {
 	var random [8]byte
 	_, _ = rand.Read(random[:]) // documented to never fail
 	n := binary.LittleEndian.Uint64(random[:]) | 1
 	f, err := r.config.Disk.createFile(r.path(incarnationFile), []byte(fmt.Sprintf("%016x\n", n)))
 	if err != nil {
-		return 0, err
+		return err
 	}
-	return n, f.Close()
+	_ = f.Close() // it is synced
+	r.Restored.Incarnation = n
+	return r.startLog(nil)
 }
 
-func (r *Recorder) readLog() error {
-	numbers, err := r.logNumbers()
-	if err != nil {
-		return err
+func (r *Recorder) readIncarnation() (uint64, error) {
+	b, err := os.ReadFile(r.path(incarnationFile))
+	if os.IsNotExist(err) {
+		return 0, errors.Errorf("the data folder %s holds a log but no incarnation", r.config.Folder)
 	}
-	if len(numbers) == 0 {
-		return r.startLog(nil)
+	if err != nil {
+		return 0, errors.Wrap(err, "reading the incarnation")
 	}
+	n, err := strconv.ParseUint(strings.TrimSpace(string(b)), 16, 64)
+	return n, errors.Wrap(err, "reading the incarnation")
+}
+
+// readLog reads the log file with the highest number and removes the others.
+func (r *Recorder) readLog(numbers []uint64) error {
 	r.logNumber = numbers[len(numbers)-1]
 	path := r.logPath(r.logNumber)
 	b, err := os.ReadFile(path)
@@ -166,12 +172,24 @@
 	if err != nil {
 		return errors.Wrap(err, "opening the log")
 	}
+	if err := r.syncRead(); err != nil {
+		return err
+	}
 	r.removeLogFiles(numbers[:len(numbers)-1])
-	if restored.TruncatedBytes > 0 {
-		return r.truncateTail()
+	return nil
+}
+
+// syncRead makes what was read durable, and the names of the files: a killed process may have left
+// either without a sync.
+func (r *Recorder) syncRead() error {
+	if r.Restored.TruncatedBytes > 0 {
+		if err := r.truncateTail(); err != nil {
+			return err
+		}
+	} else if err := r.config.Disk.Sync(r.log); err != nil {
+		return errors.Wrap(err, "syncing the log")
 	}
-	// A killed process may have left writes that are not synced.
-	return errors.Wrap(r.config.Disk.Sync(r.log), "syncing the log")
+	return r.config.Disk.syncFolder(r.config.Folder)
 }
 
 // truncateTail drops the bytes after the last whole frame.
--- a/control/recorder/losses_test.go
+++ b/control/recorder/losses_test.go
@@ -300,3 +300,37 @@
 	d.losePower(t)
 	is.Equal(len(save(t, d).Entries), 2)
 }
+
+// Guards against the loss of both logs: of the new one's name, and of the old one to its removal.
+func TestStartSyncsNamesBeforeRemoval(t *testing.T) {
+	is := is.New(t)
+	d := newLossyDisk(t.TempDir())
+	save(t, d, writeOf(1, 3))
+	const renamed = 4 // a new log is created, written, synced and renamed
+	crash(t, d, renamed, Write{Snapshot: &wire.Snapshot{Index: 3, Term: 1}})
+	first := save(t, d)
+	is.Equal(first.Snapshot.GetIndex(), uint64(3))
+	d.choose = func(what string, _ int) int {
+		if what == "removal kept" {
+			return 1
+		}
+		return 0
+	}
+	d.losePower(t)
+	again := save(t, d)
+	is.Equal(again.Incarnation, first.Incarnation)
+	is.Equal(again.Snapshot.GetIndex(), uint64(3))
+}
+
+// Guards against a member without a log under an identity that others may know.
+func TestNoLogMeansNewIncarnation(t *testing.T) {
+	is := is.New(t)
+	d := newLossyDisk(t.TempDir())
+	first := save(t, d, writeOf(1, 3))
+	logs, err := filepath.Glob(filepath.Join(d.folder, logPrefix+"*"))
+	is.NoErr(err)
+	for _, l := range logs {
+		is.NoErr(d.remove(l))
+	}
+	is.True(save(t, d).Incarnation != first.Incarnation)
+}
