Remove a lost voter although its first replacement was lost too

A member that lost its disk stayed a voter for good if the member that was to replace it lost its disk before it had done so: the second replacement removed the first and then had nothing left to replace. With six voters of which one never answers, the loss of two more disks leaves three of six: no majority ever again, and all that was acknowledged is unreadable.

Fix: a member takes over what the one that it replaces was to replace. The next step removes that one.

--- a/control/replicator/replace.go
+++ b/control/replicator/replace.go
@@ -44,19 +44,22 @@
 	return nil
 }
 
-// withoutReplaced returns the members without the one that m replaces, and clears the Replaces
-// field of m.
+// withoutReplaced returns the members without the one that m replaces. m takes over what that one
+// was to replace, if it was lost before it did.
 func (c *Core) withoutReplaced(m *wire.ControlMember) *wire.Membership {
 	next := &wire.Membership{}
+	inherited := uint64(0)
 	for _, o := range c.members.GetMembers() {
 		if o.GetId() == m.GetReplaces() {
+			inherited = o.GetReplaces()
 			continue
 		}
-		o = proto.CloneOf(o)
+		next.Members = append(next.Members, proto.CloneOf(o))
+	}
+	for _, o := range next.GetMembers() {
 		if o.GetId() == m.GetId() {
-			o.Replaces = 0
+			o.Replaces = inherited
 		}
-		next.Members = append(next.Members, o)
 	}
 	return next
 }
