Remove a member that lost its disk before its successor votes

What callers saw: nothing yet; found by a random model of disk losses. Of five members, one had lost its disk and its successor was promoted; for two messages there were six voters. If then the same machine lost its disk again, and one more did, three of six were left: no majority ever again, with two machines lost, which is what the group must tolerate. All that was acknowledged was unreadable.

Cause: a learner was promoted before the member that it replaces was removed.

Ruled out: removing every silent member first. That failed in the same model: the silent one may be a member that is down with its disk intact, replaced by one on another machine; two disks lost in that moment left two of four. Such a member is removed last, as before.

Fix: a learner at the address of the member that it replaces is proof that that one's disk is gone. It is removed once the learner has caught up; then the learner is promoted. A learner must also reply, so that one that is lost again is not promoted.

TestLossOfDisks plays five members on machines that lose their disks at any moment of replacements, up to two at a time, right after an acknowledgement, mostly while all others lose power in a write; also planned replacements of running members, one after another. Crashes in a write now keep the write in half of the cases, in TestFaults too. TestFaults took a lost disk as repaired once the lost member was removed; since that now comes before the promotion, it waits for the promotion as well. In the old order that is the same moment.

--- a/control/replicator/cluster_test.go
+++ b/control/replicator/cluster_test.go
@@ -64,18 +64,23 @@
 	// lostDisks holds the members that lost their disk; they never restart.
 	lostDisks     map[uint64]bool
 	replacementID uint64
+	minCopies     int
 }
 
 func newCluster(t *rapid.T) *cluster {
+	return newClusterOf(t, 3, 0)
+}
+
+func newClusterOf(t *rapid.T, voters uint64, minCopies int) *cluster {
 	c := &cluster{
 		t: t, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), nodes: map[uint64]*node{}, cutLinks: map[[2]uint64]bool{},
-		committed: map[uint64]*wire.LogEntry{}, lostDisks: map[uint64]bool{}, lastID: 3,
+		committed: map[uint64]*wire.LogEntry{}, lostDisks: map[uint64]bool{}, lastID: voters, minCopies: minCopies,
 	}
 	m := &wire.Membership{}
-	for id := uint64(1); id <= 3; id++ {
-		m.Members = append(m.Members, &wire.ControlMember{Id: id, Name: fmt.Sprint("control", id)})
+	for id := uint64(1); id <= voters; id++ {
+		m.Members = append(m.Members, &wire.ControlMember{Id: id, Name: fmt.Sprint("control", id), Address: fmt.Sprint("machine", id-1)})
 	}
-	for id := uint64(1); id <= 3; id++ {
+	for id := uint64(1); id <= voters; id++ {
 		n := c.add(id)
 		if id == 1 {
 			n.disk = recorder.Restored{
@@ -102,19 +107,22 @@
 		c.t.Fatal(err)
 	}
 	n.core = NewCore(Config{
-		ID: n.id, ElectionTimeout: testElectionTimeout, Heartbeat: testHeartbeat,
+		ID: n.id, ElectionTimeout: testElectionTimeout, Heartbeat: testHeartbeat, MinCopies: c.minCopies,
 		Random: c.random.Int64N, Assert: asserter.NewPanicking(),
 	}, n.disk, c.now)
 }
 
-// processReady does the work that a member's core returns. If saved is false, the member crashes
-// before its write is durable.
+// processReady does the work that a member's core returns. If saved is false, the member crashes in
+// its write: before it can be read back, or after.
 func (c *cluster) processReady(n *node, saved bool) {
 	if !n.up {
 		return
 	}
 	r := n.core.Ready()
 	if !saved {
+		if c.random.IntN(2) == 0 {
+			n.disk = n.disk.Apply(r.Write)
+		}
 		n.up = false
 		return
 	}
@@ -346,10 +354,11 @@
 	c.processReady(n, true)
 }
 
+// clearReplaced ends a replacement: the lost member is removed, and the one in its place votes.
 func (c *cluster) clearReplaced(n *node) {
 	m := n.core.Members().GetMembers()
 	removed := !slices.ContainsFunc(m, func(m *wire.ControlMember) bool { return m.GetId() == c.lostID })
-	if removed && n.core.membersIndex <= n.core.Commit() {
+	if removed && n.core.isVoter(c.replacementID) && n.core.membersIndex <= n.core.Commit() {
 		c.lostID, c.replacementID = 0, 0
 	}
 }
@@ -371,6 +380,9 @@
 			return
 		}
 	}
+	for _, n := range c.nodes {
+		c.t.Logf("%d up %v state %d term %d applied %d last %d members %v", n.id, n.up, n.core.RaftState(), n.core.Term(), n.core.Applied(), n.core.LastIndex(), n.core.Members())
+	}
 	c.t.Fatal("the members do not agree again after everything healed")
 }
 
--- a/control/replicator/leading.go
+++ b/control/replicator/leading.go
@@ -163,7 +163,7 @@
 		return
 	}
 	c.commitTo(index)
-	if c.membersIndex <= c.commit && !c.isMember(c.config.ID) {
+	if c.membersIndex <= c.commit && c.member(c.config.ID) == nil {
 		c.raftState, c.leaderID, c.peers = Follower, 0, nil // the leader removed itself
 	}
 }
@@ -211,7 +211,3 @@
 	majority := len(values)/2 + 1
 	return values[len(values)-max(majority, min(minCopies, len(values)))]
 }
-
-func (c *Core) isMember(id uint64) bool {
-	return slices.ContainsFunc(c.members.GetMembers(), func(m *wire.ControlMember) bool { return m.GetId() == id })
-}
--- a/control/replicator/replace_test.go
+++ b/control/replicator/replace_test.go
@@ -42,3 +42,45 @@
 	}
 	is.Equal(ids, []uint64{1, 2, 3, 4, 7})
 }
+
+// Guards against a lost member that counts as a voter beside its successor, and against the removal of
+// a running one before its successor votes.
+func TestOrderOfAReplacement(t *testing.T) {
+	cases := []struct {
+		name    string
+		address string
+		// voters are those after each step.
+		voters [][]uint64
+	}{
+		{"lost disk", "address of 5", [][]uint64{{1, 2, 3, 4, 5}, {1, 2, 3, 4}, {1, 2, 3, 4, 6}}},
+		{"another machine", "address of 6", [][]uint64{{1, 2, 3, 4, 5}, {1, 2, 3, 4, 5, 6}, {1, 2, 3, 4, 6}}},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestCore(5, recorder.Restored{State: &wire.HardState{Term: 1}})
+			c.members.Members[4].Address = "address of 5"
+			c.becomeLeader(0)
+			replaceUntilDone(c, 0, 2, 3, 4)
+			is.NoErr(c.Replace(0, &wire.ControlMember{Id: 6, Learner: true, Replaces: 5, Address: tt.address}))
+			replaceUntilDone(c, 0, 2, 3, 4, 6)
+			var seen [][]uint64
+			for _, e := range c.log.entries {
+				if e.GetType() == wire.LogEntryType_LOG_ENTRY_TYPE_MEMBERSHIP {
+					seen = append(seen, votersOf(c.decodeMembers(e)))
+				}
+			}
+			is.Equal(seen, tt.voters)
+		})
+	}
+}
+
+func votersOf(m *wire.Membership) []uint64 {
+	var out []uint64
+	for _, o := range m.GetMembers() {
+		if !o.GetLearner() {
+			out = append(out, o.GetId())
+		}
+	}
+	return out
+}
