Validate orders against a state that holds all earlier ones

What callers saw: nothing yet; suspected from reading and shown by tests. A new leader answered an order from a state that lacked what it had stored and not applied yet: it refused a valid order with 400 (a move: "no such service"; a route: "service lamps is not in the text"), among them orders that had been accepted and were sent again. It also accepted a route to a service whose removal was accepted before: both were in force, and no configuration compiled any longer. A deposed leader that did not know it yet refused in the same way. The second case also arose from an order whose outcome was unknown (900 ms without a quorum) and that was committed after the next one was validated (read, not shown apart).

Ruled out: wrong acknowledgements. An order was acknowledged only once committed, also on the old code.

Fix: before the first order in a term, and after an order with an unknown outcome, the leader commits an empty entry; once that is applied, the state holds all entries before it. The same precedes every refusal, which so needs a quorum. An order is proposed only in the term in which it was validated (ProposeIn). The cost is one more commit for these orders.

--- a/control/administrator/administrator.go
+++ b/control/administrator/administrator.go
@@ -65,6 +65,8 @@
 	client *http.Client
 	// orderMutex serializes orders.
 	orderMutex sync.Mutex
+	// settledTerm is the term in which the state holds all orders, as long as this member leads, or 0.
+	settledTerm uint64
 }
 
 // NewAdministrator returns an Administrator.
--- a/control/administrator/orders.go
+++ b/control/administrator/orders.go
@@ -87,19 +87,54 @@
 	if ctx.Err() != nil {
 		return &wire.OrderResponse{Reasons: []string{"earlier orders took too long"}}
 	}
-	if reasons := a.validateOrder(c); len(reasons) > 0 {
+	reasons, err := a.validateSettled(ctx, c)
+	if err != nil {
+		return a.unknownOutcome(c, err)
+	}
+	if len(reasons) > 0 {
 		a.config.Logger.Log(logger.OrderRefused, logger.F("order", describeOrder(c)), logger.F("reasons", reasons))
 		return &wire.OrderResponse{Result: wire.SubmitResult_SUBMIT_RESULT_REFUSED, Reasons: reasons}
 	}
-	out, err := a.config.Sequencer.Propose(ctx, c)
+	out, err := a.config.Sequencer.ProposeIn(ctx, a.settledTerm, c)
 	if err != nil {
-		a.config.Logger.Log(logger.OrderUnknown, logger.F("order", describeOrder(c)), logger.F("error", err))
-		return &wire.OrderResponse{Reasons: []string{err.Error()}}
+		return a.unknownOutcome(c, err)
 	}
 	a.config.Logger.Log(logger.OrderAccepted, logger.F("order", describeOrder(c)), logger.F("index", a.config.State.Index()))
 	return &wire.OrderResponse{Result: out.Submit}
 }
 
+// unknownOutcome returns the response to an order that may yet be accepted.
+func (a *Administrator) unknownOutcome(c *wire.Command, err error) *wire.OrderResponse {
+	a.settledTerm = 0
+	a.config.Logger.Log(logger.OrderUnknown, logger.F("order", describeOrder(c)), logger.F("error", err))
+	return &wire.OrderResponse{Reasons: []string{err.Error()}}
+}
+
+// validateSettled validates an order against a state that holds all orders that were accepted before
+// it. A state that may lack some, and any reason to refuse, are checked with a quorum.
+func (a *Administrator) validateSettled(ctx context.Context, c *wire.Command) (reasons []string, err error) {
+	if a.settledTerm == a.config.Sequencer.View().Term {
+		if reasons = a.validateOrder(c); len(reasons) == 0 {
+			return nil, nil
+		}
+	}
+	if err := a.settle(ctx); err != nil {
+		return nil, err
+	}
+	return a.validateOrder(c), nil
+}
+
+// settle commits an empty entry. Once it is applied, the state holds all orders before it: those that
+// earlier leaders accepted, and those whose outcome was unknown here.
+func (a *Administrator) settle(ctx context.Context) error {
+	term := a.config.Sequencer.View().Term
+	if _, err := a.config.Sequencer.ProposeIn(ctx, term, &wire.Command{}); err != nil {
+		return err
+	}
+	a.settledTerm = term
+	return nil
+}
+
 // validateOrder returns the reasons why an order is not valid.
 func (a *Administrator) validateOrder(c *wire.Command) []string {
 	switch k := c.GetKind().(type) {
--- a/control/sequencer/loop.go
+++ b/control/sequencer/loop.go
@@ -56,13 +56,18 @@
 // proposeBatch proposes a command and at most maxBatchSize more that are queued behind it, so that
 // one write saves them all.
 func (s *Sequencer) proposeBatch(first *proposal) {
-	batch := []*proposal{first}
+	queued := []*proposal{first}
 	for range min(len(s.proposals), maxBatchSize) {
-		batch = append(batch, <-s.proposals)
+		queued = append(queued, <-s.proposals)
 	}
-	commands := make([][]byte, 0, len(batch))
-	for _, p := range batch {
-		commands = append(commands, p.command)
+	var batch []*proposal
+	var commands [][]byte
+	for _, p := range queued {
+		if p.onlyIn != 0 && p.onlyIn != s.core.Term() {
+			p.done <- proposalResult{err: ErrNotLeader}
+			continue
+		}
+		batch, commands = append(batch, p), append(commands, p.command)
 	}
 	index, term, ok := s.core.Propose(s.config.Clock.Now(), commands...)
 	for i, p := range batch {
--- a/control/sequencer/sequencer.go
+++ b/control/sequencer/sequencer.go
@@ -106,8 +106,10 @@
 
 type proposal struct {
 	command []byte
-	term    uint64
-	done    chan proposalResult
+	// onlyIn is the only term in which to propose the command, or 0.
+	onlyIn uint64
+	term   uint64
+	done   chan proposalResult
 }
 
 type proposalResult struct {
@@ -161,11 +163,16 @@
 // Propose proposes a command and returns its result once it is applied. The error is
 // ErrNotLeader if nothing was proposed, and ErrUnknown if the command may still be committed.
 func (s *Sequencer) Propose(ctx context.Context, c *wire.Command) (applier.Result, error) {
+	return s.ProposeIn(ctx, 0, c)
+}
+
+// ProposeIn is Propose if this member leads in the given term, and ErrNotLeader otherwise.
+func (s *Sequencer) ProposeIn(ctx context.Context, term uint64, c *wire.Command) (applier.Result, error) {
 	b, err := proto.Marshal(c)
 	if err != nil {
 		return applier.Result{}, errors.Wrap(err, "encoding a command")
 	}
-	p := &proposal{command: b, done: make(chan proposalResult, 1)}
+	p := &proposal{command: b, onlyIn: term, done: make(chan proposalResult, 1)}
 	select {
 	case s.proposals <- p:
 	case <-ctx.Done():
--- a/control/sequencer/sequencer_test.go
+++ b/control/sequencer/sequencer_test.go
@@ -250,6 +250,21 @@
 	is.True(l.sequencer.View().Standing != replicator.Leader)
 }
 
+// Guards against a command that is proposed in a later term than the one it was checked in.
+func TestProposeInOneTermOnly(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	l := c.leader()
+	_, err := l.sequencer.ProposeIn(ctx, l.sequencer.View().Term, &wire.Command{})
+	is.NoErr(err)
+	applied := l.sequencer.View().Applied
+	_, err = l.sequencer.ProposeIn(ctx, l.sequencer.View().Term+1, &wire.Command{})
+	is.Equal(err, ErrNotLeader)
+	is.Equal(l.sequencer.View().Applied, applied)
+}
+
 // BenchmarkSubmit measures commits with three members, and with one of them cut off.
 func BenchmarkSubmit(b *testing.B) {
 	for _, cut := range []bool{false, true} {
