--- a/control/recorder/folder.go
+++ b/control/recorder/folder.go
@@ -12,6 +12,8 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"github.com/filberthoist/filberthoist/core/wire"
 )
 
 // Names and modes of the files in the data folder.
@@ -40,6 +42,8 @@
 	logLength int64
 	// tailDamaged is set if a failed write may have left bytes after logLength.
 	tailDamaged bool
+	// state is the last one written, which a new log file repeats.
+	state *wire.HardState
 	// Restored is what the folder held when it was opened.
 	Restored Restored
 }
@@ -63,14 +67,22 @@
 	if w.Empty() {
 		return nil
 	}
+	if w.State == nil && w.Snapshot != nil {
+		w.State = r.state // the new log replaces the one that holds it
+	}
 	b, err := encodeFrame(w)
 	if err != nil {
 		return err
 	}
 	if w.Snapshot != nil {
-		return r.startLog(b)
+		err = r.startLog(b)
+	} else {
+		err = r.appendFrame(b)
+	}
+	if err == nil && w.State != nil {
+		r.state = w.State
 	}
-	return r.appendFrame(b)
+	return err
 }
 
 // Close closes the log and releases the lock on the folder.
@@ -88,11 +100,18 @@
 	if err := r.acquireLock(); err != nil {
 		return err
 	}
+	numbers, err := r.logNumbers()
+	if err != nil {
+		return err
+	}
+	if len(numbers) == 0 {
+		return r.createFiles()
+	}
 	incarnation, err := r.readIncarnation()
 	if err != nil {
 		return err
 	}
-	if err := r.readLog(); err != nil {
+	if err := r.readLog(numbers); err != nil {
 		return err
 	}
 	r.Restored.Incarnation = incarnation
@@ -109,36 +128,35 @@
 	return errors.Wrapf(err, "another process uses the data folder %s", r.config.Folder)
 }
 
-func (r *Recorder) readIncarnation() (uint64, error) {
-	b, err := os.ReadFile(r.path(incarnationFile))
-	if err == nil {
-		n, err := strconv.ParseUint(strings.TrimSpace(string(b)), 16, 64)
-		return n, errors.Wrap(err, "reading the incarnation")
-	}
-	if !os.IsNotExist(err) {
-		return 0, errors.Wrap(err, "reading the incarnation")
-	}
-	if logs, err := r.logNumbers(); err != nil || len(logs) > 0 {
-		return 0, errors.Errorf("the data folder %s holds a log but no incarnation", r.config.Folder)
-	}
+// createFiles draws an incarnation and starts its log. An incarnation without a log is replaced, since
+// other members may know it as one that stored what is gone.
+func (r *Recorder) createFiles() error {
 	var random [8]byte
 	_, _ = rand.Read(random[:]) // documented to never fail
 	n := binary.LittleEndian.Uint64(random[:]) | 1
 	f, err := r.config.Disk.createFile(r.path(incarnationFile), []byte(fmt.Sprintf("%016x\n", n)))
 	if err != nil {
-		return 0, err
+		return err
 	}
-	return n, f.Close()
+	_ = f.Close() // it is synced
+	r.Restored.Incarnation = n
+	return r.startLog(nil)
 }
 
-func (r *Recorder) readLog() error {
-	numbers, err := r.logNumbers()
-	if err != nil {
-		return err
+func (r *Recorder) readIncarnation() (uint64, error) {
+	b, err := os.ReadFile(r.path(incarnationFile))
+	if os.IsNotExist(err) {
+		return 0, errors.Errorf("the data folder %s holds a log but no incarnation", r.config.Folder)
 	}
-	if len(numbers) == 0 {
-		return r.startLog(nil)
+	if err != nil {
+		return 0, errors.Wrap(err, "reading the incarnation")
 	}
+	n, err := strconv.ParseUint(strings.TrimSpace(string(b)), 16, 64)
+	return n, errors.Wrap(err, "reading the incarnation")
+}
+
+// readLog reads the log file with the highest number and removes the others.
+func (r *Recorder) readLog(numbers []uint64) error {
 	r.logNumber = numbers[len(numbers)-1]
 	path := r.logPath(r.logNumber)
 	b, err := os.ReadFile(path)
@@ -149,16 +167,29 @@
 	if err != nil {
 		return errors.Wrap(err, path)
 	}
-	r.Restored, r.logLength = restored, length
+	r.Restored, r.state, r.logLength = restored, restored.State, length
 	r.log, err = os.OpenFile(path, os.O_RDWR, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "opening the log")
 	}
+	if err := r.syncRead(); err != nil {
+		return err
+	}
 	r.removeLogFiles(numbers[:len(numbers)-1])
-	if restored.TruncatedBytes == 0 {
-		return nil
+	return nil
+}
+
+// syncRead makes what was read durable, and the names of the files: a killed process may have left
+// either without a sync.
+func (r *Recorder) syncRead() error {
+	if r.Restored.TruncatedBytes > 0 {
+		if err := r.truncateTail(); err != nil {
+			return err
+		}
+	} else if err := r.config.Disk.Sync(r.log); err != nil {
+		return errors.Wrap(err, "syncing the log")
 	}
-	return r.truncateTail()
+	return r.config.Disk.syncFolder(r.config.Folder)
 }
 
 // truncateTail drops the bytes after the last whole frame.
@@ -207,7 +238,7 @@
 
 func (r *Recorder) removeLogFiles(numbers []uint64) {
 	for _, n := range numbers {
-		_ = os.Remove(r.logPath(n)) // a file that remains is removed at the next start
+		_ = r.config.Disk.Remove(r.logPath(n)) // a file that remains is removed at the next start
 	}
 }
 
