Let demand count once all entries could report it

A leader took the first report of demand as all of the demand. Entries report every half second and poll in any order, so at the first step with demand the allocator saw a part of the entries: the region of that part looked strained and the others idle, all rows moved by one step towards a balance for that picture, and the fractions for even demand stopped following the slots although the list had just changed. Which fractions a leader ended with depended on who polled first.

With north first, one step on north's report alone moved it just out of its strain, so west kept 0.595 with slots for 0.986, and the next leader went to 0.985. With the other orders the strain of north lasted and took west to 0.955.

Now the demand for a service counts once it has been reported for the settle time (2 s, more than the half second between two reports and the quarter of a second that a poll is held). Until then the fractions are those for even demand and follow the slots. It holds by service, and again after a time without demand. A new leader waits in the same way before it replaces the allocation of an earlier one.

Not changed: a new leader doesn't know the fractions in force, since polls carry their number only. It begins with the balance of the known demand, which entries approach at 5 % a second.

--- a/control/allocator/allocator.go
+++ b/control/allocator/allocator.go
@@ -32,8 +32,8 @@
 	minDemand = 1
 	// reportExpiry is how long an entry's report is used.
 	reportExpiry = 3 * time.Second
-	// settleTime is how long a new leader collects reports before it replaces the allocation of an
-	// earlier one.
+	// settleTime is how long the reports of a service's demand are collected before they count. It
+	// exceeds the time between two reports of an entry, so that no part of the entries decides.
 	settleTime = 2 * time.Second
 	// termBits is the number of low bits that number the allocations within a term.
 	termBits = 32
@@ -52,17 +52,21 @@
 	mutex  sync.Mutex
 	term   uint64
 	number uint64
-	// begun is when the first poll of the term arrived, and inherited is set if entries use the
-	// allocation of an earlier term.
-	begun     time.Duration
+	// inherited is set if entries use the allocation of an earlier term.
 	inherited bool
-	// demanded is set once there was demand in this term.
-	demanded bool
-	stepped  time.Duration
-	entries  map[string]report
-	// fractions holds the fraction of requests by service, region of the callers and region of the
-	// targets.
-	fractions map[string]map[string]map[string]float64
+	stepped   time.Duration
+	entries   map[string]report
+	services  map[string]*service
+}
+
+// service is the allocation of one service.
+type service struct {
+	// fractions holds the fraction of requests by region of the callers and region of the targets.
+	fractions map[string]map[string]float64
+	// demandedSince is when entries began to report demand; 0 while there is none.
+	demandedSince time.Duration
+	// settled is set once the demand was known in this term.
+	settled bool
 }
 
 // report is the demand that an entry reported.
@@ -89,7 +93,7 @@
 
 // NewAllocator returns an Allocator without an allocation.
 func NewAllocator(c Config) *Allocator {
-	return &Allocator{config: c, entries: map[string]report{}}
+	return &Allocator{config: c, entries: map[string]report{}, services: map[string]*service{}}
 }
 
 // Answer records the demand in an entry's poll. It returns the allocation for the entry's region,
@@ -99,11 +103,14 @@
 	defer a.mutex.Unlock()
 	now := a.config.Clock.Now()
 	if term != a.term {
-		a.term, a.number, a.fractions, a.entries = term, 0, nil, map[string]report{}
-		a.begun, a.inherited, a.demanded = now, false, false
+		a.term, a.number, a.inherited = term, 0, false
+		a.entries, a.services = map[string]report{}, map[string]*service{}
 	}
 	if !a.inherited && r.GetAllocation() != 0 && r.GetAllocation()>>termBits != term {
-		a.inherited, a.fractions = true, nil
+		a.inherited = true
+		for _, s := range a.services {
+			s.fractions = nil
+		}
 	}
 	a.recordReport(now, r)
 	if now-a.stepped >= stepInterval {
@@ -111,16 +118,20 @@
 		a.step(now)
 	}
 	number := a.term<<termBits + a.number
-	if len(a.fractions) == 0 || r.GetAllocation() == number {
+	if r.GetAllocation() == number {
 		return nil
 	}
-	out := &wire.Allocation{Number: number}
-	for _, service := range slices.Sorted(maps.Keys(a.fractions)) {
-		row := a.fractions[service][r.GetMember().GetRegion()]
+	out, isEmpty := &wire.Allocation{Number: number}, true
+	for _, name := range slices.Sorted(maps.Keys(a.services)) {
+		isEmpty = isEmpty && a.services[name].fractions == nil
+		row := a.services[name].fractions[r.GetMember().GetRegion()]
 		for _, region := range slices.Sorted(maps.Keys(row)) {
-			out.Parts = append(out.Parts, &wire.RegionPart{Service: service, Region: region, Part: row[region]})
+			out.Parts = append(out.Parts, &wire.RegionPart{Service: name, Region: region, Part: row[region]})
 		}
 	}
+	if isEmpty {
+		return nil
+	}
 	return out
 }
 
@@ -140,18 +151,22 @@
 func (a *Allocator) step(now time.Duration) {
 	slots := a.config.Slots()
 	changed := false
-	for service, bySlots := range slots {
-		d := a.demand(now, service, bySlots)
-		known := d.total() >= minDemand
-		a.demanded = a.demanded || known
-		if a.begin(now, service, d, bySlots) {
+	for name, bySlots := range slots {
+		s := a.services[name]
+		if s == nil {
+			s = &service{}
+			a.services[name] = s
+		}
+		d := a.demand(now, name, bySlots)
+		known := s.recordDemand(now, d)
+		if s.begin(known, a.inherited, d, bySlots) {
 			changed = true
 		}
-		if !known || a.fractions[service] == nil || !isStrained(a.fractions[service], d, bySlots) {
+		if !known || s.fractions == nil || !isStrained(s.fractions, d, bySlots) {
 			continue
 		}
 		for region, row := range balance(d, bySlots) {
-			changed = advance(a.fractions[service], region, row) || changed
+			changed = advance(s.fractions, region, row) || changed
 		}
 	}
 	if changed {
@@ -159,25 +174,34 @@
 	}
 }
 
-// begin sets the first fractions of a service, and reports whether they changed. They are those for
-// even demand, so that entries have them before the first requests arrive. Where entries use the
-// allocation of an earlier term, they are those for the demand that the entries report.
-func (a *Allocator) begin(now time.Duration, service string, d demand, slots map[string]float64) bool {
-	known := a.fractions[service]
+// recordDemand records whether there is demand, and reports whether all of it is known.
+func (s *service) recordDemand(now time.Duration, d demand) (known bool) {
+	switch {
+	case d.total() < minDemand:
+		s.demandedSince = 0
+	case s.demandedSince == 0:
+		s.demandedSince = now
+	}
+	known = s.demandedSince > 0 && now-s.demandedSince >= settleTime
+	s.settled = s.settled || known
+	return known
+}
+
+// begin sets the first fractions, and reports whether they changed. Until demand is known they are
+// those for even demand, so that entries have them before the first requests arrive. Where entries use
+// the allocation of an earlier term, they are those for the known demand.
+func (s *service) begin(known, inherited bool, d demand, slots map[string]float64) bool {
 	var next map[string]map[string]float64
 	switch {
-	case a.inherited && known == nil && d.total() >= minDemand && now-a.begun >= settleTime:
+	case inherited && s.fractions == nil && known:
 		next = balance(d, slots)
-	case !a.inherited && (known == nil || !a.demanded):
+	case !inherited && (s.fractions == nil || !s.settled):
 		next = balance(evenDemand(slots), slots)
 	}
-	if next == nil || maps.EqualFunc(known, next, maps.Equal) {
+	if next == nil || maps.EqualFunc(s.fractions, next, maps.Equal) {
 		return false
 	}
-	if a.fractions == nil {
-		a.fractions = map[string]map[string]map[string]float64{}
-	}
-	a.fractions[service] = next
+	s.fractions = next
 	return true
 }
 
--- a/control/allocator/allocator_test.go
+++ b/control/allocator/allocator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -134,10 +135,12 @@
 	slots map[string]map[string]float64
 	// latest is the allocation that the entry of each region received last.
 	latest map[string]*wire.Allocation
+	// order is the order in which the regions' entries poll.
+	order []string
 }
 
 func newModel() *model {
-	m := &model{now: time.Hour, latest: map[string]*wire.Allocation{}, slots: map[string]map[string]float64{"drafts": {"south": 36, "north": 24, "west": 12}}}
+	m := &model{now: time.Hour, order: orders()[0], latest: map[string]*wire.Allocation{}, slots: map[string]map[string]float64{"drafts": {"south": 36, "north": 24, "west": 12}}}
 	m.Allocator = NewAllocator(Config{Clock: timekeeper.Clock{Now: func() time.Duration { return m.now }}, Slots: func() map[string]map[string]float64 { return m.slots }})
 	return m
 }
@@ -148,23 +151,37 @@
 // playBound is play with further demand, which only the given regions may serve.
 func (m *model) playBound(term uint64, load float64, bound map[string]float64, d time.Duration) {
 	for end := m.now + d; m.now < end; m.now += 250 * time.Millisecond {
-		for region := range m.slots["drafts"] {
-			r := &wire.PollRequest{Member: &wire.EntryMember{Name: region, Region: region}, Allocation: m.latest[region].GetNumber()}
-			if load > 0 {
-				s := &wire.ServiceDemand{Service: "drafts", Load: load, Bound: map[string]float64{}}
-				for to, b := range bound {
-					s.Bound[to] = b / float64(len(m.slots["drafts"]))
-					s.Load += s.Bound[to]
-				}
-				r.Services = []*wire.ServiceDemand{s}
+		for _, region := range m.order {
+			if load == 0 {
+				m.poll(term, region)
+				continue
 			}
-			if a := m.Answer(term, r); a != nil {
-				m.latest[region] = a
+			s := &wire.ServiceDemand{Service: "drafts", Load: load, Bound: map[string]float64{}}
+			for to, b := range bound {
+				s.Bound[to] = b / float64(len(m.slots["drafts"]))
+				s.Load += s.Bound[to]
 			}
+			m.poll(term, region, s)
 		}
 	}
 }
 
+// poll lets the entry of a region poll once.
+func (m *model) poll(term uint64, region string, demands ...*wire.ServiceDemand) {
+	r := &wire.PollRequest{Member: &wire.EntryMember{Name: region, Region: region}, Allocation: m.latest[region].GetNumber(), Services: demands}
+	if a := m.Answer(term, r); a != nil {
+		m.latest[region] = a
+	}
+}
+
+// orders returns all orders in which the regions of the model can poll.
+func orders() [][]string {
+	return [][]string{
+		{"south", "north", "west"}, {"south", "west", "north"}, {"north", "south", "west"},
+		{"north", "west", "south"}, {"west", "south", "north"}, {"west", "north", "south"},
+	}
+}
+
 func (m *model) part(region, to string) float64 {
 	for _, p := range m.latest[region].GetParts() {
 		if p.GetRegion() == to {
@@ -192,20 +209,89 @@
 		m.play(1, 0, time.Second)
 		is.Equal(m.part("west", "west"), 1.0)
 	})
+	t.Run("targets that join as demand begins", func(t *testing.T) {
+		for _, order := range orders() {
+			is := is.New(t)
+			m := newModel()
+			m.order = order
+			m.play(1, 0, time.Second)
+			m.slots["drafts"] = map[string]float64{"south": 36, "north": 24, "west": 36}
+			m.play(1, 20, 5*time.Second)
+			is.Equal(m.part("west", "west"), 1.0)
+		}
+	})
+}
+
+// TestDemandCountsOnceAllEntriesReport guards against fractions that change because the first reports
+// of demand, which come from a part of the entries, look like a strained region.
+func TestDemandCountsOnceAllEntriesReport(t *testing.T) {
+	cases := []struct {
+		name string
+		// gap is the time between the first reports of two regions.
+		gap time.Duration
+		// idle is how long another service has demand before.
+		idle time.Duration
+		// pause is how long demand ends after it was known.
+		pause time.Duration
+	}{
+		{"reports in one step", 0, 0, 0},
+		{"reports in different steps", 500 * time.Millisecond, 0, 0},
+		{"a service with later demand", 500 * time.Millisecond, 10 * time.Second, 0},
+		{"demand that comes again", 500 * time.Millisecond, 0, 10 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for _, order := range orders() {
+				m := newModel()
+				m.order = order
+				m.play(1, 0, time.Second)
+				before := m.part("west", "west")
+				for end := m.now + c.idle; m.now < end; m.now += 250 * time.Millisecond {
+					m.poll(1, "south", &wire.ServiceDemand{Service: "bills", Load: 20})
+				}
+				checkStaggered(t, m, before, c.gap)
+				if c.pause > 0 {
+					m.play(1, 0, c.pause)
+					checkStaggered(t, m, before, c.gap)
+				}
+			}
+		})
+	}
+}
+
+// checkStaggered lets the same demand begin in all regions, one after the other, and checks that the
+// fractions stay, since no region is strained by all of it.
+func checkStaggered(t *testing.T, m *model, want float64, gap time.Duration) {
+	t.Helper()
+	for begun := m.now; m.now < begun+8*time.Second; m.now += 250 * time.Millisecond {
+		for i, region := range m.order {
+			load := 0.0
+			if m.now-begun >= time.Duration(i)*gap {
+				load = 20
+			}
+			m.poll(1, region, &wire.ServiceDemand{Service: "drafts", Load: load})
+		}
+		is.New(t).Equal(m.part("west", "west"), want)
+	}
 }
 
 // TestAllocationOfNextLeader checks that a new leader allocates by the demand that entries report
-// rather than by even demand, and nothing until it knows it.
+// rather than by even demand, and nothing until it knows it, in whichever order the entries poll.
 func TestAllocationOfNextLeader(t *testing.T) {
-	is := is.New(t)
-	m := newModel()
-	m.play(1, 0, time.Second)
-	m.slots["drafts"] = map[string]float64{"south": 36, "north": 24, "west": 24}
-	m.play(1, 20, 20*time.Second)
-	before, number := m.part("west", "west"), m.latest["west"].GetNumber()
-	m.play(2, 20, time.Second)
-	is.Equal(m.latest["west"].GetNumber(), number)
-	m.play(2, 20, 5*time.Second)
-	is.True(m.latest["west"].GetNumber() != number)
-	is.True(math.Abs(m.part("west", "west")-before) < 0.1)
+	for _, order := range orders() {
+		t.Run(strings.Join(order, " "), func(t *testing.T) {
+			is := is.New(t)
+			m := newModel()
+			m.order = order
+			m.play(1, 0, time.Second)
+			m.slots["drafts"] = map[string]float64{"south": 36, "north": 24, "west": 24}
+			m.play(1, 20, 20*time.Second)
+			before, number := m.part("west", "west"), m.latest["west"].GetNumber()
+			m.play(2, 20, time.Second)
+			is.Equal(m.latest["west"].GetNumber(), number)
+			m.play(2, 20, 5*time.Second)
+			is.True(m.latest["west"].GetNumber() != number)
+			is.True(math.Abs(m.part("west", "west")-before) < 0.1)
+		})
+	}
 }
