Promise not to have run a request only if no attempt may have run it

What callers saw: an idempotent request whose first attempt may have run it was answered 503 (stopping), which promises that it has not run, when the process stopped before a retry was sent. A response of a target with an error status, kept for that case, was dropped. Found by reading.

Cause: the last attempt alone decided once the context had ended, which before stopped requests only happened when the caller was gone. The end of the context now only ends the retries; what an earlier attempt left decides. An attempt that was not sent no longer counts as one that may have run.

Not affected: requests that run at most once, which are never retried after they may have run.

TestStoppedRetry failed before: notRun, want unknown (broken) and done (failed).

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -81,8 +81,8 @@
 // retryState tracks the attempts of one request.
 type retryState struct {
 	request PickRequest
-	// runs counts the attempts that were neither refused nor unreachable, after which the target may
-	// have run the request, and chargedRuns the runs that count towards the team's limit.
+	// runs counts the attempts in which the target may have run the request, and chargedRuns the runs
+	// that count towards the team's limit.
 	runs        int
 	chargedRuns int
 	sent        int
@@ -102,7 +102,7 @@
 	b.config.Meter.Add(e.Service.Name, w.request.Homes, b.config.Picker.ExpectedWork(w.request))
 	for w.sent < maxSends {
 		w.request.Remaining = e.Deadline - b.config.Clock.Now()
-		if w.sent > 0 && !b.mayRetry(ctx, e, w) {
+		if w.sent > 0 && (ctx.Err() != nil || !b.mayRetry(ctx, e, w)) {
 			break
 		}
 		pick, delay := b.config.Picker.Pick(e.View, w.request)
@@ -216,15 +216,16 @@
 	if e.OnAttempt != nil && (s.Result.Failed || s.Result.Latency > 0) && !s.Refused {
 		e.OnAttempt(handler.Selection{Version: k.Target.Version}, b.config.Picker.NormalizedLatency(k, w.request, s.Result.Latency), s.Result.Failed)
 	}
-	if !s.Refused && !s.Unreachable {
+	if s.Response != nil || s.Outcome.Run != handler.NotRun {
 		w.runs++
 	}
 	if s.Response != nil {
 		return b.handleResponse(ctx, e, w, s)
 	}
 	w.lastOutcome = s.Outcome
+	w.keepUncertain(s)
 	retry := s.Outcome.Run == handler.NotRun || (s.Outcome.Run == handler.Unknown && e.Route.Retryable())
-	return s.Outcome, !retry || ctx.Err() != nil || w.keepUncertain(s)
+	return s.Outcome, !retry
 }
 
 // logChange logs the ejection or readmission of a target.
@@ -245,12 +246,11 @@
 }
 
 // keepUncertain sets the outcome of a request that an attempt may have run to "may have run",
-// which the latest refusal does not change. It always returns false.
-func (w *retryState) keepUncertain(s *forwarder.SendResult) bool {
+// which the latest refusal does not change.
+func (w *retryState) keepUncertain(s *forwarder.SendResult) {
 	if w.runs > 0 && s.Outcome.Run == handler.NotRun {
 		w.lastOutcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUpstream)
 	}
-	return false
 }
 
 // handleResponse writes a response to the caller, or keeps one with an error status for a retry.
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -122,6 +122,37 @@
 	}
 }
 
+// TestStoppedRetry guards against a promise that a request has not run, which its caller gets since the
+// process stops before a retry is sent, although the first attempt may have run it.
+func TestStoppedRetry(t *testing.T) {
+	stopped := handler.Refuse(http.StatusServiceUnavailable, handler.ReasonStopping)
+	cases := []struct {
+		name   string
+		first  func() *forwarder.SendResult
+		run    handler.Run
+		status int
+	}{
+		{"broken", breaks, handler.Unknown, 502},
+		{"failed", fails, handler.Done, 500},
+		{"refused", refuses, handler.NotRun, 503},
+		{"not sent", func() *forwarder.SendResult { return &forwarder.SendResult{Outcome: refusal} }, handler.NotRun, 503},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancelCause(context.Background())
+			b, view, sent := newBalancer(10, []func() *forwarder.SendResult{c.first, func() *forwarder.SendResult {
+				cancel(handler.ErrStopping)
+				return &forwarder.SendResult{Unreachable: true, Outcome: stopped}
+			}})
+			o := b.balance(ctx, newExchange(b, view, parser.ClassIdempotent))
+			is.Equal(len(*sent), 2)
+			is.Equal(o.Run, c.run)
+			is.Equal(o.Status, c.status)
+		})
+	}
+}
+
 // TestRepeatsAreCharged checks that a request counts towards its team's limit once per target that
 // may have run it, and is not retried without a token.
 func TestRepeatsAreCharged(t *testing.T) {
