Send nothing for a request whose context has ended

What callers saw: nothing yet; found by reading. A request that was let through as its context ended (a token that arrives as the process stops) was still written to an idle connection of its target, since the connection is closed only by a goroutine that starts with the send. The target began to work on it and was cut off, and the caller was told that it may have run.

TestEndedContext failed before in 5 of 5 runs: a part of the request had been sent.

--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -170,6 +170,9 @@
 // Exchange sends a request to an address and reads the response. When the context ends, the
 // exchange fails and its connection is closed.
 func (c *Carrier) Exchange(ctx context.Context, address string, r *Request) (*Response, *Failure) {
+	if ctx.Err() != nil {
+		return nil, &Failure{Err: ctx.Err()} // closing an idle connection would come too late to stop the request
+	}
 	n, dialed, err := c.acquire(ctx, address, r.AtMostOnce)
 	if err != nil {
 		return nil, &Failure{Err: err, Refused: true}
--- a/entry/carrier/carrier_test.go
+++ b/entry/carrier/carrier_test.go
@@ -133,6 +133,30 @@
 	is.Equal(connections.Load(), int64(2)) // the idle connection is too old for it
 }
 
+// TestEndedContext guards against a request that is sent although its context has ended, so that the
+// target works on what nobody waits for.
+func TestEndedContext(t *testing.T) {
+	is := is.New(t)
+	address, _ := newTarget(t, func(b *bufio.Reader, c net.Conn, _ int64) {
+		for {
+			r, err := http.ReadRequest(b)
+			if err != nil {
+				return
+			}
+			writeResponse(c, r.Header.Get("X-Id"), "Content-Length: 0\r\n", "")
+		}
+	})
+	n := newCarrier(t)
+	_, failure := n.Exchange(context.Background(), address, newRequest("one"))
+	is.True(failure == nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, failure = n.Exchange(ctx, address, newRequest("two"))
+	is.True(failure != nil)
+	is.True(!failure.Sent)
+	is.True(!failure.Refused) // nothing shows that the target is unreachable
+}
+
 // TestStrays guards against a late response to an earlier request being taken for that of the next
 // one: it is skipped on a reused connection, and is an error on a new one.
 func TestStrays(t *testing.T) {
