Refuse requests that wait for tokens as stopping when the process stops

What callers saw: a request that waited for its entry's first share of a limit, or for a grant, when the time of a shutdown was over was refused as beyond its team's limit (429, to be sent again after a second) although another entry could serve it at once. The other waits already said so. Found by reading.

--- a/entry/limiter/limiter.go
+++ b/entry/limiter/limiter.go
@@ -129,10 +129,13 @@
 	watch := l.waits.Start()
 	defer watch.Stop()
 	wait := min(e.View.Configuration.Limits.LimitWait, e.Deadline-l.config.Clock.Now())
-	if !a.wait(ctx, 1, wait) {
-		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonLimit)
+	switch {
+	case a.wait(ctx, 1, wait):
+		return handler.Outcome{}
+	case ctx.Err() != nil:
+		return handler.Abandoned(ctx, http.StatusTooManyRequests)
 	}
-	return handler.Outcome{}
+	return handler.Refuse(http.StatusTooManyRequests, handler.ReasonLimit)
 }
 
 func (l *GrantLimiter) bucketClient(role string) *bucketClient {
--- a/entry/limiter/share.go
+++ b/entry/limiter/share.go
@@ -142,11 +142,13 @@
 		d.awaitShare(ctx, e)
 	}
 	wait, ok := d.take(e.Team)
-	if !ok {
+	switch {
+	case !ok && ctx.Err() != nil:
+		return handler.Abandoned(ctx, http.StatusTooManyRequests)
+	case !ok:
 		e.RetryAfter, e.Trace.Share = wait, d.config.Share(e.Team.Name)
 		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonLimit)
-	}
-	if wait <= 0 {
+	case wait <= 0:
 		return handler.Outcome{}
 	}
 	timer := time.NewTimer(wait)
