Keep the outcome of a request unknown when its last dispatch is refused

What callers saw: with roles, a request whose first attempt may have run it and whose second attempt was refused, or stopped before it was sent, was answered 503 (notRun).

TestUncertainRetry failed before in the case "broken, then refused": notRun, want unknown.

--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -97,12 +97,15 @@
 			return d.noPermitOutcome(ctx, e, last, attempt)
 		}
 		o, retry := d.send(ctx, e, selection, held)
+		switch {
+		case o.Run != handler.NotRun:
+			runs++
+		case runs > 0: // an earlier attempt may have run the request
+			o = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUpstream)
+		}
 		if !retry {
 			return o
 		}
-		if o.Run != handler.NotRun {
-			runs++
-		}
 		if !b.withdraw() {
 			return o
 		}
