Stop an entry's last listeners at the same time

What users saw: nothing that was traced. The look-ups, the readiness and the report listener each wait up to a second for connections on which nothing was sent yet, one after the other, at 5.5 s of a grace period of 6 s: the process can be killed before its log is flushed.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -499,9 +500,7 @@
 			err := callers.StopWithin(p.Settings.Drain)
 			_ = peers.StopWithin(peerDrainTimeout) // other entries retry elsewhere
 			p.Group.Stop()
-			for _, l := range append(extra, reports) {
-				_ = l.StopWithin(peerDrainTimeout)
-			}
+			stopListeners(append(extra, reports), peerDrainTimeout)
 			p.Logger.Log(logger.ProcessStopped)
 			return err
 		},
@@ -518,6 +517,16 @@
 	leavePollInterval = 20 * time.Millisecond
 )
 
+// stopListeners stops listeners at the same time, since little is left of the grace period. Their callers
+// try again elsewhere.
+func stopListeners(list []*listener.Listener, timeout time.Duration) {
+	var all sync.WaitGroup
+	for _, l := range list {
+		all.Go(func() { _ = l.StopWithin(timeout) })
+	}
+	all.Wait()
+}
+
 // leave removes this entry from lookups and continues to serve, until the lookup responses that callers
 // cached expire, but at most for Settings.Leave.
 func leave(p lifecycleParams) {
