--- a/entry/entry.go
+++ b/entry/entry.go
@@ -500,7 +500,7 @@
 			err := callers.StopWithin(p.Settings.Drain)
 			_ = peers.StopWithin(peerDrainTimeout) // other entries retry elsewhere
 			p.Group.Stop()
-			stopListeners(append(extra, reports), peerDrainTimeout)
+			stopListeners(append(extra, reports), lastDrainTimeout)
 			p.Logger.Log(logger.ProcessStopped)
 			return err
 		},
@@ -509,9 +509,10 @@
 }
 
 const (
-	// peerDrainTimeout bounds the wait for running calls of other entries and for additional
-	// listeners.
+	// peerDrainTimeout bounds the wait for running calls of other entries, and lastDrainTimeout that for
+	// calls of all other listeners, which take milliseconds.
 	peerDrainTimeout = time.Second
+	lastDrainTimeout = 250 * time.Millisecond
 	// leaveTimeout bounds the wait for control to remove this entry from lookups.
 	leaveTimeout      = 2 * time.Second
 	leavePollInterval = 20 * time.Millisecond
