Report an unknown outcome when the answer to a submitted text was lost

What operators saw: 'filberthoist apply' ended with exit status 1, "nobody answered and nothing was done", though a control member had read the text and ended the connection without an answer (a restart, the end of its drain), so that the text may be in force. Only an answer that came too late counted as lost, and only from the last member that was asked. Found by reading.

Any member that could be reached and gave no answer of its own now makes the outcome unknown (status 4), whatever later members say, unless one accepts or refuses.

--- a/cli/commander/texts.go
+++ b/cli/commander/texts.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"strings"
 	"time"
@@ -77,14 +78,16 @@
 
 func (c *Commander) submitText(text string, wait bool, limit time.Duration) error {
 	var response *wire.SubmitResponse
+	arrived := false
 	err := c.callAny(func(ctx context.Context, s wireconnect.AdministrationServiceClient) error {
 		r, err := s.Submit(ctx, connect.NewRequest(&wire.SubmitRequest{Text: text}))
 		if err == nil {
 			response = r.Msg
 		}
+		arrived = arrived || mayHaveArrived(err)
 		return err
 	})
-	if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+	if err != nil && arrived {
 		return ExitError{ExitUnknown, "unknown: the answer was lost; send the same text again"}
 	}
 	if err != nil {
@@ -96,6 +99,15 @@
 	return c.waitInForce(response, limit)
 }
 
+// mayHaveArrived reports whether a control member may have read a call that failed: it did not answer,
+// but could be reached.
+func mayHaveArrived(err error) bool {
+	var n *net.OpError
+	isDial := errors.As(err, &n) && n.Op == "dial"
+	isLate := connect.CodeOf(err) == connect.CodeDeadlineExceeded
+	return err != nil && (isLate || !isDial && !connect.IsWireError(err))
+}
+
 func (c *Commander) reportResult(r *wire.SubmitResponse) error {
 	if c.outputFormat == "json" {
 		c.printJSON(r)
