Answer requests whose body never ends, and refuse those that begin after the stop of a shutdown

What callers saw: a request whose body was still incomplete when the time of a shutdown was over was cut without an answer, and the process exited with status 1. It is now refused (503, stopping) with the requests that are stopped. Found by reading.

Besides, requests are refused from then on in any case: in a shutdown with hardly any time left, the listener is still about to close at that moment, and a request that began would be served with nothing to stop it.

--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -184,10 +184,12 @@
 	return err
 }
 
-// stopRequests ends the contexts of all requests. Their connections stay open for the responses.
+// stopRequests ends the contexts of all requests and refuses further ones, which nothing would stop.
+// Their connections stay open for the responses.
 func (a *Acceptor) stopRequests() {
+	a.refusing.Store(true)
 	for _, c := range a.connections() {
-		c.stopRequests(a.config.StopCause)
+		c.stop(a.config.StopCause)
 	}
 }
 
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -49,6 +49,8 @@
 	// the connection.
 	ending  bool
 	closing bool
+	// readingBody means that the body of a request is awaited.
+	readingBody bool
 	// finishing means that no further request is awaited, so that the idle timeout no longer counts.
 	finishing bool
 	// broken means that no response can be written.
@@ -103,12 +105,14 @@
 		return false
 	}
 	e.prepare(r)
+	c.setReadingBody(e.body != nil)
 	c.exchangesDone.Add(1)
 	go e.run()
 	if e.body != nil {
 		if !e.body.wait() {
 			return false
 		}
+		c.setReadingBody(false)
 		c.removeDeadline() // the timeout of the body
 	}
 	return !r.Close && !c.isEnding()
@@ -192,6 +196,22 @@
 	return true
 }
 
+func (c *connection) setReadingBody(v bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.readingBody = v
+}
+
+// stop ends the contexts of the requests, and the wait for the rest of a body.
+func (c *connection) stop(cause error) {
+	c.stopRequests(cause)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.readingBody && !c.finishing {
+		_ = c.socket.SetReadDeadline(time.Now()) // fails only when closed
+	}
+}
+
 func (c *connection) isEnding() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/entry/acceptor/ending_shutdown_test.go
+++ b/entry/acceptor/ending_shutdown_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -87,6 +89,42 @@
 	}
 }
 
+// TestShutdownAnswersUnfinishedBodies guards against a request without an answer, and a shutdown that
+// counts as failed, since the rest of a body never arrives.
+func TestShutdownAnswersUnfinishedBodies(t *testing.T) {
+	is := is.New(t)
+	began := make(chan struct{})
+	a, c, b := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		close(began)
+		_, err := io.ReadAll(r.Body)
+		is.True(errors.Is(err, os.ErrDeadlineExceeded))
+		w.WriteHeader(http.StatusRequestTimeout)
+	})
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nab")
+	is.NoErr(err)
+	<-began
+	ctx, cancel := context.WithTimeout(context.Background(), 800*time.Millisecond)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- a.Shutdown(ctx) }()
+	is.True(checkResponse(t, b, http.StatusRequestTimeout, "").Close)
+	_, err = b.ReadByte()
+	is.Equal(err, io.EOF)
+	is.NoErr(<-stopped)
+}
+
+// TestRequestAfterStop guards against a request that is served although requests have been stopped, so
+// that nothing ends it before its connection is cut.
+func TestRequestAfterStop(t *testing.T) {
+	is := is.New(t)
+	a, c, b := newServer(t, echo)
+	a.config.Refuse = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	a.stopRequests()
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.NoErr(err)
+	checkResponse(t, b, http.StatusServiceUnavailable, "")
+}
+
 // TestShutdownBeforeServe guards against a process that does not exit, since its shutdown begins before
 // its listener is served.
 func TestShutdownBeforeServe(t *testing.T) {
--- a/entry/classifier/body_test.go
+++ b/entry/classifier/body_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -56,3 +58,28 @@
 		})
 	}
 }
+
+// TestBodyThatDoesNotEnd checks what the caller is told of a request whose body is incomplete when its
+// process stops, or when its timeout is over.
+func TestBodyThatDoesNotEnd(t *testing.T) {
+	for _, stops := range []bool{false, true} {
+		t.Run(map[bool]string{false: "timeout", true: "stopping"}[stops], func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
+			clock, want := timekeeper.NewClock(), handler.Refuse(http.StatusRequestTimeout, handler.ReasonSlowSender)
+			if stops {
+				cancel(handler.ErrStopping)
+				want = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonStopping)
+			}
+			e := &handler.Exchange{
+				Writer:   httptest.NewRecorder(),
+				Request:  httptest.NewRequest(http.MethodPut, "/lamps/7", iotest.ErrReader(os.ErrDeadlineExceeded)),
+				View:     &receiver.View{Configuration: &parser.Configuration{Limits: parser.Limits{BodyBytes: 10, BodyTimeout: time.Second}}},
+				Deadline: clock.Now() + time.Minute,
+			}
+			is.Equal(NewClassifier(Config{Clock: clock}).BodyStep().Handle(ctx, e), want)
+			is.Equal(e.Writer.Header().Get("Connection"), "close")
+		})
+	}
+}
--- a/entry/classifier/classifier.go
+++ b/entry/classifier/classifier.go
@@ -111,7 +111,7 @@
 
 // readBody reads the whole body, so that an upstream never has to wait for a slow upload or sees an
 // aborted one.
-func (c *Classifier) readBody(_ context.Context, e *handler.Exchange) handler.Outcome {
+func (c *Classifier) readBody(ctx context.Context, e *handler.Exchange) handler.Outcome {
 	if e.Request.ContentLength == 0 {
 		return handler.Outcome{}
 	}
@@ -122,7 +122,7 @@
 	if err != nil {
 		// Otherwise the server would wait for the rest of the body before it responds.
 		e.Writer.Header().Set("Connection", "close")
-		return refusalOf(err)
+		return refusalOf(ctx, err)
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	e.Body = body
@@ -137,9 +137,11 @@
 }
 
 // refusalOf returns the refusal for an error in reading the body.
-func refusalOf(err error) handler.Outcome {
+func refusalOf(ctx context.Context, err error) handler.Outcome {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case handler.IsStopped(ctx):
+		return handler.Abandoned(ctx, http.StatusServiceUnavailable)
 	case errors.As(err, &tooLarge):
 		return handler.Refuse(http.StatusRequestEntityTooLarge, handler.ReasonTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
