--- a/cli/commander/commander.go
+++ b/cli/commander/commander.go
@@ -21,7 +21,7 @@
 // Exit statuses, on which scripts may rely.
 const (
 	ExitOK = 0
-	// ExitFailed means any other failure, such as when nothing was done, no control member answered,
+	// ExitFailed means any other failure, such as when nothing was done, no control member could be reached,
 	// or a change is not in force within the limit of --wait.
 	ExitFailed = 1
 	// ExitRefused means that the input is invalid or a watched move is taken back; the reasons are
--- a/cli/commander/texts.go
+++ b/cli/commander/texts.go
@@ -60,7 +60,7 @@
 		Use:   "apply FILE",
 		Short: "Submit a text; its revision must follow the one in force",
 		Long: "Submit a text; its revision must follow the one in force.\n\n" +
-			"Exit status: 0 accepted, 1 nobody answered and nothing was done, 2 refused, 3 conflict, 4 unknown (send it again).",
+			"Exit status: 0 accepted, 1 nobody could be reached and nothing was done, 2 refused, 3 conflict, 4 unknown (send it again).",
 		Example: "  filberthoist apply text.ini --wait",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, a []string) error {
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -141,6 +141,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
 			b, view, sent := newBalancer(10, []func() *forwarder.SendResult{c.first, func() *forwarder.SendResult {
 				cancel(handler.ErrStopping)
 				return &forwarder.SendResult{Unreachable: true, Outcome: stopped}
--- a/entry/limiter/stopped_test.go
+++ b/entry/limiter/stopped_test.go
@@ -55,6 +55,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
 			defer time.AfterFunc(50*time.Millisecond, func() { cancel(handler.ErrStopping) }).Stop()
 			o := newStep(t).Handle(ctx, &handler.Exchange{View: view, Team: team, Deadline: clock.Now() + time.Minute})
 			is.Equal(o.Run, handler.NotRun)
