Answer calls under way when a control member stops

Calls of entries that need a commit were in the same case, and an order that took longer than 2 s (a text has 5 s) was cut without an answer (both read, not shown).

Cause: the listener for the other members was closed first, with up to 2 s for the polls that it held. Responses of the other members arrive there, so that the leader could commit nothing any longer, while the listeners for operators went on taking orders.

Fix: a stop first ends the calls of operators and entries, while the members still reach each other. Then new calls get 503, "nothing was done", and those under way get 2 s, after which their contexts end and they respond. Only then are the listeners closed.

--- a/control/control.go
+++ b/control/control.go
@@ -58,6 +58,8 @@
 	// drainTimeout limits the wait for calls in progress. It exceeds timekeeper.PollHold, for which
 	// entries ask control to hold a poll.
 	drainTimeout = 2 * time.Second
+	// closeTimeout limits the wait for each listener once calls have ended.
+	closeTimeout = 500 * time.Millisecond
 )
 
 // New composes a control process from its settings and extensions.
@@ -92,6 +94,7 @@
 			newAdministrator,
 			newRegistrar,
 			newFounder,
+			newDrainer,
 		),
 		fx.Invoke(run),
 	)
@@ -301,6 +304,7 @@
 	Apportioner   *apportioner.Apportioner
 	Lender        *lender.Lender
 	Founder       *founder.Founder
+	Drainer       *drainer
 	Extensions    Extensions
 	Lifecycle     fx.Lifecycle
 	Shutdowner    fx.Shutdowner
@@ -330,8 +334,9 @@
 		},
 		OnStop: func(context.Context) error {
 			p.Logger.Log(logger.ProcessStopping)
+			p.Drainer.drain()
 			for _, l := range listeners {
-				_ = l.StopWithin(drainTimeout) // callers can try another member
+				_ = l.StopWithin(closeTimeout) // callers can try another member
 			}
 			p.Group.Stop()
 			p.Logger.Log(logger.ProcessStopped)
@@ -344,21 +349,21 @@
 func openListeners(p components) ([]*listener.Listener, error) {
 	peer := http.NewServeMux()
 	peer.Handle(wireconnect.NewReplicationServiceHandler(p.Messenger))
-	// The distributor compresses responses itself, since many entries share them.
-	peer.Handle(wireconnect.NewDistributionServiceHandler(p.Distributor, connect.WithCompressMinBytes(math.MaxInt)))
-	peer.Handle(wireconnect.NewOutcomeServiceHandler(p.Registrar))
-	peer.Handle(wireconnect.NewAdministrationServiceHandler(p.Administrator))
+	peer.Handle("/", p.Drainer.wrap(newMux(p)))
 	operators := http.NewServeMux()
 	operators.Handle(wireconnect.NewAdministrationServiceHandler(administrator.NewOperatorHandler(p.Administrator)))
 	var out []*listener.Listener
 	configs := []listener.Config{
 		{Name: "peer", Address: p.Settings.PeerAddress, Server: p.Connector.Server(peer)},
 		{Name: "administration", Address: p.Settings.AdministrationAddress,
-			Server: p.Connector.Server(administrator.Authenticate(p.Settings.Operators, operators))},
+			Server: p.Connector.Server(p.Drainer.wrap(administrator.Authenticate(p.Settings.Operators, operators)))},
 		{Name: "report", Address: p.Settings.ReportAddress, Server: p.Connector.Server(p.Reporter.Handler())},
 	}
 	if p.Extensions.Listeners != nil {
-		configs = append(configs, p.Extensions.Listeners(p.Administrator, p.Logger)...)
+		for _, c := range p.Extensions.Listeners(p.Administrator, p.Logger) {
+			c.Server.Handler = p.Drainer.wrap(c.Server.Handler)
+			configs = append(configs, c)
+		}
 	}
 	for _, c := range configs {
 		c.Connector, c.Logger = p.Connector, p.Logger
@@ -372,6 +377,16 @@
 	return out, nil
 }
 
+// newMux serves entries, and the calls that other members forward.
+func newMux(p components) *http.ServeMux {
+	m := http.NewServeMux()
+	// The distributor compresses responses itself, since many entries share them.
+	m.Handle(wireconnect.NewDistributionServiceHandler(p.Distributor, connect.WithCompressMinBytes(math.MaxInt)))
+	m.Handle(wireconnect.NewOutcomeServiceHandler(p.Registrar))
+	m.Handle(wireconnect.NewAdministrationServiceHandler(p.Administrator))
+	return m
+}
+
 func addDumps(p components) {
 	p.Reporter.Add("settings", func() any { return p.Settings.Public() })
 	p.Reporter.Add("log", func() any { return p.Sequencer.View() })
