Remove a log whose save failed before another write is saved

If another write followed, it went to the old log and was acknowledged, and the next start read the new log and removed the old one. The only caller that does not repeat a failed write is the bootstrap of a first member on a faulty disk.

Evidence: TestFailedSnapshotLeavesLaterWrites on the old code: the second entry is gone.

Ruled out: appends; a failed one is cut off before the next write.

Fix: the Recorder removes such a log, and syncs the folder, before it appends. Save no longer asks that only the same write follows. TestLosses now lets other writes follow failed ones.

--- a/control/recorder/chain_test.go
+++ b/control/recorder/chain_test.go
@@ -19,10 +19,10 @@
 type lossyChain struct {
 	t    *rapid.T
 	disk *lossyDisk
-	// kept is what was acknowledged: saved, or handed out at a start. inFlight is the write whose
-	// outcome is unknown, or empty.
+	// kept is what was acknowledged: saved, or handed out at a start. inFlight are the writes that
+	// failed since, of which one may survive.
 	kept     Restored
-	inFlight Write
+	inFlight []Write
 	term     uint64
 }
 
@@ -38,18 +38,21 @@
 	}
 	defer r.Close()
 	c.check(r.Restored)
-	c.kept, c.inFlight = r.Restored, Write{}
+	c.kept, c.inFlight = r.Restored, nil
 	for range rapid.IntRange(0, 4).Draw(c.t, "writes") {
 		w := c.drawWrite()
 		err := r.Save(w)
-		for err != nil && !c.disk.crashed {
+		for err != nil {
+			c.inFlight = append(c.inFlight, w)
+			if c.disk.crashed {
+				return
+			}
+			if rapid.IntRange(0, 4).Draw(c.t, "another write") == 0 {
+				w = c.drawWrite()
+			}
 			err = r.Save(w)
 		}
-		if err != nil {
-			c.inFlight = w
-			return
-		}
-		c.kept = c.kept.Apply(w)
+		c.kept, c.inFlight = c.kept.Apply(w), nil
 	}
 }
 
@@ -57,7 +60,11 @@
 	if c.kept.Incarnation != 0 && got.Incarnation != c.kept.Incarnation {
 		c.t.Fatalf("incarnation %x, was %x", got.Incarnation, c.kept.Incarnation)
 	}
-	if !sameContent(got, c.kept) && !sameContent(got, c.kept.Apply(c.inFlight)) {
+	survived := sameContent(got, c.kept)
+	for _, w := range c.inFlight {
+		survived = survived || sameContent(got, c.kept.Apply(w))
+	}
+	if !survived {
 		c.t.Fatalf("restored %v; acknowledged %v, under way %v", describe(got), describe(c.kept), c.inFlight)
 	}
 }
--- a/control/recorder/folder.go
+++ b/control/recorder/folder.go
@@ -42,6 +42,8 @@
 	logLength int64
 	// tailDamaged is set if a failed write may have left bytes after logLength.
 	tailDamaged bool
+	// stray is set if a failed save may have left the log file after the current one.
+	stray bool
 	// state is the last one written, which a new log file repeats.
 	state *wire.HardState
 	// Restored is what the folder held when it was opened.
@@ -61,8 +63,8 @@
 	return r, nil
 }
 
-// Save makes a write durable. After an error the write may or may not survive a crash, and
-// only the same write may follow.
+// Save makes a write durable. After an error the write may or may not survive a crash, until
+// another is saved.
 func (r *Recorder) Save(w Write) error {
 	if w.Empty() {
 		return nil
@@ -201,6 +203,9 @@
 }
 
 func (r *Recorder) appendFrame(b []byte) error {
+	if err := r.removeStray(); err != nil {
+		return err
+	}
 	if r.tailDamaged {
 		if err := r.truncateTail(); err != nil {
 			return err
@@ -224,6 +229,7 @@
 // startLog creates a new log file with one frame, then removes the old file.
 func (r *Recorder) startLog(frame []byte) error {
 	number := r.logNumber + 1
+	r.stray = true
 	f, err := r.config.Disk.createFile(r.logPath(number), frame)
 	if err != nil {
 		return err
@@ -232,7 +238,23 @@
 		_ = r.log.Close() // the new file replaces it
 		r.removeLogFiles([]uint64{r.logNumber})
 	}
-	r.log, r.logNumber, r.logLength, r.tailDamaged = f, number, int64(len(frame)), false
+	r.log, r.logNumber, r.logLength, r.tailDamaged, r.stray = f, number, int64(len(frame)), false, false
+	return nil
+}
+
+// removeStray removes the log file that a failed save may have left, which the next start would
+// read instead of the current one.
+func (r *Recorder) removeStray() error {
+	if !r.stray {
+		return nil
+	}
+	if err := r.config.Disk.Remove(r.logPath(r.logNumber + 1)); err != nil && !os.IsNotExist(err) {
+		return errors.Wrap(err, "removing a log")
+	}
+	if err := r.config.Disk.syncFolder(r.config.Folder); err != nil {
+		return err
+	}
+	r.stray = false
 	return nil
 }
 
--- a/control/recorder/losses_test.go
+++ b/control/recorder/losses_test.go
@@ -334,3 +334,19 @@
 	}
 	is.True(save(t, d).Incarnation != first.Incarnation)
 }
+
+// Guards against a new log whose save failed, and that replaces a later write at the next start.
+func TestFailedSnapshotLeavesLaterWrites(t *testing.T) {
+	is := is.New(t)
+	d := newLossyDisk(t.TempDir())
+	r := openRecorder(t, d.folder, d.disk())
+	is.NoErr(r.Save(writeOf(1, 1)))
+	operations := 0
+	d.fails = func() bool { operations++; return operations == 5 } // the sync of the folder
+	is.True(r.Save(Write{Snapshot: &wire.Snapshot{Index: 1, Term: 1}}) != nil)
+	is.NoErr(r.Save(writeOf(2, 1)))
+	is.NoErr(r.Close())
+	is.Equal(len(save(t, d).Entries), 2)
+	d.losePower(t)
+	is.Equal(len(save(t, d).Entries), 2)
+}
--- a/control/recorder/recorder_test.go
+++ b/control/recorder/recorder_test.go
@@ -12,9 +12,15 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"github.com/filberthoist/filberthoist/core/seeder"
 	"github.com/filberthoist/filberthoist/core/wire"
 )
 
+// TestMain uses a fixed seed unless one is given; -rapid.checks sets the number of runs.
+func TestMain(m *testing.M) {
+	os.Exit(seeder.Run(m, 300))
+}
+
 func TestRecorder(t *testing.T) {
 	t.Run("what is saved is restored", func(t *testing.T) {
 		is := is.New(t)
