--- a/control/control.go
+++ b/control/control.go
@@ -232,9 +232,14 @@
 	if s.Roles {
 		return nil
 	}
-	return allocator.NewAllocator(allocator.Config{Clock: c, Slots: func() map[string]map[string]float64 {
-		return slotsByRegion(v.Slots(), s.Zones, t.EvacuatedZones())
-	}})
+	return allocator.NewAllocator(allocator.Config{
+		Clock: c,
+		Slots: func() map[string]map[string]float64 { return slotsByRegion(v.Slots(), s.Zones, t.EvacuatedZones()) },
+		Configuration: func() *parser.Configuration {
+			n, _ := t.Configuration() // newLender logs the error
+			return n
+		},
+	})
 }
 
 // slotsByRegion adds up the slots of each service by region. It leaves out availability zones that
