Replace the voter that is silent for longest, after 2 s

Cause: a voter had to be silent for 3 s, which a new leader counts from its election.

Also, of several silent voters the first in the list was replaced, which may be one that was only suspended, while the dead one stays (TestLearnerFor: 2 replaced, want 4).

Fix: 2 s, and the voter that is silent for longest. A voter that is suspended or cut off for 2 s is replaced if, and only if, a machine without a vote waits; it waits in turn.

--- a/control/administrator/joining.go
+++ b/control/administrator/joining.go
@@ -11,8 +11,9 @@
 	"github.com/filberthoist/filberthoist/core/wire"
 )
 
-// voterSilenceTimeout is how long a voter may be silent before a joining member replaces it.
-const voterSilenceTimeout = 3 * time.Second
+// voterSilenceTimeout is how long a voter may be silent before a joining member replaces it. With an
+// election before it and the replacement after it, the successor of a leader is in place within 4 s.
+const voterSilenceTimeout = 2 * time.Second
 
 // Join adds a member as a learner if it replaces an earlier incarnation at its address, if there
 // are fewer than Config.Voters members, or if it can replace a silent voter. The response reports
@@ -69,11 +70,14 @@
 	if len(remaining) < voters {
 		return out
 	}
+	longest := voterSilenceTimeout
 	for _, o := range remaining {
-		if silence(o.GetId()) > voterSilenceTimeout {
-			out.Replaces = o.GetId()
-			return out
+		if d := silence(o.GetId()); d > longest {
+			longest, out.Replaces = d, o.GetId()
 		}
 	}
-	return nil
+	if out.GetReplaces() == 0 {
+		return nil
+	}
+	return out
 }
--- a/control/administrator/orders_test.go
+++ b/control/administrator/orders_test.go
@@ -107,6 +107,8 @@
 		{"new incarnation at the same address", voters(5), &wire.ControlMember{Id: 100, Address: voters(5)[2].GetAddress()}, nil, true, 3},
 		{"voter is silent", voters(5), newcomer, map[uint64]time.Duration{4: voterSilenceTimeout + 1}, true, 4},
 		{"voter is silent for less than the limit", voters(5), newcomer, map[uint64]time.Duration{4: voterSilenceTimeout - 1}, false, 0},
+		{"the voter that is silent for longest is replaced", voters(5), newcomer,
+			map[uint64]time.Duration{2: voterSilenceTimeout + 1, 4: 2 * voterSilenceTimeout, 5: voterSilenceTimeout + 2}, true, 4},
 		{"silent voter is being replaced already", append(voters(5), &wire.ControlMember{Id: 9, Learner: true, Replaces: 4}), newcomer,
 			map[uint64]time.Duration{4: voterSilenceTimeout + 1}, false, 0},
 	}
