--- a/control/replicator/cluster_test.go
+++ b/control/replicator/cluster_test.go
@@ -305,7 +305,9 @@
 	}
 }
 
-func (c *cluster) compact(n *node) {
+// compact compacts a member's log. If saved is false, the member crashes in the write, as in
+// processReady.
+func (c *cluster) compact(n *node, saved bool) {
 	if !n.up || n.core.CompactableEntries() == 0 {
 		return
 	}
@@ -313,7 +315,11 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	n.disk = n.disk.Apply(n.core.Compact(b))
+	w := n.core.Compact(b)
+	if saved || c.random.IntN(2) == 0 {
+		n.disk = n.disk.Apply(w)
+	}
+	n.up = saved
 }
 
 // bootstrapped reports whether all first members store the membership, which is when the
--- a/control/replicator/losses_test.go
+++ b/control/replicator/losses_test.go
@@ -235,7 +235,7 @@
 	{1, func(v *site, _ int) { v.submitAtLeaders(false) }},
 	{2, func(v *site, i int) { v.processReady(v.nodes[v.current[i]], false) }},
 	{4, func(v *site, i int) { v.restart(v.nodes[v.current[i]]) }},
-	{1, func(v *site, i int) { v.compact(v.nodes[v.current[i]]) }},
+	{1, func(v *site, i int) { v.compact(v.nodes[v.current[i]], v.random.IntN(3) > 0) }},
 	{2, func(v *site, i int) { v.loseMachine(i) }},
 	{1, func(v *site, i int) { v.replaceRunning(i) }},
 }
--- a/control/replicator/replicator_test.go
+++ b/control/replicator/replicator_test.go
@@ -125,7 +125,8 @@
 	{"restart", 4, func(c *cluster, n *node) { c.restart(n) }},
 	{"freeze", 1, func(_ *cluster, n *node) { n.frozen = n.up }},
 	{"thaw", 2, func(c *cluster, n *node) { c.thaw(n) }},
-	{"compact", 1, func(c *cluster, n *node) { c.compact(n) }},
+	{"compact", 1, func(c *cluster, n *node) { c.compact(n, true) }},
+	{"crash in a compaction", 1, func(c *cluster, n *node) { c.compact(n, false) }},
 	{"disk lost", 1, func(c *cluster, n *node) { c.loseDisk(n) }},
 	{"repair", 2, func(c *cluster, n *node) { c.replaceLost(n) }},
 }
