--- a/control/recorder/folder.go
+++ b/control/recorder/folder.go
@@ -12,6 +12,8 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"github.com/filberthoist/filberthoist/core/wire"
 )
 
 // Names and modes of the files in the data folder.
@@ -40,6 +42,10 @@
 	logLength int64
 	// tailDamaged is set if a failed write may have left bytes after logLength.
 	tailDamaged bool
+	// stray is set if a failed save may have left the log file after the current one.
+	stray bool
+	// state is the last one written, which a new log file repeats.
+	state *wire.HardState
 	// Restored is what the folder held when it was opened.
 	Restored Restored
 }
@@ -57,20 +63,28 @@
 	return r, nil
 }
 
-// Save makes a write durable. After an error the write may or may not survive a crash, and
-// only the same write may follow.
+// Save makes a write durable. After an error the write may or may not survive a crash, until
+// another is saved.
 func (r *Recorder) Save(w Write) error {
 	if w.Empty() {
 		return nil
 	}
+	if w.State == nil && w.Snapshot != nil {
+		w.State = r.state // the new log replaces the one that holds it
+	}
 	b, err := encodeFrame(w)
 	if err != nil {
 		return err
 	}
 	if w.Snapshot != nil {
-		return r.startLog(b)
+		err = r.startLog(b)
+	} else {
+		err = r.appendFrame(b)
+	}
+	if err == nil && w.State != nil {
+		r.state = w.State
 	}
-	return r.appendFrame(b)
+	return err
 }
 
 // Close closes the log and releases the lock on the folder.
@@ -88,11 +102,18 @@
 	if err := r.acquireLock(); err != nil {
 		return err
 	}
+	numbers, err := r.logNumbers()
+	if err != nil {
+		return err
+	}
+	if len(numbers) == 0 {
+		return r.createFiles()
+	}
 	incarnation, err := r.readIncarnation()
 	if err != nil {
 		return err
 	}
-	if err := r.readLog(); err != nil {
+	if err := r.readLog(numbers); err != nil {
 		return err
 	}
 	r.Restored.Incarnation = incarnation
@@ -109,36 +130,35 @@
 	return errors.Wrapf(err, "another process uses the data folder %s", r.config.Folder)
 }
 
-func (r *Recorder) readIncarnation() (uint64, error) {
-	b, err := os.ReadFile(r.path(incarnationFile))
-	if err == nil {
-		n, err := strconv.ParseUint(strings.TrimSpace(string(b)), 16, 64)
-		return n, errors.Wrap(err, "reading the incarnation")
-	}
-	if !os.IsNotExist(err) {
-		return 0, errors.Wrap(err, "reading the incarnation")
-	}
-	if logs, err := r.logNumbers(); err != nil || len(logs) > 0 {
-		return 0, errors.Errorf("the data folder %s holds a log but no incarnation", r.config.Folder)
-	}
+// createFiles draws an incarnation and starts its log. An incarnation without a log is replaced, since
+// other members may know it as one that stored what is gone.
+func (r *Recorder) createFiles() error {
 	var random [8]byte
 	_, _ = rand.Read(random[:]) // documented to never fail
 	n := binary.LittleEndian.Uint64(random[:]) | 1
 	f, err := r.config.Disk.createFile(r.path(incarnationFile), []byte(fmt.Sprintf("%016x\n", n)))
 	if err != nil {
-		return 0, err
+		return err
 	}
-	return n, f.Close()
+	_ = f.Close() // it is synced
+	r.Restored.Incarnation = n
+	return r.startLog(nil)
 }
 
-func (r *Recorder) readLog() error {
-	numbers, err := r.logNumbers()
-	if err != nil {
-		return err
+func (r *Recorder) readIncarnation() (uint64, error) {
+	b, err := os.ReadFile(r.path(incarnationFile))
+	if os.IsNotExist(err) {
+		return 0, errors.Errorf("the data folder %s holds a log but no incarnation", r.config.Folder)
 	}
-	if len(numbers) == 0 {
-		return r.startLog(nil)
+	if err != nil {
+		return 0, errors.Wrap(err, "reading the incarnation")
 	}
+	n, err := strconv.ParseUint(strings.TrimSpace(string(b)), 16, 64)
+	return n, errors.Wrap(err, "reading the incarnation")
+}
+
+// readLog reads the log file with the highest number and removes the others.
+func (r *Recorder) readLog(numbers []uint64) error {
 	r.logNumber = numbers[len(numbers)-1]
 	path := r.logPath(r.logNumber)
 	b, err := os.ReadFile(path)
@@ -149,16 +169,29 @@
 	if err != nil {
 		return errors.Wrap(err, path)
 	}
-	r.Restored, r.logLength = restored, length
+	r.Restored, r.state, r.logLength = restored, restored.State, length
 	r.log, err = os.OpenFile(path, os.O_RDWR, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "opening the log")
 	}
+	if err := r.syncRead(); err != nil {
+		return err
+	}
 	r.removeLogFiles(numbers[:len(numbers)-1])
-	if restored.TruncatedBytes == 0 {
-		return nil
+	return nil
+}
+
+// syncRead makes what was read durable, and the names of the files: a killed process may have left
+// either without a sync.
+func (r *Recorder) syncRead() error {
+	if r.Restored.TruncatedBytes > 0 {
+		if err := r.truncateTail(); err != nil {
+			return err
+		}
+	} else if err := r.config.Disk.Sync(r.log); err != nil {
+		return errors.Wrap(err, "syncing the log")
 	}
-	return r.truncateTail()
+	return r.config.Disk.syncFolder(r.config.Folder)
 }
 
 // truncateTail drops the bytes after the last whole frame.
@@ -170,6 +203,9 @@
 }
 
 func (r *Recorder) appendFrame(b []byte) error {
+	if err := r.removeStray(); err != nil {
+		return err
+	}
 	if r.tailDamaged {
 		if err := r.truncateTail(); err != nil {
 			return err
@@ -193,6 +229,7 @@
 // startLog creates a new log file with one frame, then removes the old file.
 func (r *Recorder) startLog(frame []byte) error {
 	number := r.logNumber + 1
+	r.stray = true
 	f, err := r.config.Disk.createFile(r.logPath(number), frame)
 	if err != nil {
 		return err
@@ -201,13 +238,29 @@
 		_ = r.log.Close() // the new file replaces it
 		r.removeLogFiles([]uint64{r.logNumber})
 	}
-	r.log, r.logNumber, r.logLength, r.tailDamaged = f, number, int64(len(frame)), false
+	r.log, r.logNumber, r.logLength, r.tailDamaged, r.stray = f, number, int64(len(frame)), false, false
+	return nil
+}
+
+// removeStray removes the log file that a failed save may have left, which the next start would
+// read instead of the current one.
+func (r *Recorder) removeStray() error {
+	if !r.stray {
+		return nil
+	}
+	if err := r.config.Disk.Remove(r.logPath(r.logNumber + 1)); err != nil && !os.IsNotExist(err) {
+		return errors.Wrap(err, "removing a log")
+	}
+	if err := r.config.Disk.syncFolder(r.config.Folder); err != nil {
+		return err
+	}
+	r.stray = false
 	return nil
 }
 
 func (r *Recorder) removeLogFiles(numbers []uint64) {
 	for _, n := range numbers {
-		_ = os.Remove(r.logPath(n)) // a file that remains is removed at the next start
+		_ = r.config.Disk.Remove(r.logPath(n)) // a file that remains is removed at the next start
 	}
 }
 
--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -33,6 +33,9 @@
 	// idleHold bounds the idle timeout during a shutdown, which is half of the time left. Requests that
 	// are under way to an idle connection are refused rather than cut.
 	idleHold = time.Second
+	// stopMargin is the part of a shutdown's time that is left for the responses to requests that are
+	// stopped because they still run. It is a quarter of the time if that is shorter.
+	stopMargin = 200 * time.Millisecond
 	// writeTimeout bounds each write to a caller that reads slowly.
 	writeTimeout = 10 * time.Second
 	// lingerTimeout is how long bytes after the last response are read and discarded. Closing a
@@ -59,6 +62,9 @@
 	// Refuse responds to requests that arrive too late in a shutdown to be served; nil means that
 	// Handler does.
 	Refuse http.Handler
+	// StopCause is the cause of the end of a request's context if the request is stopped at the end of a
+	// shutdown; nil means context.Canceled.
+	StopCause error
 	// Limits are read for each request.
 	Limits func() Limits
 	Logger logger.Logger
@@ -79,13 +85,16 @@
 	draining atomic.Bool
 	refusing atomic.Bool
 	// shutdownEnd is when a shutdown aborts connections; nil if never.
-	shutdownEnd     atomic.Pointer[time.Time]
-	mutex           sync.Mutex
-	listener        net.Listener
+	shutdownEnd atomic.Pointer[time.Time]
+	mutex       sync.Mutex
+	listener    net.Listener
+	// closed means that a shutdown began without a listener, so that none is served any more.
+	closed          bool
 	openConnections map[*connection]struct{}
 	connectionCount atomic.Int64
 	connectionsDone sync.WaitGroup
 	discarded       tally.Counter
+	discardedBehind tally.Counter
 	idleClosed      tally.Counter
 }
 
@@ -96,7 +105,7 @@
 	}
 	a := &Acceptor{
 		config: c, openConnections: map[*connection]struct{}{},
-		discarded: c.Scope.Counter("inputDiscarded"), idleClosed: c.Scope.Counter("idleConnectionsClosed"),
+		discarded: c.Scope.Counter("inputDiscarded"), discardedBehind: c.Scope.Counter("inputBehindEnd"), idleClosed: c.Scope.Counter("idleConnectionsClosed"),
 	}
 	a.context, a.cancel = context.WithCancel(context.Background())
 	return a
@@ -104,10 +113,9 @@
 
 // Serve accepts connections until the listener closes.
 func (a *Acceptor) Serve(l net.Listener) error {
-	a.mutex.Lock()
-	a.listener = l
-	a.connectionsDone.Add(1) // until every connection that was accepted is counted
-	a.mutex.Unlock()
+	if !a.begin(l) {
+		return l.Close()
+	}
 	defer a.connectionsDone.Done()
 	for {
 		n, err := l.Accept()
@@ -123,6 +131,18 @@
 	}
 }
 
+// begin takes over a listener; false means that a shutdown began before.
+func (a *Acceptor) begin(l net.Listener) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.closed {
+		return false
+	}
+	a.listener = l
+	a.connectionsDone.Add(1) // until every connection that was accepted is counted
+	return true
+}
+
 // Drain makes each response announce the end of its connection. Idle connections stay open, since a
 // request may be under way on them.
 func (a *Acceptor) Drain() {
@@ -130,11 +150,15 @@
 }
 
 // Shutdown drains, closes the listener and waits until all connections are closed. Further requests
-// are refused, and connections that stay idle for up to idleHold are closed. When the context ends,
-// Shutdown aborts the connections that are left and returns the context's error.
+// are refused, and connections that stay idle for up to idleHold are closed. Shortly before the
+// context's deadline, the contexts of the requests that still run end, so that these are answered. When
+// the context ends, Shutdown aborts the connections that are left, and returns the context's error if
+// requests ran on them.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
 	if end, ok := ctx.Deadline(); ok {
 		a.shutdownEnd.Store(&end)
+		left := time.Until(end)
+		defer time.AfterFunc(left-min(stopMargin, left/4), a.stopRequests).Stop()
 	}
 	a.Drain()
 	a.closeListener()
@@ -149,11 +173,27 @@
 		return nil
 	case <-ctx.Done():
 	}
-	a.cancel()
+	var err error
 	for _, c := range a.connections() {
+		if c.isRunning() {
+			err = ctx.Err()
+		}
 		c.abort(shutdownEnded)
 	}
-	return ctx.Err()
+	a.cancel()
+	return err
+}
+
+// stopRequests ends the contexts of all requests. Their connections stay open for the responses.
+func (a *Acceptor) stopRequests() {
+	for _, c := range a.connections() {
+		c.stopRequests(a.config.StopCause)
+	}
+}
+
+// IsRefusing reports whether a shutdown has begun to refuse requests.
+func (a *Acceptor) IsRefusing() bool {
+	return a.refusing.Load()
 }
 
 // closeListener closes the listener once no connection waits to be accepted, since those that wait are
@@ -161,6 +201,7 @@
 func (a *Acceptor) closeListener() {
 	a.mutex.Lock()
 	l := a.listener
+	a.closed = l == nil
 	a.mutex.Unlock()
 	if l == nil {
 		return
@@ -212,15 +253,6 @@
 	return a.config.SoftMaxConnections > 0 && a.connectionCount.Load() > int64(a.config.SoftMaxConnections)
 }
 
-// logDiscarded logs input that was discarded on a connection whose end no response announced.
-// delay is the time from the decision to close it until the input was read.
-func (a *Acceptor) logDiscarded(socket net.Conn, head []byte, size int64, delay time.Duration) {
-	a.discarded.Inc(1)
-	a.config.Logger.Log(logger.InputDiscarded, logger.F("request", findHeader(head, a.config.RequestHeader)),
-		logger.F("caller", socket.RemoteAddr().String()), logger.F("bytes", int(size)), logger.F("delay", delay),
-		logger.F("draining", a.draining.Load()))
-}
-
 // add begins to serve a connection.
 func (a *Acceptor) add(c *connection) {
 	a.mutex.Lock()
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -38,12 +38,16 @@
 	reader   *bufio.Reader
 	context  context.Context
 	cancel   context.CancelFunc
+	// requests is the context of the requests, which ends with context at the latest.
+	requests     context.Context
+	stopRequests context.CancelCauseFunc
 
 	mutex sync.Mutex
 	// inFlight counts requests whose response is not finished.
 	inFlight int
-	// closing means that a response announced the end of the connection, so that no further request
-	// is read.
+	// ending means that no further request is read, and closing that a response announced the end of
+	// the connection.
+	ending  bool
 	closing bool
 	// finishing means that no further request is awaited, so that the idle timeout no longer counts.
 	finishing bool
@@ -65,6 +69,7 @@
 	}
 	c := &connection{acceptor: a, socket: n, reader: bufio.NewReader(input{n}), pipelineSlots: make(chan struct{}, maxPipelined)}
 	c.context, c.cancel = context.WithCancel(a.context)
+	c.requests, c.stopRequests = context.WithCancelCause(c.context)
 	return c
 }
 
@@ -106,7 +111,7 @@
 		}
 		c.removeDeadline() // the timeout of the body
 	}
-	return !r.Close && !c.isClosing()
+	return !r.Close && !c.isEnding()
 }
 
 // waitForRequest waits for the first byte of a request. Meanwhile it detects a caller that closes
@@ -116,7 +121,7 @@
 		_, err := c.reader.Peek(1)
 		switch {
 		case err == nil:
-			return !c.isClosing() // what follows an announced end is not read
+			return !c.isEnding() // what follows the last request is not read
 		case errors.Is(err, os.ErrDeadlineExceeded) && c.removeDeadline():
 			// a request runs
 		case errors.Is(err, os.ErrDeadlineExceeded):
@@ -130,13 +135,13 @@
 }
 
 // startExchange adds an exchange to the order of responses. It blocks while maxPipelined requests
-// run. It returns nil if a response has announced the end of the connection meanwhile.
+// run. It returns nil if no further request is read.
 func (c *connection) startExchange() *exchange {
 	c.pipelineSlots <- struct{}{}
 	e := &exchange{connection: c, begun: time.Now(), done: make(chan struct{})}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.closing {
+	if c.ending {
 		<-c.pipelineSlots
 		return nil
 	}
@@ -187,10 +192,10 @@
 	return true
 }
 
-func (c *connection) isClosing() bool {
+func (c *connection) isEnding() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.closing
+	return c.ending
 }
 
 // isIdle reports whether no request runs and no response announced the end of the connection.
@@ -200,6 +205,13 @@
 	return c.inFlight == 0 && !c.closing
 }
 
+// isRunning reports whether a request has no finished response.
+func (c *connection) isRunning() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.inFlight > 0
+}
+
 func (c *connection) idleTime() time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -212,17 +224,15 @@
 	return c.broken
 }
 
-// announceEnd stops the reading of requests, so that the response of an exchange can announce the end
-// of the connection. It returns false if a later request has started, whose response then is the
-// last one.
+// announceEnd reports whether the response of an exchange can announce the end of the connection, after
+// which no request is read. If a later request has started, the response to the last one does. Once
+// requests are refused, no more of them are read before that.
 func (c *connection) announceEnd(e *exchange) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.lastExchange != e {
-		return false
-	}
-	c.closing = true
-	return true
+	c.closing = c.lastExchange == e
+	c.ending = c.ending || c.closing || c.acceptor.refusing.Load()
+	return c.closing
 }
 
 // recordEnd records who ended the connection early. The first cause counts.
@@ -244,7 +254,7 @@
 func (c *connection) abort(e endCause) {
 	c.recordEnd(e)
 	c.mutex.Lock()
-	c.broken, c.closing = true, true
+	c.broken, c.ending, c.closing = true, true, true
 	c.mutex.Unlock()
 	c.cancel()
 	_ = c.socket.Close() // the socket may be closed already
@@ -305,8 +315,8 @@
 		more, err = io.Copy(io.Discard, c.reader)
 		discarded += more
 	}
-	if discarded > 0 && !c.isClosing() {
-		c.acceptor.logDiscarded(c.socket, head[:n], discarded, delay)
+	if discarded > 0 {
+		c.acceptor.logDiscarded(c, head[:n], discarded, delay)
 	}
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.recordEnd(callerClosed)
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -97,12 +97,15 @@
 			return d.noPermitOutcome(ctx, e, last, attempt)
 		}
 		o, retry := d.send(ctx, e, selection, held)
+		switch {
+		case o.Run != handler.NotRun:
+			runs++
+		case runs > 0: // an earlier attempt may have run the request
+			o = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUpstream)
+		}
 		if !retry {
 			return o
 		}
-		if o.Run != handler.NotRun {
-			runs++
-		}
 		if !b.withdraw() {
 			return o
 		}
@@ -147,7 +150,7 @@
 	case attempt > 0:
 		return last
 	case ctx.Err() != nil:
-		return handler.Refuse(statusClientClosedRequest, handler.ReasonCallerGone)
+		return handler.Abandoned(ctx, statusClientClosedRequest)
 	case d.config.Clock.Now() >= e.Deadline:
 		return handler.Refuse(http.StatusGatewayTimeout, handler.ReasonDeadline)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -119,6 +120,7 @@
 			newDetector,
 			newDelegator,
 			newBalancer,
+			newAcceptorRef,
 			newAcceptor,
 			newDeduplicator,
 			newProber,
@@ -152,11 +154,12 @@
 	Dispatcher   *dispatcher.Dispatcher
 	Balancer     *balancer.Balancer
 	Delegator    *delegator.Delegator
+	AcceptorRef  *acceptorRef
 }
 
 // newHandler composes the pipeline: the steps that each request runs through, in this order.
 func newHandler(s Settings, x Extensions, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, p stepParams) *handler.Handler {
-	n := classifier.NewClassifier(classifier.Config{Clock: c})
+	n := classifier.NewClassifier(classifier.Config{Clock: c, Stopping: p.AcceptorRef.isRefusing})
 	a := authenticator.NewAuthenticator(authenticator.Config{Fresh: v.Fresh})
 	limit, send := p.ShareLimiter.Step(), p.Balancer.Step()
 	if s.Roles {
@@ -381,9 +384,23 @@
 	})
 }
 
-func newAcceptor(s Settings, x Extensions, l logger.Logger, r *reporter.Reporter, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver) *acceptor.Acceptor {
-	return acceptor.NewAcceptor(acceptor.Config{
-		Handler: newCallerHandler(x, h, n), Refuse: http.HandlerFunc(h.Refuse),
+// acceptorRef breaks the dependency cycle between the pipeline, which refuses requests while the process
+// stops, and the acceptor, which runs the pipeline.
+type acceptorRef struct {
+	value *acceptor.Acceptor
+}
+
+func (a *acceptorRef) isRefusing() bool {
+	return a.value != nil && a.value.IsRefusing()
+}
+
+func newAcceptorRef() *acceptorRef {
+	return &acceptorRef{}
+}
+
+func newAcceptor(s Settings, x Extensions, l logger.Logger, r *reporter.Reporter, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver, a *acceptorRef) *acceptor.Acceptor {
+	a.value = acceptor.NewAcceptor(acceptor.Config{
+		Handler: newCallerHandler(x, h, n), Refuse: http.HandlerFunc(h.Refuse), StopCause: handler.ErrStopping,
 		Logger: l, Scope: r.Scope, RequestHeader: x.Dialect.RequestID,
 		SoftMaxConnections: int(callerConnectionFraction * float64(s.Descriptors)),
 		Limits: func() acceptor.Limits {
@@ -393,6 +410,7 @@
 			return acceptor.Limits{HeaderBytes: callerHeaderBytes, HeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
 		},
 	})
+	return a.value
 }
 
 func newDeduplicator(n *connector.Connector, v *receiver.Receiver, g *supervisor.Group) *deduplicator.Deduplicator {
@@ -482,9 +500,7 @@
 			err := callers.StopWithin(p.Settings.Drain)
 			_ = peers.StopWithin(peerDrainTimeout) // other entries retry elsewhere
 			p.Group.Stop()
-			for _, l := range append(extra, reports) {
-				_ = l.StopWithin(peerDrainTimeout)
-			}
+			stopListeners(append(extra, reports), lastDrainTimeout)
 			p.Logger.Log(logger.ProcessStopped)
 			return err
 		},
@@ -493,14 +509,25 @@
 }
 
 const (
-	// peerDrainTimeout bounds the wait for running calls of other entries and for additional
-	// listeners.
+	// peerDrainTimeout bounds the wait for running calls of other entries, and lastDrainTimeout that for
+	// calls of all other listeners, which take milliseconds.
 	peerDrainTimeout = time.Second
+	lastDrainTimeout = 250 * time.Millisecond
 	// leaveTimeout bounds the wait for control to remove this entry from lookups.
 	leaveTimeout      = 2 * time.Second
 	leavePollInterval = 20 * time.Millisecond
 )
 
+// stopListeners stops listeners at the same time, since little is left of the grace period. Their callers
+// try again elsewhere.
+func stopListeners(list []*listener.Listener, timeout time.Duration) {
+	var all sync.WaitGroup
+	for _, l := range list {
+		all.Go(func() { _ = l.StopWithin(timeout) })
+	}
+	all.Wait()
+}
+
 // leave removes this entry from lookups and continues to serve, until the lookup responses that callers
 // cached expire, but at most for Settings.Leave.
 func leave(p lifecycleParams) {
--- a/entry/limiter/share.go
+++ b/entry/limiter/share.go
@@ -142,11 +142,13 @@
 		d.awaitShare(ctx, e)
 	}
 	wait, ok := d.take(e.Team)
-	if !ok {
+	switch {
+	case !ok && ctx.Err() != nil:
+		return handler.Abandoned(ctx, http.StatusTooManyRequests)
+	case !ok:
 		e.RetryAfter, e.Trace.Share = wait, d.config.Share(e.Team.Name)
 		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonLimit)
-	}
-	if wait <= 0 {
+	case wait <= 0:
 		return handler.Outcome{}
 	}
 	timer := time.NewTimer(wait)
@@ -155,7 +157,7 @@
 	case <-timer.C:
 		return handler.Outcome{}
 	case <-ctx.Done():
-		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonCallerGone)
+		return handler.Abandoned(ctx, http.StatusTooManyRequests)
 	}
 }
 
@@ -171,7 +173,7 @@
 	case v.Admitted:
 		return handler.Outcome{}, false
 	case ctx.Err() != nil:
-		return handler.Refuse(http.StatusTooManyRequests, handler.ReasonCallerGone), false
+		return handler.Abandoned(ctx, http.StatusTooManyRequests), false
 	case v.Unreachable:
 		e.RetryAfter = v.RetryAfter
 		return handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNotAvailable), false
