--- a/entry/receiver/receiver_test.go
+++ b/entry/receiver/receiver_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -144,13 +145,13 @@
 		is := is.New(t)
 		b, err := proto.Marshal(&wire.PollResponse{Index: 7, Snapshot: true, Fresh: true})
 		is.NoErr(err)
-		attempts := 0
+		var attempts atomic.Int64
 		r := newReceiver(t, func(w http.ResponseWriter, q *http.Request) {
 			w.Header().Set("Content-Type", "application/proto")
 			w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 			_, _ = w.Write(b[:1])
 			_ = http.NewResponseController(w).Flush()
-			if attempts++; attempts == 1 {
+			if attempts.Add(1) == 1 {
 				<-q.Context().Done() // the first poll gives up, however late it notices its timeout
 				return
 			}
