Check texts against a state that holds all accepted items

What callers saw: nothing yet; shown by a test. A new leader accepted a text although it had stored, and not applied yet, items that an earlier leader had accepted. Texts and items exclude each other.

Evidence: TestNewLeaderAcceptsNoTextBesideItems on the old code: accepted, want refused.

Fix: as for orders, what depends on the state is checked after an entry of the term is applied, and again before a refusal; the text is proposed in that term only. A text that does not compile is still refused without a quorum.

--- a/control/administrator/administrator.go
+++ b/control/administrator/administrator.go
@@ -63,7 +63,7 @@
 type Administrator struct {
 	config Config
 	client *http.Client
-	// orderMutex serializes orders.
+	// orderMutex serializes orders and texts.
 	orderMutex sync.Mutex
 	// settledTerm is the term in which the state holds all orders, as long as this member leads, or 0.
 	settledTerm uint64
@@ -147,13 +147,20 @@
 }
 
 func (a *Administrator) submit(ctx context.Context, r *wire.SubmitRequest) *wire.SubmitResponse {
-	command, problems := a.compile(r)
+	a.orderMutex.Lock()
+	defer a.orderMutex.Unlock()
+	command, problems, err := a.checkText(ctx, r)
+	if err != nil {
+		a.settledTerm = 0
+		return &wire.SubmitResponse{Reasons: []string{err.Error()}}
+	}
 	if len(problems) > 0 {
 		a.config.Logger.Log(logger.TextRefused, logger.F("operator", r.GetOperator()), logger.F("problems", len(problems)))
 		return &wire.SubmitResponse{Result: wire.SubmitResult_SUBMIT_RESULT_REFUSED, Reasons: problems.Lines()}
 	}
-	out, err := a.config.Sequencer.Propose(ctx, &wire.Command{Kind: &wire.Command_Submit{Submit: command}})
+	out, err := a.config.Sequencer.ProposeIn(ctx, a.settledTerm, &wire.Command{Kind: &wire.Command_Submit{Submit: command}})
 	if err != nil {
+		a.settledTerm = 0
 		return &wire.SubmitResponse{Reasons: []string{err.Error()}}
 	}
 	event := logger.TextRefused
@@ -168,27 +175,37 @@
 	}
 }
 
-// compile checks a text and returns the command that submits it.
-func (a *Administrator) compile(r *wire.SubmitRequest) (*wire.SubmitCommand, loader.Problems) {
+// checkText checks a text and returns the command that submits it. A text that does not compile is
+// refused without a quorum.
+func (a *Administrator) checkText(ctx context.Context, r *wire.SubmitRequest) (*wire.SubmitCommand, loader.Problems, error) {
 	sections, problems := loader.Split([]byte(r.GetText()))
 	if len(problems) > 0 {
-		return nil, problems
-	}
-	if len(a.config.State.Items()) > 0 {
-		return nil, loader.Problems{{Text: "the configuration is kept by items here; change items"}}
+		return nil, problems, nil
 	}
 	c, problems := parser.Compile(sections)
 	if c == nil {
-		return nil, problems
+		return nil, problems, nil
 	}
-	if problems := a.checkMoves(c); len(problems) > 0 {
-		return nil, problems
+	err := a.checkSettled(ctx, func() bool {
+		problems = a.checkState(c)
+		return len(problems) == 0
+	})
+	if err != nil || len(problems) > 0 {
+		return nil, problems, err
 	}
 	out := &wire.SubmitCommand{Revision: c.Revision, Operator: r.GetOperator(), Digest: digester.Text(loader.Join(parser.Sort(sections)))}
 	for _, s := range sections {
 		out.Sections = append(out.Sections, wire.ToTextSection(s))
 	}
-	return out, nil
+	return out, nil, nil
+}
+
+// checkState returns why a text conflicts with the state.
+func (a *Administrator) checkState(c *parser.Configuration) loader.Problems {
+	if len(a.config.State.Items()) > 0 {
+		return loader.Problems{{Text: "the configuration is kept by items here; change items"}}
+	}
+	return a.checkMoves(c)
 }
 
 // checkMoves returns why a text conflicts with the moves in progress. It checks only the revision
--- a/control/administrator/orders.go
+++ b/control/administrator/orders.go
@@ -87,7 +87,11 @@
 	if ctx.Err() != nil {
 		return &wire.OrderResponse{Reasons: []string{"earlier orders took too long"}}
 	}
-	reasons, err := a.validateSettled(ctx, c)
+	var reasons []string
+	err := a.checkSettled(ctx, func() bool {
+		reasons = a.validateOrder(c)
+		return len(reasons) == 0
+	})
 	if err != nil {
 		return a.unknownOutcome(c, err)
 	}
@@ -110,18 +114,18 @@
 	return &wire.OrderResponse{Reasons: []string{err.Error()}}
 }
 
-// validateSettled validates an order against a state that holds all orders that were accepted before
-// it. A state that may lack some, and any reason to refuse, are checked with a quorum.
-func (a *Administrator) validateSettled(ctx context.Context, c *wire.Command) (reasons []string, err error) {
-	if a.settledTerm == a.config.Sequencer.View().Term {
-		if reasons = a.validateOrder(c); len(reasons) == 0 {
-			return nil, nil
-		}
+// checkSettled runs a check against a state that holds all orders that were accepted before. It repeats
+// the check after a quorum round if the state may lack some, or if the check finds a reason to refuse,
+// for which it returns false.
+func (a *Administrator) checkSettled(ctx context.Context, check func() bool) error {
+	if a.settledTerm == a.config.Sequencer.View().Term && check() {
+		return nil
 	}
 	if err := a.settle(ctx); err != nil {
-		return nil, err
+		return err
 	}
-	return a.validateOrder(c), nil
+	check()
+	return nil
 }
 
 // settle commits an empty entry. Once it is applied, the state holds all orders before it: those that
--- a/control/administrator/stale_test.go
+++ b/control/administrator/stale_test.go
@@ -164,3 +164,22 @@
 	_, err := a.config.State.Configuration()
 	is.NoErr(err)
 }
+
+// Guards against a text that is accepted beside items that this leader stored, but has not applied.
+func TestNewLeaderAcceptsNoTextBesideItems(t *testing.T) {
+	is := is.New(t)
+	a, p := newLeader(t, 1, &wire.ChangeItemsCommand{Items: []*wire.Item{item("service lamps", 5)}, Digest: "first"})
+	time.AfterFunc(50*time.Millisecond, func() { p.storing.Store(true) })
+	text := "[configuration]\nrevision = 1\ndeployment = example\n[region north]\navailabilityZones = north1\n"
+	var result wire.SubmitResult
+	for end := time.Now().Add(10 * time.Second); result == wire.SubmitResult_SUBMIT_RESULT_UNKNOWN; time.Sleep(10 * time.Millisecond) {
+		is.True(time.Now().Before(end)) // the leader takes texts
+		r, err := a.Submit(context.Background(), connect.NewRequest(&wire.SubmitRequest{Text: text}))
+		if err == nil {
+			result = r.Msg.GetResult()
+			t.Log(r.Msg.GetReasons())
+		}
+	}
+	is.Equal(result, wire.SubmitResult_SUBMIT_RESULT_REFUSED)
+	is.Equal(len(a.config.State.Sections()), 0)
+}
