Catch SIGTERM before a program opens its listeners

Cause: composing the program opens the listeners, but SIGTERM was caught only after that. In between, its default action ended the process. On a busy host that took hundreds of milliseconds, in which callers connect and send whole requests.

Ruled out: the drain (the process has neither 101 nor 102 in its log in that incarnation).

SIGTERM is now caught before the program is composed, as SIGHUP was already. One that arrives before the app waits for signals stops it once it has started, in the usual order, so that pending connections are accepted and refused.

--- a/core/starter/signals_test.go
+++ b/core/starter/signals_test.go
@@ -67,6 +67,7 @@
 		{"reload while composing", "compose", syscall.SIGHUP},
 		{"reload during the start", "start", syscall.SIGHUP},
 		{"reload during the shutdown", "stop", syscall.SIGHUP},
+		{"stop while composing", "compose", syscall.SIGTERM},
 		{"stop during the start", "start", syscall.SIGTERM},
 		{"second stop during the shutdown", "stop", syscall.SIGTERM},
 	}
--- a/core/starter/starter.go
+++ b/core/starter/starter.go
@@ -116,26 +116,32 @@
 		return nil
 	}
 	w := newWatcher(path)
+	// From here on, SIGTERM never ends the process at once: composing the program opens its listeners.
+	terminated := make(chan os.Signal, 1)
+	signal.Notify(terminated, syscall.SIGTERM)
 	w.program = compose()
-	return serve(w)
+	return serve(w, terminated)
 }
 
-// serve runs the app until a signal stops it or one of its components fails.
-func serve(w *watcher) error {
+// serve runs the app until a signal stops it, even one from before the start, or one of its components
+// fails.
+func serve(w *watcher, terminated <-chan os.Signal) error {
 	app := w.program.App
 	if err := app.Err(); err != nil {
 		return err
 	}
-	stopped := app.Wait() // from here on, SIGTERM no longer ends the process at once
-	// app.Stop restores the default action before the process exits.
-	signal.Notify(make(chan os.Signal, 1), syscall.SIGTERM)
+	stopped := app.Wait()
 	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(start); err != nil {
 		return err
 	}
 	go w.run()
-	end := <-stopped
+	var end fx.ShutdownSignal
+	select {
+	case end = <-stopped:
+	case <-terminated:
+	}
 	w.stop()
 	stop, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
