--- a/entry/acceptor/ending.go
+++ b/entry/acceptor/ending.go
@@ -40,7 +40,7 @@
 	if !a.draining.Load() {
 		return
 	}
-	a.config.Logger.Log(logger.IdleConnectionClosed, logger.F("caller", c.socket.RemoteAddr().String()),
+	a.config.Logger.Log(logger.IdleClosed, logger.F("caller", c.socket.RemoteAddr().String()),
 		logger.F("idle", c.idleTime().Round(time.Millisecond)), logger.F("partial", c.reader.Buffered()))
 }
 
--- a/entry/acceptor/lost_test.go
+++ b/entry/acceptor/lost_test.go
@@ -113,5 +113,5 @@
 	a, caller, b := newLoggedServer(t, echo)
 	is.NoErr(caller.Close())
 	a.connectionsDone.Wait()
-	is.Equal(b.line("idleConnectionClosed"), "")
+	is.Equal(b.line("idleClosed"), "")
 }
