--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/standin ] || { echo "review/build.sh was not run"; exit 2; }
-exec ../bin/standin stray "$PWD/../.." "$PWD/record.txt"
+exec ../bin/standin staleorder "$PWD/../.." "$PWD/record.txt"
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -290,6 +290,11 @@
 
 // call makes one HTTP request on a new connection.
 func call(address, method, path, body string, header http.Header, timeout time.Duration) (int, string) {
+	return callWithAnswer(address, method, path, body, header, timeout, nil)
+}
+
+// callWithAnswer is call, and stores the header of the response unless answered is nil.
+func callWithAnswer(address, method, path, body string, header http.Header, timeout time.Duration, answered *http.Header) (int, string) {
 	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
@@ -311,6 +316,9 @@
 	if err != nil {
 		return 0, err.Error()
 	}
+	if answered != nil {
+		*answered = a.Header
+	}
 	return a.StatusCode, string(b)
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 	"stray":      stray,
 	"evacuation": lateEvacuation,
 	"drain":      lateDrain,
+	"header":     repeatedHeader,
 }
 
 func main() {
