--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of all scripts into review/bin. It needs Go alone, and no network.
+# Builds the stand-ins of all scripts into the program review/standin. It needs Go alone, and no network.
 set -euo pipefail
-cd "$(dirname "$0")/standin"
-GOWORK=off GOFLAGS=-buildvcs=false GOTOOLCHAIN=local go build -o ../bin/standin .
+cd "$(dirname "$0")"
+GOWORK=off GOFLAGS=-buildvcs=false GOTOOLCHAIN=local go build -o standin .
--- a/review/standin/evacuation.go
+++ b/review/evacuation.go
@@ -46,7 +46,7 @@
 		var count atomic.Int64
 		t.serve = func(t *target, w http.ResponseWriter, r *http.Request, size int64) {
 			id := r.Header.Get("X-Request-Id")
-			if !loses || count.Add(1)%5 > 1 {
+			if n := count.Add(1) % 5; !loses || (n != 0 && n != 3) {
 				t.answerWell(w, id, size, took)
 				return
 			}
--- a/review/standin/stray.go
+++ b/review/stray.go
@@ -13,7 +13,10 @@
 // strayBytes are additional bytes of a faulty target. They bear no request's ID.
 const strayBytes = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: full\r\nContent-Length: 0\r\n\r\n"
 
-// stray lets half of the targets of a service send additional bytes after one complete answer in twenty. They
+// strayTime is how long the clients send requests, and so how long the targets are faulty.
+const strayTime = 4500 * time.Millisecond
+
+// stray lets half of the targets of a service send additional bytes after one complete answer in fifty, for strayTime. They
 // arrive late, where the next answer of the connection is expected.
 func stray(d *deployment, trouble bool) (int, error) {
 	if err := d.begin(3, 2); err != nil {
@@ -27,12 +30,13 @@
 	time.Sleep(2 * time.Second)
 	var mutex sync.Mutex
 	answers := map[string]answer{}
+	begun := time.Now()
 	var clients sync.WaitGroup
-	for i := range 6 {
+	for i := range 10 {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			for range 100 {
+			for time.Since(begun) < strayTime {
 				a := d.request(d.edges[i%len(d.edges)], http.MethodPut, "/charge/7", "12.50", 4*time.Second)
 				d.logf("client: PUT %s: %d %s", a.id, a.status, a.text)
 				mutex.Lock()
@@ -42,6 +46,7 @@
 		}()
 	}
 	clients.Wait()
+	d.logf("%d requests were sent", len(answers))
 	time.Sleep(time.Second)
 	twice, denied := 0, 0
 	runs := map[string][]string{}
@@ -100,7 +105,7 @@
 }
 
 // serveRaw serves the requests of one connection. A faulty target sends strayBytes after one
-// answer in twenty, when it has read the next request.
+// answer in fifty, when it has read the next request.
 func (t *target) serveRaw(c net.Conn, faulty bool) {
 	defer c.Close()
 	b := bufio.NewReader(c)
@@ -119,7 +124,7 @@
 		t.runs[id]++
 		t.arrivals = append(t.arrivals, arrival{id, time.Now()})
 		t.mutex.Unlock()
-		if faulty && n > 0 && t.answers.Add(1)%20 == 0 {
+		if faulty && n > 0 && t.answers.Add(1)%50 == 0 {
 			t.d.logf("target %s sends stray bytes while it runs %s", t.id, id)
 			_, _ = io.WriteString(c, strayBytes)
 		}
