Fence orders without a version, so that abandoned ones have no late effect

Cause: an evacuation, its end and a rollout carry no version, and whoever reads one carries it out. A member that was frozen reads, on waking, an order that its sender gave up after a second, repeated elsewhere and then reversed. Neither the handler nor the leader can tell such an order from a new one.

Ruled out: - Watching for the end of the sender's connection. It narrows the window: the end may still be on its way when the order is read, and an order that was forwarded or proposed has no connection any more. - The age of the order. HTTP doesn't tell when it was sent, and a frozen process can't know how long bytes waited. - An order in the leader's log (proposed, outcome unknown): the log keeps its place, and a leader settles its log before it takes the next order. The six cases "proposed" of the test pass before the change.

The leader proposes an order only with the current fence, in the term of that fence.

Why this works: an order is given up before the newer one is sent, so its fence was read before the newer one was taken, and taking that one changed the fence: on the same leader by its count, also if it changed nothing, on a later leader by its term. A deposed leader can't commit in its old term once another has acknowledged an order. This holds wherever the order is held up: unread, with its fence, forwarded. The count isn't replicated, so that members of different versions keep the same state.

Event 325 tells of outdated orders.

Before, with the fields and without the check: TestAbandonedOrderHasNoLateEffect fails in 18 of 24 cases (unread, with a fence, forwarded; end of an evacuation, evacuation, move); TestWholePath/abandoned_order fails, the order is acknowledged with 200.

--- a/control/administrator/administrator.go
+++ b/control/administrator/administrator.go
@@ -67,6 +67,8 @@
 	orderMutex sync.Mutex
 	// settledTerm is the term in which the state holds all orders, as long as this member leads, or 0.
 	settledTerm uint64
+	// fences belong to the orders that this member takes as the leader.
+	fences fences
 }
 
 // NewAdministrator returns an Administrator.
--- a/control/administrator/orders.go
+++ b/control/administrator/orders.go
@@ -23,18 +23,22 @@
 )
 
 // Order proposes an order: a change of items, an evacuation or a move. If the result is unknown,
-// the order may or may not be accepted.
+// the order may or may not be accepted. An evacuation or a move without a current fence is a conflict:
+// nothing is proposed, and the response has the fence with which the order may be sent again.
 func (a *Administrator) Order(ctx context.Context, q *connect.Request[wire.OrderRequest]) (*connect.Response[wire.OrderResponse], error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	if !q.Msg.GetForwarded() && q.Msg.GetFence() == nil {
+		q.Msg.Fence = &wire.Fence{}
+	}
 	if a.isLeader() {
-		return connect.NewResponse(a.order(ctx, q.Msg.GetCommand())), nil
+		return connect.NewResponse(a.order(ctx, q.Msg.GetCommand(), q.Msg.GetFence())), nil
 	}
 	leader, err := a.leaderClient(q.Msg.GetForwarded())
 	if err != nil {
 		return nil, err
 	}
-	r, err := leader.Order(ctx, connect.NewRequest(&wire.OrderRequest{Command: q.Msg.GetCommand(), Forwarded: true}))
+	r, err := leader.Order(ctx, connect.NewRequest(&wire.OrderRequest{Command: q.Msg.GetCommand(), Forwarded: true, Fence: q.Msg.GetFence()}))
 	if err != nil {
 		return connect.NewResponse(&wire.OrderResponse{Reasons: []string{"the leader did not answer"}}), nil
 	}
@@ -81,12 +85,15 @@
 	return out
 }
 
-func (a *Administrator) order(ctx context.Context, c *wire.Command) *wire.OrderResponse {
+func (a *Administrator) order(ctx context.Context, c *wire.Command, f *wire.Fence) *wire.OrderResponse {
 	a.orderMutex.Lock() // each order is validated against the state that the previous one left
 	defer a.orderMutex.Unlock()
 	if ctx.Err() != nil {
 		return &wire.OrderResponse{Reasons: []string{"earlier orders took too long"}}
 	}
+	if n := a.conflict(c, f, a.config.Sequencer.View().Term); n != nil {
+		return n
+	}
 	var reasons []string
 	err := a.checkSettled(ctx, func() bool {
 		reasons = a.validateOrder(c)
@@ -99,6 +106,10 @@
 		a.config.Logger.Log(logger.OrderRefused, logger.F("order", describeOrder(c)), logger.F("reasons", reasons))
 		return &wire.OrderResponse{Result: wire.SubmitResult_SUBMIT_RESULT_REFUSED, Reasons: reasons}
 	}
+	if n := a.conflict(c, f, a.settledTerm); n != nil {
+		return n
+	}
+	a.fences.advance(a.settledTerm, subjectOf(c))
 	out, err := a.config.Sequencer.ProposeIn(ctx, a.settledTerm, c)
 	if err != nil {
 		return a.unknownOutcome(c, err)
@@ -107,6 +118,27 @@
 	return &wire.OrderResponse{Result: out.Submit}
 }
 
+// conflict returns the response to an order whose fence is not current in a term, or nil if the order
+// may be proposed in that term.
+func (a *Administrator) conflict(c *wire.Command, f *wire.Fence, term uint64) *wire.OrderResponse {
+	subject := subjectOf(c)
+	if subject == "" || f == nil {
+		return nil // it has versions, or comes from a member of a release without fences
+	}
+	current := a.fences.current(term, subject)
+	if f.GetTerm() == current.GetTerm() && f.GetOrders() == current.GetOrders() {
+		return nil
+	}
+	if f.GetTerm() > 0 {
+		a.config.Logger.Log(logger.OrderOutdated, logger.F("order", describeOrder(c)), logger.F("term", f.GetTerm()),
+			logger.F("orders", f.GetOrders()))
+	}
+	return &wire.OrderResponse{
+		Result: wire.SubmitResult_SUBMIT_RESULT_CONFLICT, Fence: current,
+		Reasons: []string{"the order needs the current fence of " + subject},
+	}
+}
+
 // unknownOutcome returns the response to an order that may yet be accepted.
 func (a *Administrator) unknownOutcome(c *wire.Command, err error) *wire.OrderResponse {
 	a.settledTerm = 0
--- a/control/administrator/stale_test.go
+++ b/control/administrator/stale_test.go
@@ -92,10 +92,20 @@
 	return a, p
 }
 
-// order returns the response to an order; one that nobody leads to take has no outcome.
+// order sends an order, with a fence if it needs one, and returns the response; an order that nobody leads
+// to take has no outcome.
 func order(t *testing.T, a *Administrator, c *wire.Command) *wire.OrderResponse {
 	t.Helper()
-	r, err := a.Order(context.Background(), connect.NewRequest(&wire.OrderRequest{Command: c}))
+	r := call(t, a, &wire.OrderRequest{Command: c})
+	if r.GetFence() != nil {
+		r = call(t, a, &wire.OrderRequest{Command: c, Fence: r.GetFence()})
+	}
+	return r
+}
+
+func call(t *testing.T, a *Administrator, q *wire.OrderRequest) *wire.OrderResponse {
+	t.Helper()
+	r, err := a.Order(context.Background(), connect.NewRequest(q))
 	if err != nil {
 		is.New(t).Equal(connect.CodeOf(err), connect.CodeUnavailable)
 		return &wire.OrderResponse{}
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -51,6 +51,7 @@
 	ListUnreachable    = Event{322, "listUnreachable", log.WarnLevel, "The platform's list of targets cannot be read; the last one read stays in use."}
 	ListEntriesSkipped = Event{323, "listEntriesSkipped", log.WarnLevel, "Some targets of the platform's list are invalid and were skipped; the others are used."}
 	TargetListed       = Event{324, "targetListed", log.InfoLevel, "A target was added to the platform's list, changed or removed."}
+	OrderOutdated      = Event{325, "orderOutdated", log.WarnLevel, "An order was not carried out, since others for the same service or zone followed the one that its sender knew of."}
 	EntryJoined        = Event{401, "entryJoined", log.InfoLevel, "An entry joined or rejoined."}
 	EntryRemoved       = Event{402, "entryRemoved", log.WarnLevel, "An entry was removed because it was silent past its lease or left."}
 	RoleAssigned       = Event{403, "roleAssigned", log.InfoLevel, "A role was assigned to an entry under a new epoch."}
@@ -99,7 +100,7 @@
 	TextAccepted, TextRefused, ConfigurationInUse, ConfigurationBad,
 	LeaseLapsed, LeaseRenewed, ControlUnreachable,
 	OrderAccepted, OrderRefused, OrderUnknown, AllocationInUse, EvacuationsInForce,
-	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed,
+	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed, OrderOutdated,
 	EntryJoined, EntryRemoved, RoleAssigned, EntryStateChanged,
 	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed, InputDiscarded, ResponseLost, IdleClosed, InputBehindEnd,
 	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent, TargetsUnreachable, TargetsReachable, TargetTurnsAway,
--- a/core/wire/wireconnect/wire.connect.go
+++ b/core/wire/wireconnect/wire.connect.go
@@ -309,7 +309,8 @@
 	ReplaceMember(context.Context, *connect.Request[wire.ReplaceMemberRequest]) (*connect.Response[wire.ReplaceMemberResponse], error)
 	// Join offers a member that runs outside the quorum; the leader takes it where one is due.
 	Join(context.Context, *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error)
-	// Order proposes one order of an operator that needs no revision.
+	// Order proposes one order of an operator that needs no revision. An order without a version of its own
+	// takes effect only with the current fence of what it concerns.
 	Order(context.Context, *connect.Request[wire.OrderRequest]) (*connect.Response[wire.OrderResponse], error)
 	// Read returns the items and records that stand, as of a quorum round after the call.
 	Read(context.Context, *connect.Request[wire.ReadRequest]) (*connect.Response[wire.ReadResponse], error)
@@ -444,7 +445,8 @@
 	ReplaceMember(context.Context, *connect.Request[wire.ReplaceMemberRequest]) (*connect.Response[wire.ReplaceMemberResponse], error)
 	// Join offers a member that runs outside the quorum; the leader takes it where one is due.
 	Join(context.Context, *connect.Request[wire.JoinRequest]) (*connect.Response[wire.JoinResponse], error)
-	// Order proposes one order of an operator that needs no revision.
+	// Order proposes one order of an operator that needs no revision. An order without a version of its own
+	// takes effect only with the current fence of what it concerns.
 	Order(context.Context, *connect.Request[wire.OrderRequest]) (*connect.Response[wire.OrderResponse], error)
 	// Read returns the items and records that stand, as of a quorum round after the call.
 	Read(context.Context, *connect.Request[wire.ReadRequest]) (*connect.Response[wire.ReadResponse], error)
