Pick the target of each attempt by the latest view

Cause: the balancer gave the picker the view of the request's start, for all of its attempts. The picker is shared, and takes the targets of the view that it is given: an old request brought back targets that were gone, took back that a target leaves, and dropped the state of those that had joined.

Change: the picker loads the latest view itself, under its mutex. Views only get newer, so none sets back another. What a request may use (service, homes, attempts) still follows from its route and team.

--- a/entry/balanced_test.go
+++ b/entry/balanced_test.go
@@ -75,7 +75,7 @@
 	g := delegator.NewDelegator(delegator.Config{
 		Clock: clock, Scope: tally.NoopScope, Self: view.Entries["entry1"], Isolated: n.IsIsolated, Send: f.Delegate, Relay: f.Relay,
 	})
-	p := balancer.NewPicker(balancer.PickerConfig{Clock: clock, Entry: "entry1", Zone: "north1", Region: "north", Regions: 1, ControlReachable: fresh})
+	p := balancer.NewPicker(balancer.PickerConfig{Clock: clock, View: currentView, Entry: "entry1", Zone: "north1", Region: "north", Regions: 1, ControlReachable: fresh})
 	s := balancer.NewBalancer(balancer.Config{
 		Clock: clock, Scope: tally.NoopScope, Picker: p, Send: f.Send, WriteResponse: f.WriteResponse, Delegate: g.DelegateUnreachable,
 		RetryBudget: balancer.NewBudget(balancer.BudgetConfig{Share: 0.1, Reserve: 10, Clock: clock}), Meter: balancer.NewMeter(clock, "south"),
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -105,7 +105,7 @@
 		if w.sent > 0 && (ctx.Err() != nil || !b.mayRetry(ctx, e, w)) {
 			break
 		}
-		pick, delay := b.config.Picker.Pick(e.View, w.request)
+		pick, delay := b.config.Picker.Pick(w.request)
 		if pick == nil && e.Fallback != nil {
 			w.request.Allows, e.Fallback = e.Fallback.Allows, nil
 			continue
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -58,7 +58,10 @@
 	budget.services["drafts"] = &bucket{tokens: reserve}
 	b := NewBalancer(Config{
 		Clock: clock, Scope: tally.NoopScope, Meter: NewMeter(clock, "south"), RetryBudget: budget,
-		Picker: NewPicker(PickerConfig{Clock: clock, Entry: "e", Zone: "south1", Region: "south", Regions: 1, ControlReachable: func() bool { return true }}),
+		Picker: NewPicker(PickerConfig{
+			Clock: clock, View: func() *receiver.View { return m.view }, Entry: "e", Zone: "south1", Region: "south", Regions: 1,
+			ControlReachable: func() bool { return true },
+		}),
 		Send: func(_ context.Context, _ *handler.Exchange, t *parser.Target) *forwarder.SendResult {
 			*sent = append(*sent, t.Name)
 			return script[min(len(*sent), len(script))-1]()
@@ -234,7 +237,7 @@
 			for i := range 300 {
 				d.Object = string(rune('a' + i%100))
 				for _, e := range m.entries {
-					if k, _ := e.picker.Pick(m.view, d); k != nil {
+					if k, _ := e.picker.Pick(d); k != nil {
 						seen[k.Target.Region] = true
 					}
 				}
@@ -280,7 +283,7 @@
 			d := b.pickRequest(e)
 			d.MaxQueueWait, d.Remaining = time.Hour, time.Hour
 			for _, l := range view.Targets["drafts"] {
-				_, _ = b.config.Picker.Pick(view, d)
+				_, _ = b.config.Picker.Pick(d)
 				b.config.Picker.services["drafts"].targets[l.Name].running = 14
 				b.config.Picker.services["drafts"].targets[l.Name].tried = true
 			}
--- a/entry/balancer/model_test.go
+++ b/entry/balancer/model_test.go
@@ -105,7 +105,7 @@
 			name := fmt.Sprintf("entry-%s-%d", region, i)
 			m.view.Entries[name] = &wire.EntryMember{Name: name, Region: region}
 			m.entries = append(m.entries, &simulatedEntry{name: name, region: region, picker: NewPicker(PickerConfig{
-				Clock: timekeeper.Clock{Now: func() time.Duration { return m.now }},
+				Clock: timekeeper.Clock{Now: func() time.Duration { return m.now }}, View: func() *receiver.View { return m.view },
 				Entry: name, Zone: region + "1", Region: region, Regions: len(targets), ControlReachable: func() bool { return true },
 			})})
 		}
@@ -167,7 +167,7 @@
 		Aim: simulatedAim, MaxQueueWait: time.Duration(ordinaryWaitFraction * float64(simulatedAim)), Remaining: 1500 * time.Millisecond, ColdRate: 17,
 	}
 	begun := m.now
-	k, _ := e.picker.Pick(m.view, d)
+	k, _ := e.picker.Pick(d)
 	if k == nil {
 		m.results = append(m.results, result{at: begun, region: region, refused: true})
 		return
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -55,6 +55,8 @@
 // PickerConfig configures a Picker.
 type PickerConfig struct {
 	Clock timekeeper.Clock
+	// View returns the latest view, by which every pick is made.
+	View func() *receiver.View
 	// Entry, Zone and Region are this entry's name and location.
 	Entry  string
 	Zone   string
@@ -131,9 +133,10 @@
 // Pick picks a target and counts the request as running there until Done. It returns nil if no
 // target is expected to answer in time; delay is then how long the best target needs until it
 // has capacity, or 0 if there is no target at all.
-func (p *Picker) Pick(v *receiver.View, d PickRequest) (pick *Pick, delay time.Duration) {
+func (p *Picker) Pick(d PickRequest) (pick *Pick, delay time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	v := p.config.View() // under the mutex, so that no older view replaces a newer one
 	p.updateView(v)
 	now := p.config.Clock.Now()
 	best := p.cheapest(now, v, d)
--- a/entry/balancer/statement_test.go
+++ b/entry/balancer/statement_test.go
@@ -37,7 +37,7 @@
 // the time until one has capacity.
 func (s *statements) send(result *forwarder.SendResult) (name string, delay time.Duration) {
 	d := s.request()
-	k, delay := s.entry.picker.Pick(s.view, d)
+	k, delay := s.entry.picker.Pick(d)
 	if k == nil {
 		return "", delay
 	}
@@ -202,7 +202,7 @@
 			var last PickRequest
 			for range 400 {
 				d := s.request()
-				if k, _ := s.entry.picker.Pick(s.view, d); k != nil && k.Target.Name == name {
+				if k, _ := s.entry.picker.Pick(d); k != nil && k.Target.Name == name {
 					picked, last = append(picked, k), d
 				}
 			}
@@ -228,7 +228,7 @@
 		is := is.New(t)
 		s := newStatements(1)
 		d := s.request()
-		k, _ := s.entry.picker.Pick(s.view, d)
+		k, _ := s.entry.picker.Pick(d)
 		is.Equal(s.entry.picker.Done(k, d, &forwarder.SendResult{Refused: true, Result: failure, TurnAwayInvalid: true}, 0), TurnedAway) // it is logged
 		is.True(s.entry.picker.AcceptsProbes(k.Target.Target))
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -356,7 +356,8 @@
 
 func newPicker(s Settings, c timekeeper.Clock, v *receiver.Receiver, r *pickerRef) *balancer.Picker {
 	r.value = balancer.NewPicker(balancer.PickerConfig{
-		Clock: c, Entry: s.Name, Zone: s.AvailabilityZone, Region: s.Region, Regions: countRegions(s.Zones), ControlReachable: v.MayAct,
+		Clock: c, View: v.View, Entry: s.Name, Zone: s.AvailabilityZone, Region: s.Region, Regions: countRegions(s.Zones),
+		ControlReachable: v.MayAct,
 	})
 	return r.value
 }
