Choose the side of a move for each attempt by the latest state of the move

What callers saw: a request that waited or whose first attempt failed was sent to a version that had been taken back meanwhile, or to the old side of a move that was done, whose targets stop at once.

Ruled out: running the shifter again for each attempt. It would spend the credit of a second request, and could move a request to the new side because its first attempt failed on the old one.

Change: the exchange knows the latest view; the shifter chooses by it, and Reselect corrects the side before each later attempt. A request stays on its side while that side takes requests.

Before, with Reselect and the latest view disabled: TestWaitingRequestFollowsTheMove fails in 7 of 9 cases, TestAttemptsFollowTheMove in both. After: both pass, with the packages entry/balancer, entry/shifter and entry.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -52,6 +52,8 @@
 	// Delegate hands a request that reached no target to another entry. It returns false if none took
 	// the request. nil means that there is no other entry.
 	Delegate func(ctx context.Context, e *handler.Exchange) (handler.Outcome, bool)
+	// Reselect sets the selection of a request's next attempt; nil means that it stays the same.
+	Reselect func(e *handler.Exchange)
 	// RetryBudget bounds retries on further targets.
 	RetryBudget *Budget
 	Meter       *Meter
@@ -105,9 +107,13 @@
 		if w.sent > 0 && (ctx.Err() != nil || !b.mayRetry(ctx, e, w)) {
 			break
 		}
+		if w.sent > 0 && b.config.Reselect != nil {
+			b.config.Reselect(e)
+		}
+		w.request.Allows = e.Selection.Allows
 		pick, delay := b.config.Picker.Pick(w.request)
 		if pick == nil && e.Fallback != nil {
-			w.request.Allows, e.Fallback = e.Fallback.Allows, nil
+			e.Selection, e.Fallback = *e.Fallback, nil
 			continue
 		}
 		if pick == nil {
--- a/entry/balancer/view_test.go
+++ b/entry/balancer/view_test.go
@@ -91,3 +91,29 @@
 		is.Equal(l.leavingSince > 0, l.listed.Name != after.Targets["drafts"][0].Name)
 	}
 }
+
+// Guards against later attempts on the side of a move that the first attempt took, although control has taken the
+// move back, or has completed it, since.
+func TestAttemptsFollowTheMove(t *testing.T) {
+	for _, c := range []struct{ name, before, after string }{{"taken back", "v2", "v1"}, {"done", "v1", "v2"}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newSimulation(map[string]int{"south": 6})
+			for i, l := range m.view.Targets["drafts"] {
+				l.Version = []string{"v1", "v2"}[i%2]
+			}
+			b, _, _ := newBalancer(10, nil)
+			b.config.Picker.config.View = func() *receiver.View { return m.view }
+			b.config.Reselect = func(e *handler.Exchange) { e.Selection.Version = c.after }
+			var versions []string
+			b.config.Send = func(_ context.Context, _ *handler.Exchange, t *parser.Target) *forwarder.SendResult {
+				versions = append(versions, t.Version)
+				return breaks()
+			}
+			e := newExchange(b, m.view, parser.ClassIdempotent)
+			e.Selection = handler.Selection{Version: c.before}
+			b.balance(context.Background(), e)
+			is.Equal(versions, []string{c.before, c.after})
+		})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -375,13 +375,13 @@
 }
 
 func newBalancer(s Settings, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, p *balancer.Picker,
-	f *forwarder.Forwarder, v *receiver.Receiver, m *balancer.Meter, g *delegator.Delegator,
+	f *forwarder.Forwarder, v *receiver.Receiver, m *balancer.Meter, g *delegator.Delegator, t *shifter.Shifter,
 ) *balancer.Balancer {
 	s.Repeats.Entries = func() int { return len(v.View().Entries) }
 	s.Repeats.Clock, s.Repeats.Logger = c, l
 	return balancer.NewBalancer(balancer.Config{
 		Clock: c, Logger: l, Scope: r.Scope, Picker: p, Send: f.Send, WriteResponse: f.WriteResponse, Delegate: g.DelegateUnreachable,
-		RetryBudget: balancer.NewBudget(s.Repeats), Meter: m,
+		Reselect: t.Reselect, RetryBudget: balancer.NewBudget(s.Repeats), Meter: m,
 	})
 }
 
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -35,8 +35,10 @@
 type Exchange struct {
 	Writer  http.ResponseWriter
 	Request *http.Request
-	// View is the snapshot that all steps of the request use.
+	// View is the snapshot from which the request's route, team and limits follow.
 	View *receiver.View
+	// CurrentView returns the latest snapshot; nil means View. See LatestView.
+	CurrentView func() *receiver.View
 	// ID identifies the request towards the upstream.
 	ID string
 	// Start and Deadline are times of the process's Clock.
@@ -138,6 +140,15 @@
 	return !strings.Contains(c.ExcludedVersions+",", ","+version+",")
 }
 
+// LatestView returns the snapshot by which to decide where the request goes. It may be newer than View, since
+// requests wait: for their body, for tokens, for the response of an earlier attempt.
+func (e *Exchange) LatestView() *receiver.View {
+	if e.CurrentView == nil {
+		return e.View
+	}
+	return e.CurrentView()
+}
+
 // Object returns the key of the object that the request is about, on routes whose targets
 // answer faster for objects that they handled recently. It is empty on other routes and if the
 // request names no object.
--- a/entry/handler/handler.go
+++ b/entry/handler/handler.go
@@ -56,7 +56,7 @@
 // ServeHTTP runs one request through the steps and reports its outcome.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := &Exchange{
-		Writer: w, Request: r, View: h.config.View(), Dialect: h.config.Dialect,
+		Writer: w, Request: r, View: h.config.View(), CurrentView: h.config.View, Dialect: h.config.Dialect,
 		ID: h.requestID(r), Delegated: r.Header.Get(h.config.Dialect.Delegated) != "", Start: h.config.Clock.Now(),
 	}
 	o, step := h.runSteps(r.Context(), e)
--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -136,13 +136,53 @@
 	New       assessor.Tally
 }
 
-func (s *Shifter) shift(_ context.Context, e *handler.Exchange) handler.Outcome {
-	service := e.Service
-	if service == nil {
-		service = e.Route.Service
+// Reselect sets the selection of a request's next attempt by the latest state of its service's move. The request
+// stays on its side of the move while that side takes requests.
+func (s *Shifter) Reselect(e *handler.Exchange) {
+	v, service := e.LatestView(), serviceOf(e)
+	if c := v.Configuration; c != nil && c.Services[service.Name] != nil {
+		service = c.Services[service.Name] // the end of a move may have changed its version
+	}
+	current := handler.Selection{Version: service.Version}
+	m := s.moveOf(v, service.Name)
+	if m == nil {
+		e.Selection, e.Fallback = current, nil
+		return
+	}
+	old, other := oldSelection(current, m.move.Move), newSelection(current, m.move.Move)
+	switch {
+	case m.move.Done():
+		e.Selection, e.Fallback = other, nil
+	case e.Selection != other || !m.admitsNew(e.Route):
+		e.Selection, e.Fallback = old, nil
+	}
+}
+
+func serviceOf(e *handler.Exchange) *parser.Service {
+	if e.Service == nil {
+		return e.Route.Service
 	}
-	m := s.stateOf(e.View).moves[service.Name]
+	return e.Service
+}
+
+// moveOf returns the state of a service's move, or nil if it has none that concerns this entry.
+func (s *Shifter) moveOf(v *receiver.View, service string) *moveState {
+	m := s.stateOf(v).moves[service]
 	if m == nil || (m.move.Move.Regional() && m.move.Move.FromRegion != s.config.Region) {
+		return nil
+	}
+	return m
+}
+
+// admitsNew reports whether the new side takes requests of a route.
+func (m *moveState) admitsNew(r *parser.Route) bool {
+	l := m.routes[r.Name]
+	return l != nil && !l.stopped.Load() && m.move.Share(r) > 0
+}
+
+func (s *Shifter) shift(_ context.Context, e *handler.Exchange) handler.Outcome {
+	m := s.moveOf(e.LatestView(), serviceOf(e).Name)
+	if m == nil {
 		return handler.Outcome{}
 	}
 	old, other := oldSelection(e.Selection, m.move.Move), newSelection(e.Selection, m.move.Move)
--- a/entry/shifter/shifter_test.go
+++ b/entry/shifter/shifter_test.go
@@ -127,6 +127,68 @@
 	return e
 }
 
+// Guards against a request that waited and then takes a side of a move that takes no requests any longer, since it
+// follows the view of its start.
+func TestWaitingRequestFollowsTheMove(t *testing.T) {
+	m := &parser.Move{Name: "m", Service: "lamps", From: "v1", To: "v2"}
+	bare := &parser.Move{Name: "m", Service: "lamps", To: "v2"}
+	start := newView(1, m, &wire.MoveRecord{Share: 1})
+	unversioned := newView(1, bare, &wire.MoveRecord{Share: 1})
+	for _, r := range unversioned.Configuration.Routes {
+		r.Service.Version = ""
+	}
+	done := newView(2, m, &wire.MoveRecord{Share: 1, Stage: wire.MoveStage_MOVE_STAGE_DONE})
+	withoutMove := newView(2, m, nil)
+	withoutMove.MoveStates = nil
+	withoutMove.Configuration.Services = map[string]*parser.Service{"lamps": {Name: "lamps", Version: "v2"}}
+	cases := []struct {
+		name          string
+		start, latest *receiver.View
+		first         handler.Selection
+		want          handler.Selection
+	}{
+		{"same view", start, start, handler.Selection{Version: "v2"}, handler.Selection{Version: "v2"}},
+		{"new side, larger share", start, newView(2, m, &wire.MoveRecord{Share: 1}), handler.Selection{Version: "v2"}, handler.Selection{Version: "v2"}},
+		{"old side, larger share", start, newView(2, m, &wire.MoveRecord{Share: 1}), handler.Selection{Version: "v1"}, handler.Selection{Version: "v1"}},
+		{"taken back", start, newView(2, m, &wire.MoveRecord{}), handler.Selection{Version: "v2"}, handler.Selection{Version: "v1"}},
+		{"taken back, service without a version", unversioned, newView(2, bare, &wire.MoveRecord{}), handler.Selection{Version: "v2"},
+			handler.Selection{ExcludedVersions: ",v2"}},
+		{"done", start, done, handler.Selection{Version: "v1"}, handler.Selection{Version: "v2"}},
+		{"move is gone, service has the new version", start, withoutMove, handler.Selection{Version: "v1"}, handler.Selection{Version: "v2"}},
+	}
+	for _, c := range cases {
+		t.Run("later attempt/"+c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewShifter(Config{Scope: tally.NoopScope, Region: "north"})
+			e := send(s, c.start, "status", "/lamps/1")
+			e.Selection, e.Fallback = c.first, &handler.Selection{Version: "v1"}
+			e.CurrentView = func() *receiver.View { return c.latest }
+			s.Reselect(e)
+			is.Equal(e.Selection, c.want)
+			is.True(e.Fallback == nil || e.Selection.Version == "v2" && c.want == c.first)
+		})
+	}
+	t.Run("first attempt/taken back", func(t *testing.T) {
+		is := is.New(t)
+		s := NewShifter(Config{Scope: tally.NoopScope, Region: "north"})
+		e := &handler.Exchange{
+			View: start, Route: start.Configuration.Routes[0], Request: httptest.NewRequest(http.MethodGet, "/lamps/1", nil),
+			CurrentView: func() *receiver.View { return newView(2, m, &wire.MoveRecord{}) }, Selection: handler.Selection{Version: "v1"},
+		}
+		s.shift(context.Background(), e)
+		is.Equal(e.Selection.Version, "v1")
+	})
+	t.Run("stopped here", func(t *testing.T) {
+		is := is.New(t)
+		s := NewShifter(Config{Scope: tally.NoopScope, Region: "north"})
+		e := send(s, start, "status", "/lamps/1")
+		is.Equal(e.Selection.Version, "v2")
+		s.state.Load().moves["lamps"].routes["status"].stopped.Store(true)
+		s.Reselect(e)
+		is.Equal(e.Selection.Version, "v1")
+	})
+}
+
 // TestSelections checks which targets requests go to at each stage of a move.
 func TestSelections(t *testing.T) {
 	versions := &parser.Move{Name: "m", Service: "lamps", From: "v1", To: "v2"}
