Hand requests to the entries of the latest view

What callers saw: an isolated entry handed a request that had waited (a slow body, failed attempts) to an entry that had stopped since its start, and knew none that had joined.

Cause: the delegator picked among the entries of the view of the request's start, the same class as the picker's.

Change: it picks by the latest view.

Before: TestDelegatesByTheLatestView fails (the stopped entry gets the request, outcome unknown). After: it passes.

--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -184,7 +184,7 @@
 	defer d.mutex.Unlock()
 	now, self, homes := d.config.Clock.Now(), d.config.Self, e.AllowedRegions()
 	var zone, region, all group
-	for _, m := range e.View.Entries {
+	for _, m := range e.LatestView().Entries {
 		if len(homes) > 0 && !slices.Contains(homes, m.GetRegion()) {
 			continue
 		}
--- a/entry/delegator/delegator_test.go
+++ b/entry/delegator/delegator_test.go
@@ -76,6 +76,22 @@
 	}
 }
 
+// Guards against handing a request that waited to an entry that has stopped since: the view of the request's start
+// still lists it.
+func TestDelegatesByTheLatestView(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.add(t, "stopped", answer(http.StatusBadGateway))
+	e, w := f.newExchange(atMostOnce, "")
+	latest := &receiver.View{Entries: map[string]*wire.EntryMember{"self": f.view.Entries["self"]}}
+	e.CurrentView = func() *receiver.View { return latest }
+	is.Equal(f.delegate(context.Background(), e).Run, handler.NotRun) // nobody is left
+	f.view = latest
+	f.add(t, "joined", answer(http.StatusOK))
+	is.Equal(f.delegate(context.Background(), e).Run, handler.Done)
+	is.Equal(w.Code, http.StatusOK)
+}
+
 // TestRelay checks that requests and responses pass unchanged but for the deadline and the mark.
 func TestRelay(t *testing.T) {
 	for _, size := range []int{0, 10, 3 << 20} {
