Serve a request by the configuration of the end of its body

What callers saw: a body may take as long as the limits allow (5 s by default). Its request then ran with a key that had been withdrawn meanwhile, on a route that was gone, or at the service that its route had left.

Cause: the route and the team were set from the view of the request's first bytes, and never again.

Ruled out: refusing a request whose configuration changed. Most changes don't concern it, and uploads would fail at each.

Change: a step after the body takes the latest view and, if the configuration is another one, runs the classifier and the authenticator once more. The exchange keeps the caller's key and timeout, whose headers are removed by then. Later waits (tokens, at most 2 s at control) don't repeat it, as the team has been charged; where the request goes is decided by the latest view in any case.

--- a/entry/authenticator/authenticator.go
+++ b/entry/authenticator/authenticator.go
@@ -34,24 +34,31 @@
 // authenticate checks every request rather than every connection, so that the withdrawal of a key
 // applies to open connections. Unknown and withdrawn keys get the same response.
 func (a *Authenticator) authenticate(_ context.Context, e *handler.Exchange) handler.Outcome {
-	keys := e.Request.Header.Values(e.Dialect.Key)
-	e.Dialect.Strip(e.Request.Header)
-	if len(keys) == 1 {
-		e.CallerKey = keys[0]
-	}
+	takeKey(e)
+	e.Key, e.Team = nil, nil
 	if e.Route.Open() {
 		return handler.Outcome{}
 	}
 	if !a.config.Fresh() {
 		return handler.Refuse(http.StatusServiceUnavailable, handler.ReasonStale)
 	}
-	if len(keys) != 1 {
+	if e.CallerKey == "" {
 		return handler.Refuse(http.StatusUnauthorized, handler.ReasonKey)
 	}
-	k := e.View.Configuration.Keys[digester.Key(keys[0])]
+	k := e.View.Configuration.Keys[digester.Key(e.CallerKey)]
 	if k == nil {
 		return handler.Refuse(http.StatusUnauthorized, handler.ReasonKey)
 	}
 	e.Key, e.Team = k, k.Team
 	return handler.Outcome{}
 }
+
+// takeKey moves the caller's key from the headers to the exchange. Several keys count as none. The headers have
+// no key if the request is authenticated once more.
+func takeKey(e *handler.Exchange) {
+	keys := e.Request.Header.Values(e.Dialect.Key)
+	e.Dialect.Strip(e.Request.Header)
+	if len(keys) == 1 {
+		e.CallerKey = keys[0]
+	}
+}
--- a/entry/classifier/classifier.go
+++ b/entry/classifier/classifier.go
@@ -98,15 +98,18 @@
 // requestTimeout returns the timeout of the request: the caller's, but at most the route's. It
 // returns false if the caller's header is malformed.
 func (c *Classifier) requestTimeout(e *handler.Exchange, route *parser.Route) (time.Duration, bool) {
-	v := e.Request.Header.Get(e.Dialect.Deadline)
-	if v == "" {
-		return route.Timeout, true
+	if v := e.Request.Header.Get(e.Dialect.Deadline); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 32)
+		if err != nil {
+			return 0, false
+		}
+		e.CallerTimeout = time.Duration(ms) * time.Millisecond
+		return min(route.Timeout, e.CallerTimeout), true
 	}
-	ms, err := strconv.ParseInt(v, 10, 32)
-	if err != nil {
-		return 0, false
+	if e.CallerTimeout > 0 { // the request is classified once more, and its header is gone
+		return min(route.Timeout, e.CallerTimeout), true
 	}
-	return min(route.Timeout, time.Duration(ms)*time.Millisecond), true
+	return route.Timeout, true
 }
 
 // readBody reads the whole body, so that an upstream never has to wait for a slow upload or sees an
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,7 @@
 	"github.com/filberthoist/filberthoist/entry/limiter"
 	"github.com/filberthoist/filberthoist/entry/prober"
 	"github.com/filberthoist/filberthoist/entry/receiver"
+	"github.com/filberthoist/filberthoist/entry/renewer"
 	"github.com/filberthoist/filberthoist/entry/resolver"
 	"github.com/filberthoist/filberthoist/entry/shifter"
 	"github.com/filberthoist/filberthoist/entry/splitter"
@@ -172,6 +173,7 @@
 			n.Step(),
 			a.Step(),
 			n.BodyStep(),
+			renewer.NewRenewer(renewer.Config{Steps: []handler.Step{n.Step(), a.Step()}}).Step(),
 			p.Delegator.Step(),
 			limit,
 			p.Deduplicator.Step(),
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -44,7 +44,9 @@
 	// Start and Deadline are times of the process's Clock.
 	Start    time.Duration
 	Deadline time.Duration
-	Route    *parser.Route
+	// CallerTimeout is how long the caller waits from Start; 0 if it did not say.
+	CallerTimeout time.Duration
+	Route         *parser.Route
 	// Service is the one of the route's services that was chosen for the request.
 	Service *parser.Service
 	// Selection restricts the targets that may serve the request.
