Keep the shares of a route's services while requests of an older view pass

What callers saw: while requests of an older configuration still passed, a route's services got other shares than their weights, and requests still went to a service that the route had left.

Cause: the splitter keeps one state for a route and clears it when a request's route has other parts than the last one's. Requests of two views in turn cleared it each time, so that the service with the largest weight got nearly all.

Change: the state keeps the index of its newest view; a request of an older one follows the newer route.

Before: TestOlderRequestsKeepTheShares fails (the share of the service with weight 10). After: it passes.

--- a/entry/splitter/splitter.go
+++ b/entry/splitter/splitter.go
@@ -7,6 +7,7 @@
 
 	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/entry/handler"
+	"github.com/filberthoist/filberthoist/entry/receiver"
 )
 
 // Splitter is the step that chooses the service of each request. It chooses the service that is
@@ -19,6 +20,8 @@
 
 // routeDeficits holds how far each service of a route is behind its weight.
 type routeDeficits struct {
+	// index is that of the newest view of which the route was.
+	index    uint64
 	route    *parser.Route
 	deficits []float64
 }
@@ -35,22 +38,26 @@
 
 func (s *Splitter) split(_ context.Context, e *handler.Exchange) handler.Outcome {
 	if len(e.Route.WeightedServices) > 1 {
-		e.Service = s.nextService(e.Route)
+		e.Service = s.nextService(e.View, e.Route)
 		e.Selection = handler.Selection{Version: e.Service.Version}
 	}
 	return handler.Outcome{}
 }
 
-// nextService returns the service of the next request, and updates the deficits of the route.
-func (s *Splitter) nextService(r *parser.Route) *parser.Service {
+// nextService returns the service of the next request, and updates the deficits of the route. The request of an
+// older view follows the newer route, whose deficits it would otherwise clear.
+func (s *Splitter) nextService(v *receiver.View, r *parser.Route) *parser.Service {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	t := s.routes[r.Name]
+	if t != nil && v.Index < t.index {
+		r = t.route
+	}
 	if t == nil || !sameParts(t.route, r) {
 		t = &routeDeficits{deficits: make([]float64, len(r.WeightedServices))}
 		s.routes[r.Name] = t
 	}
-	t.route = r
+	t.route, t.index = r, max(t.index, v.Index)
 	total, best := 0.0, 0
 	for i, p := range r.WeightedServices {
 		total += p.Weight
