Send to the address that a permit's target has now

What callers saw, in deployments with roles: a request that waited long for its permit was sent to the address that the target had at the request's start.

Cause: a dispatcher grants permits by its latest view, and the entry looked up the target, and the regions to ask, in the view of the request's start.

Change: both follow from the latest configuration.

--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -127,7 +127,7 @@
 // send forwards a request to the target of a permit. retry is true if the request may be
 // sent to another target.
 func (d *Dispatcher) send(ctx context.Context, e *handler.Exchange, selection handler.Selection, held *HeldPermit) (o handler.Outcome, retry bool) {
-	t := e.View.Configuration.Targets[held.Target]
+	t := findTarget(e, held.Target)
 	if t == nil {
 		d.config.Client.Release(held, Result{})
 		return handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoCapacity), true
@@ -143,6 +143,26 @@
 	return o, mayRetry && !e.ResponseStarted && callerWaiting && result.Failed
 }
 
+// findTarget returns the target of a permit, or nil. The request may have waited long for the permit, and the
+// dispatcher grants it by its own latest view.
+func findTarget(e *handler.Exchange, name string) *parser.Target {
+	c, _ := latestConfiguration(e)
+	return c.Targets[name]
+}
+
+// latestConfiguration returns the latest configuration and the request's service in it. A service that is gone is
+// returned as the request found it, since its targets may still serve.
+func latestConfiguration(e *handler.Exchange) (*parser.Configuration, *parser.Service) {
+	c, service := e.LatestView().Configuration, e.Route.Service
+	if c == nil {
+		return e.View.Configuration, service
+	}
+	if s := c.Services[service.Name]; s != nil {
+		service = s
+	}
+	return c, service
+}
+
 // noPermitOutcome returns the outcome of a request that got no permit. After the first
 // attempt it is the outcome of the attempt before, which may have run the request.
 func (d *Dispatcher) noPermitOutcome(ctx context.Context, e *handler.Exchange, last handler.Outcome, attempt int) handler.Outcome {
@@ -171,7 +191,8 @@
 		}
 		*selection = *e.Fallback
 	}
-	regions := regionsByDelay(e.View.Configuration, e.Route.Service, *selection, d.homeRegion(*selection))
+	c, service := latestConfiguration(e)
+	regions := regionsByDelay(c, service, *selection, d.homeRegion(*selection))
 	if len(regions) > 1 {
 		if h := d.tryRegions(ctx, e, *selection, excluded); h != nil {
 			return h
@@ -183,8 +204,8 @@
 // tryRegions asks the nearest region and waits there as long as the round trip to the next one
 // takes, then asks the others without a wait.
 func (d *Dispatcher) tryRegions(ctx context.Context, e *handler.Exchange, selection handler.Selection, excluded []string) *HeldPermit {
-	c := e.View.Configuration
-	regions := regionsByDelay(c, e.Route.Service, selection, d.homeRegion(selection))
+	c, service := latestConfiguration(e)
+	regions := regionsByDelay(c, service, selection, d.homeRegion(selection))
 	for i, region := range regions {
 		wait := time.Duration(0)
 		if i == 0 {
--- a/entry/dispatcher/retry_test.go
+++ b/entry/dispatcher/retry_test.go
@@ -79,3 +79,27 @@
 		})
 	}
 }
+
+// Guards against a request that waited for its permit and is sent to the address that the target had at the
+// request's start, which may be another's by now.
+func TestSendsToTheLatestAddress(t *testing.T) {
+	is := is.New(t)
+	d, e := newRetrying(t, []handler.Outcome{handler.Answered()})
+	latest := *e.View
+	c := *e.View.Configuration
+	c.Targets = map[string]*parser.Target{}
+	for name, old := range e.View.Configuration.Targets {
+		n := *old
+		n.Address = "moved"
+		c.Targets[name] = &n
+	}
+	latest.Configuration = &c
+	e.CurrentView = func() *receiver.View { return &latest }
+	address := ""
+	d.config.Forward = func(_ context.Context, _ *handler.Exchange, t *parser.Target) (handler.Outcome, Result) {
+		address = t.Address
+		return handler.Answered(), Result{}
+	}
+	is.Equal(d.dispatch(t.Context(), e).Run, handler.Done)
+	is.Equal(address, "moved")
+}
