Charge requests at the latest rate of their team

What callers saw: after a team's limit was lowered, an attempt of a request that had started before filled the team's bucket at the old rate, and up to the old burst, for all requests; with lent tokens it dropped those that were held.

Cause: the limiter used the team of the request's start, also for retries seconds later. The bucket is shared, so that an older rate sets it back.

Change: the limiter takes the rate of the latest configuration, under the mutex of the bucket.

Before: TestRetryIsChargedAtTheLatestRate fails (more than the 2 requests of the latest burst are admitted). After: it passes. The test of a refusal has a view now, as the program always has; its checks are unchanged.

--- a/entry/limiter/share.go
+++ b/entry/limiter/share.go
@@ -134,14 +134,18 @@
 
 // admit spends a token of the exchange's team, or refuses the request.
 func (d *ShareLimiter) admit(ctx context.Context, e *handler.Exchange) handler.Outcome {
-	if d.config.Borrower != nil && d.config.Share(e.Team.Name) == 0 {
-		o, divided := d.borrow(ctx, e)
+	t := d.latest(e.Team)
+	if t.Unlimited {
+		return handler.Outcome{}
+	}
+	if d.config.Borrower != nil && d.config.Share(t.Name) == 0 {
+		o, divided := d.borrow(ctx, e, t)
 		if !divided {
 			return o
 		}
 		d.awaitShare(ctx, e)
 	}
-	wait, ok := d.take(e.Team)
+	wait, ok := d.take(t)
 	switch {
 	case !ok && ctx.Err() != nil:
 		return handler.Abandoned(ctx, http.StatusTooManyRequests)
@@ -162,13 +166,13 @@
 }
 
 // borrow spends a token lent by control. divided is true if the team's rate is divided instead.
-func (d *ShareLimiter) borrow(ctx context.Context, e *handler.Exchange) (o handler.Outcome, divided bool) {
-	v := d.config.Borrower.Take(ctx, e.Team, e.Deadline-d.config.Clock.Now())
+func (d *ShareLimiter) borrow(ctx context.Context, e *handler.Exchange, t *parser.Team) (o handler.Outcome, divided bool) {
+	v := d.config.Borrower.Take(ctx, t, e.Deadline-d.config.Clock.Now())
 	e.Trace.Loan = v.String()
 	if v.Divided {
 		return handler.Outcome{}, true
 	}
-	d.countRequest(e.Team)
+	d.countRequest(t)
 	switch {
 	case v.Admitted:
 		return handler.Outcome{}, false
@@ -215,6 +219,7 @@
 func (d *ShareLimiter) take(t *parser.Team) (wait time.Duration, ok bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	t = d.latest(t) // under the mutex, so that no older rate fills the bucket
 	now := d.config.Clock.Now()
 	b := d.bucket(t)
 	b.rate.Add(now, 1)
@@ -235,6 +240,14 @@
 	return wait, true
 }
 
+// latest returns the team of the latest configuration. A request that waited may have an older one.
+func (d *ShareLimiter) latest(t *parser.Team) *parser.Team {
+	if c := d.config.View().Configuration; c != nil && c.Teams[t.Name] != nil {
+		return c.Teams[t.Name]
+	}
+	return t
+}
+
 func (d *ShareLimiter) bucket(t *parser.Team) *shareBucket {
 	b := d.teams[t.Name]
 	if b == nil {
--- a/entry/limiter/share_test.go
+++ b/entry/limiter/share_test.go
@@ -88,7 +88,9 @@
 	})
 	t.Run("a refusal sets RetryAfter", func(t *testing.T) {
 		is := is.New(t)
-		d := NewShareLimiter(ShareLimiterConfig{Clock: timekeeper.NewClock(), Share: func(string) float64 { return 0.01 }})
+		d := NewShareLimiter(ShareLimiterConfig{
+			Clock: timekeeper.NewClock(), View: func() *receiver.View { return &receiver.View{} }, Share: func(string) float64 { return 0.01 },
+		})
 		e := &handler.Exchange{Team: team}
 		d.limit(context.Background(), e)
 		o := d.limit(context.Background(), e)
@@ -122,3 +124,28 @@
 	}
 	is.True(admitted <= 50+12+8 && admitted >= 50+12+8-4) // four entries admit whole tokens only, so up to 4 are missing
 }
+
+// Guards against a request that waited, for instance for an earlier attempt, and fills its team's bucket at the rate
+// that the team had at the request's start.
+func TestRetryIsChargedAtTheLatestRate(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	before := &parser.Team{Name: "t", Rate: 1000, Burst: 1000}
+	latest := &receiver.View{Configuration: &parser.Configuration{Teams: map[string]*parser.Team{"t": {Name: "t", Rate: 2, Burst: 2}}}}
+	d := NewShareLimiter(ShareLimiterConfig{
+		Clock: timekeeper.Clock{Now: func() time.Duration { return now }}, View: func() *receiver.View { return latest },
+		Share: func(string) float64 { return 1 },
+	})
+	_ = d.RequestRates() // creates the bucket
+	_, _ = d.take(before)
+	now += 10 * time.Second
+	admitted := 0
+	for range 100 {
+		if wait, ok := d.take(before); ok && wait == 0 {
+			admitted++
+		}
+	}
+	is.Equal(admitted, 2)
+	latest = &receiver.View{Configuration: &parser.Configuration{Teams: map[string]*parser.Team{"t": {Name: "t", Unlimited: true}}}}
+	is.True(!d.admit(context.Background(), &handler.Exchange{Team: before}).IsFinal())
+}
