Never count the orders of an ended term anew

By reading: counts that start again would make old fences current. A member reads terms in ascending order, so that no order could meet it; the counts no longer depend on that. Also look up a permit's target where it is used.

TestFences covers it; the packages control/administrator and entry/dispatcher pass.

--- a/control/administrator/fences.go
+++ b/control/administrator/fences.go
@@ -1,8 +1,6 @@
 package administrator
 
-import (
-	"github.com/filberthoist/filberthoist/core/wire"
-)
+import "github.com/filberthoist/filberthoist/core/wire"
 
 // fences counts the orders of one term by what they concern. An order without a version may be delivered
 // long after its sender gave up and sent a newer one. The count outdates it: its sender read a fence before
@@ -29,8 +27,9 @@
 	}
 }
 
+// enter starts the counts of a term. Those of a term that has ended are never counted anew.
 func (f *fences) enter(term uint64) {
-	if f.term != term || f.orders == nil {
+	if f.term < term {
 		f.term, f.orders = term, map[string]uint64{}
 	}
 }
--- a/control/administrator/fences_test.go
+++ b/control/administrator/fences_test.go
@@ -109,6 +109,8 @@
 	is.True(f.current(7, "service lamps").GetOrders() != first.GetOrders())
 	is.Equal(f.current(8, "service lamps").GetTerm(), uint64(8))
 	is.Equal(f.current(8, "service lamps").GetOrders(), uint64(0))
+	f.advance(8, "service lamps")
+	is.Equal(f.current(7, "service lamps").GetOrders(), uint64(1)) // the count doesn't start again
 }
 
 // Guards against refusing the orders that a member of a release without fences forwards during an upgrade.
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -127,7 +127,8 @@
 // send forwards a request to the target of a permit. retry is true if the request may be
 // sent to another target.
 func (d *Dispatcher) send(ctx context.Context, e *handler.Exchange, selection handler.Selection, held *HeldPermit) (o handler.Outcome, retry bool) {
-	t := findTarget(e, held.Target)
+	c, _ := latestConfiguration(e) // the dispatcher grants permits by its latest view
+	t := c.Targets[held.Target]
 	if t == nil {
 		d.config.Client.Release(held, Result{})
 		return handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoCapacity), true
@@ -143,13 +144,6 @@
 	return o, mayRetry && !e.ResponseStarted && callerWaiting && result.Failed
 }
 
-// findTarget returns the target of a permit, or nil. The request may have waited long for the permit, and the
-// dispatcher grants it by its own latest view.
-func findTarget(e *handler.Exchange, name string) *parser.Target {
-	c, _ := latestConfiguration(e)
-	return c.Targets[name]
-}
-
 // latestConfiguration returns the latest configuration and the request's service in it. A service that is gone is
 // returned as the request found it, since its targets may still serve.
 func latestConfiguration(e *handler.Exchange) (*parser.Configuration, *parser.Service) {
