Send orders with fences in the test of a leader's stop

Each sender now evacuates a zone of its own and sends the fence that a conflict gives it. A conflict is a known outcome, nothing was proposed; all checks are as before, so each sender must have orders accepted, and none may end unknown.

--- a/control/stop_test.go
+++ b/control/stop_test.go
@@ -24,6 +24,9 @@
 // waitTimeout ends a test that hangs; it does not check the speed.
 const waitTimeout = 20 * time.Second
 
+// orderers is the number of senders of orders, each of which evacuates a zone of its own.
+const orderers = 8
+
 // testMember is a control process in the test's own process.
 type testMember struct {
 	app                     *fx.App
@@ -34,7 +37,10 @@
 func startMembers(t *testing.T) []*testMember {
 	t.Helper()
 	var out []*testMember
-	var founders []string
+	var founders, zones []string
+	for i := range orderers {
+		zones = append(zones, fmt.Sprint("north", i, " north"))
+	}
 	for range 3 {
 		out = append(out, &testMember{peerAddress: freeAddress(t), operations: freeAddress(t)})
 		founders = append(founders, out[len(out)-1].peerAddress)
@@ -43,7 +49,7 @@
 		text := fmt.Sprintf(`[member]
 name = control%d
 region = north
-availabilityZone = north1
+availabilityZone = north0
 [listen]
 peer = %s
 administration = %s
@@ -55,12 +61,12 @@
 form = true
 first = true
 [regions]
-availabilityZones = north1 north
+availabilityZones = %s
 [roles]
 assign = false
 [log]
 level = error
-`, i, m.peerAddress, m.operations, freeAddress(t), t.TempDir(), strings.Join(founders, ", "))
+`, i, m.peerAddress, m.operations, freeAddress(t), t.TempDir(), strings.Join(founders, ", "), strings.Join(zones, ", "))
 		s, err := ReadSettings(loader.Parse([]byte(text)))
 		if err != nil {
 			t.Fatal(err)
@@ -101,9 +107,11 @@
 // orderer sends orders on one connection until the member ends it.
 type orderer struct {
 	address string
+	zone    string
 	pause   time.Duration
-	// accepted and unknown count the answers to orders, refusals those with status 503.
-	accepted, unknown, refusals int
+	// accepted and unknown count the answers to orders, refusals those with status 503, and conflicts those
+	// that nothing was proposed and that have the fence for the next order.
+	accepted, unknown, refusals, conflicts int
 	// cut is what ended the connection of an order without an answer.
 	cut error
 }
@@ -115,9 +123,10 @@
 		return
 	}
 	defer c.Close()
-	r := bufio.NewReader(c)
+	r, fence := bufio.NewReader(c), "null"
 	for {
-		body := `{"command":{"evacuate":{"availabilityZone":"north1"}}}`
+		body := fmt.Sprintf(`{"command":{"evacuate":{"availabilityZone":%q}},"fence":%s}`, o.zone, fence)
+		fence = "null"
 		_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
 			wireconnect.AdministrationServiceOrderProcedure, len(body), body)
 		if err != nil {
@@ -129,7 +138,10 @@
 			o.cut = err
 			return
 		}
-		var answer struct{ Result string }
+		var answer struct {
+			Result string
+			Fence  json.RawMessage
+		}
 		_ = json.NewDecoder(p.Body).Decode(&answer) // a refusal has none
 		_ = p.Body.Close()
 		switch {
@@ -137,6 +149,9 @@
 			o.refusals++
 		case answer.Result == wire.SubmitResult_SUBMIT_RESULT_ACCEPTED.String():
 			o.accepted++
+		case answer.Result == wire.SubmitResult_SUBMIT_RESULT_CONFLICT.String():
+			o.conflicts++
+			fence = string(answer.Fence)
 		default:
 			o.unknown++
 		}
@@ -154,8 +169,8 @@
 	leader := startMembers(t)[0]
 	var group sync.WaitGroup
 	var senders []*orderer
-	for i := range 8 {
-		o := &orderer{address: leader.operations, pause: time.Duration(1+5*i) * time.Millisecond}
+	for i := range orderers {
+		o := &orderer{address: leader.operations, zone: fmt.Sprint("north", i), pause: time.Duration(1+5*i) * time.Millisecond}
 		senders = append(senders, o)
 		group.Go(o.run)
 	}
