Record how the response to each attempt was matched to its request

Attempts without an answer now show the response's status, whether it bore the request's ID, how many requests and how many of the same ID its connection had carried, and how many responses were skipped before it. Skipped responses are counted (responsesSkipped) and logged (event 510). No decision changes.

--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -65,6 +65,7 @@
 	ResponseLost       = Event{507, "responseLost", log.WarnLevel, "A request was read and its response not sent as a whole; the fields show who ended the connection, and the status of the response, or 0 if there was none."}
 	IdleClosed         = Event{508, "idleClosed", log.InfoLevel, "A shutdown closed a connection on which no request had been read; one that was under way gets no response."}
 	InputBehindEnd     = Event{509, "inputBehindEnd", log.InfoLevel, "Input behind a response that announced the end of its connection was discarded; its caller sends it again."}
+	ResponseSkipped    = Event{510, "responseSkipped", log.WarnLevel, "A target's response does not count for the request that waited on its connection; the fields show its status, its ID, and how many requests the connection had carried."}
 	TargetEjected      = Event{601, "targetEjected", log.WarnLevel, "A target failed repeatedly and gets only probes."}
 	TargetReadmitted   = Event{602, "targetReadmitted", log.InfoLevel, "A probe succeeded; the target gets requests again."}
 	TargetLeaving      = Event{603, "targetLeaving", log.InfoLevel, "A target is leaving and gets no new requests."}
@@ -102,7 +103,7 @@
 	OrderAccepted, OrderRefused, OrderUnknown, AllocationInUse, EvacuationsInForce,
 	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed, OrderOutdated,
 	EntryJoined, EntryRemoved, RoleAssigned, EntryStateChanged,
-	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed, InputDiscarded, ResponseLost, IdleClosed, InputBehindEnd,
+	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed, InputDiscarded, ResponseLost, IdleClosed, InputBehindEnd, ResponseSkipped,
 	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent, TargetsUnreachable, TargetsReachable, TargetTurnsAway,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
 	OwnerStarted, SharesInUse, TokensUnavailable, TokensAvailable, SharesAwaited, SharesOverdrawn, SharesCovered, AllowanceBegun,
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -298,5 +298,8 @@
 	case s.Response == nil:
 		v.Result = string(s.Outcome.Reason)
 	}
+	if s.Response == nil {
+		v.Evidence = s.Evidence()
+	}
 	return v
 }
--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"github.com/filberthoist/filberthoist/core/peeker"
@@ -70,6 +71,8 @@
 	// IsOwnResponse reports from the head of a response whether the target itself made it; nil
 	// means that all are.
 	IsOwnResponse func(status int, h http.Header) bool
+	// Skipped is called for each response that was read and does not count; nil means never.
+	Skipped func(address string, r *Request, a *Response)
 }
 
 // Carrier holds the connections to all targets. It is safe for concurrent use.
@@ -105,12 +108,26 @@
 	// Remainder reads the part of the body after Body as it arrives; it must be read to its end or
 	// closed.
 	Remainder io.ReadCloser
+	// Match describes the evidence that the response belongs to the request.
+	Match Match
 	// CloseAfter means that the target closes the connection after the response.
 	CloseAfter bool
 	// DialTime is the time that it took to open a new connection; 0 for a reused one.
 	DialTime time.Duration
 }
 
+// Match describes how a response was matched to its request.
+type Match struct {
+	// ID is the ID in the response; empty if it has none.
+	ID string
+	// Earlier is the number of requests that the connection carried before, and SameID the number of
+	// those with the request's ID.
+	Earlier int
+	SameID  int
+	// Skipped is the number of responses that were read before and don't count.
+	Skipped int
+}
+
 // Failure describes why there is no response.
 type Failure struct {
 	Err error
@@ -207,7 +224,7 @@
 }
 
 func (c *Carrier) putIdle(n *connection) {
-	n.idleSince, n.used = c.config.Clock.Now(), true
+	n.idleSince = c.config.Clock.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	list := c.idle[n.address]
@@ -273,8 +290,8 @@
 	idleTimeout time.Duration
 	// idleSince is when the connection became idle.
 	idleSince time.Duration
-	// used means that the connection carried an earlier request.
-	used bool
+	// carried holds the digests of the IDs of all requests that the connection carried.
+	carried []uint64
 	// bodySent is closed once a body that is sent concurrently is written or has failed; nil if there
 	// is none.
 	bodySent chan struct{}
@@ -304,7 +321,9 @@
 
 // exchange sends a request and reads the response with its ID, or with none.
 func (n *connection) exchange(r *Request, c Config) (a *Response, sent bool, err error) {
-	head := r.head()
+	head, id := r.head(), xxhash.Sum64String(r.ID)
+	match := Match{Earlier: len(n.carried), SameID: count(n.carried, id)}
+	n.carried = append(n.carried, id)
 	n.bodySent = nil
 	if len(r.Body) < concurrentBodyBytes {
 		_, err = n.socket.Write(append(head, r.Body...))
@@ -320,16 +339,32 @@
 		if err != nil {
 			return nil, true, err
 		}
-		if id := a.Header.Get(c.RequestHeader); c.RequestHeader == "" || id == r.ID || id == "" {
+		match.ID = a.Header.Get(c.RequestHeader)
+		a.Match = match
+		if c.RequestHeader == "" || match.ID == r.ID || match.ID == "" {
 			return a, true, nil
 		}
-		if !n.used || a.CloseAfter || a.Remainder != nil {
+		if c.Skipped != nil {
+			c.Skipped(n.address, r, a)
+		}
+		match.Skipped++
+		if match.Earlier == 0 || a.CloseAfter || a.Remainder != nil {
 			break // only a used connection can hold responses to earlier requests
 		}
 	}
 	return nil, true, ErrUnmatched
 }
 
+func count(list []uint64, v uint64) int {
+	n := 0
+	for _, x := range list {
+		if x == v {
+			n++
+		}
+	}
+	return n
+}
+
 // run sends a long request while its response is awaited.
 func (n *connection) run(head, body []byte) {
 	defer close(n.bodySent)
--- a/entry/carrier/carrier_test.go
+++ b/entry/carrier/carrier_test.go
@@ -185,6 +185,32 @@
 	is.True(failure.Sent)
 }
 
+// TestMatch checks what is recorded about how a response was matched to its request.
+func TestMatch(t *testing.T) {
+	is := is.New(t)
+	address, _ := newTarget(t, func(b *bufio.Reader, c net.Conn, _ int64) {
+		for i := 0; ; i++ {
+			r, err := http.ReadRequest(b)
+			if err != nil {
+				return
+			}
+			if i > 0 {
+				writeResponse(c, "stray", "Content-Length: 0\r\n", "")
+			}
+			writeResponse(c, r.Header.Get("X-Id"), "Content-Length: 0\r\n", "")
+		}
+	})
+	n := newCarrier(t)
+	var skipped []string
+	n.config.Skipped = func(_ string, r *Request, a *Response) { skipped = append(skipped, r.ID+" "+a.Match.ID) }
+	for i, want := range []Match{{ID: "one"}, {ID: "two", Earlier: 1, Skipped: 1}, {ID: "three", Earlier: 2, Skipped: 1}} {
+		a, failure := n.Exchange(context.Background(), address, newRequest([]string{"one", "two", "three"}[i]))
+		is.True(failure == nil)
+		is.Equal(a.Match, want)
+	}
+	is.Equal(skipped, []string{"two stray", "three stray"})
+}
+
 // TestBroken checks that an incomplete, malformed or unmatched response is a failure, that the request
 // counts as sent, and that it is not sent again.
 func TestBroken(t *testing.T) {
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -175,6 +175,9 @@
 	case s.Response == nil:
 		v.Result = string(s.Outcome.Reason)
 	}
+	if declined != "" {
+		v.Evidence = s.Evidence()
+	}
 	return v
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -342,9 +342,9 @@
 	})
 }
 
-func newForwarder(x Extensions, c timekeeper.Clock, v *receiver.Receiver, n *detector.Detector, l fx.Lifecycle) *forwarder.Forwarder {
-	f := forwarder.NewForwarder(forwarder.Config{Clock: c, Fresh: v.Fresh, Dialect: &x.Dialect, Record: n.Record})
-	l.Append(fx.StopHook(f.Close))
+func newForwarder(x Extensions, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, n *detector.Detector, h fx.Lifecycle) *forwarder.Forwarder {
+	f := forwarder.NewForwarder(forwarder.Config{Clock: c, Fresh: v.Fresh, Dialect: &x.Dialect, Record: n.Record, Logger: l, Scope: r.Scope})
+	h.Append(fx.StopHook(f.Close))
 	return f
 }
 
--- a/entry/forwarder/delegate.go
+++ b/entry/forwarder/delegate.go
@@ -34,7 +34,7 @@
 		}
 		return &SendResult{Outcome: handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUnmatched)}
 	}
-	s := &SendResult{Response: response}
+	s := &SendResult{Response: response, Status: response.Status, Match: response.Match}
 	if statesLeaving(f.config.Dialect.Leaving, response.Header) {
 		s.LeavingTarget = response.Header.Get(f.config.Dialect.Delegated)
 	}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -12,6 +12,9 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
+	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/entry/carrier"
@@ -32,12 +35,16 @@
 	// Record is called after each exchange with whether the target was reached, unless the end of the
 	// exchange does not show it; nil means never.
 	Record func(t *parser.Target, reached bool)
+	Logger logger.Logger
+	// Scope counts responses that don't count; nil counts nothing.
+	Scope tally.Scope
 }
 
 // Forwarder sends requests to the targets of upstreams.
 type Forwarder struct {
 	config  Config
 	carrier *carrier.Carrier
+	skipped tally.Counter
 }
 
 // SendResult is the result of sending a request to one target.
@@ -63,6 +70,10 @@
 	Load *Load
 	// DialTime is the time that establishing the connection took; 0 for a reused one.
 	DialTime time.Duration
+	// Status is the status of the target's response, and Match how it was matched to the request; 0 and
+	// the zero value if there was none.
+	Status int
+	Match  carrier.Match
 }
 
 // Load is the load that a target reports in a response: numbers of running and waiting requests
@@ -73,14 +84,27 @@
 	Slots   int
 }
 
+// Evidence describes the response for the request's log line. It is nil if there was none.
+func (s *SendResult) Evidence() *handler.Evidence {
+	if s.Status == 0 {
+		return nil
+	}
+	return &handler.Evidence{Status: s.Status, HasID: s.Match.ID != "", Earlier: s.Match.Earlier, SameID: s.Match.SameID, Skipped: s.Match.Skipped}
+}
+
 // NewForwarder returns a Forwarder.
 func NewForwarder(c Config) *Forwarder {
 	if c.Dialect == nil {
 		d := handler.DefaultDialect()
 		c.Dialect = &d
 	}
-	f := &Forwarder{config: c}
-	f.carrier = carrier.NewCarrier(carrier.Config{Clock: c.Clock, RequestHeader: c.Dialect.RequestID, IsOwnResponse: f.isOwnResponse})
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	f := &Forwarder{config: c, skipped: c.Scope.Counter("responsesSkipped")}
+	f.carrier = carrier.NewCarrier(carrier.Config{
+		Clock: c.Clock, RequestHeader: c.Dialect.RequestID, IsOwnResponse: f.isOwnResponse, Skipped: f.recordSkipped,
+	})
 	return f
 }
 
@@ -165,6 +189,13 @@
 	}
 }
 
+// recordSkipped counts and logs a response that doesn't count for a request.
+func (f *Forwarder) recordSkipped(address string, r *carrier.Request, a *carrier.Response) {
+	f.skipped.Inc(1)
+	f.config.Logger.Log(logger.ResponseSkipped, logger.F("request", r.ID), logger.F("address", address), logger.F("status", a.Status),
+		logger.F("responseTo", a.Match.ID), logger.F("earlier", a.Match.Earlier), logger.F("sameId", a.Match.SameID))
+}
+
 // classifyFailure returns the result of a request without a response. It is certain that the
 // request did not run only if nothing was sent.
 func (f *Forwarder) classifyFailure(ctx context.Context, e *handler.Exchange, n *carrier.Failure, left time.Duration) *SendResult {
@@ -194,7 +225,9 @@
 // classifyResponse returns what a response means for the request and for its target.
 func (f *Forwarder) classifyResponse(e *handler.Exchange, t *parser.Target, response *carrier.Response, took time.Duration) *SendResult {
 	d := f.config.Dialect
-	s := &SendResult{Load: parseLoad(response.Header.Get(d.Load)), DialTime: response.DialTime}
+	s := &SendResult{
+		Load: parseLoad(response.Header.Get(d.Load)), DialTime: response.DialTime, Status: response.Status, Match: response.Match,
+	}
 	switch {
 	case d.ExpectedTarget != "" && response.Status == http.StatusMisdirectedRequest:
 		s.Misdirected, s.Refused = true, true
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -123,6 +123,21 @@
 	Warm     bool
 	Result   string
 	Duration time.Duration
+	// Evidence is the response by which the request was refused, or its outcome is unknown; nil if there
+	// was none or the request was answered.
+	Evidence *Evidence
+}
+
+// Evidence describes a response: its status and how it was matched to the request.
+type Evidence struct {
+	Status int
+	// HasID reports whether the response bore the request's ID.
+	HasID bool
+	// Earlier is the number of requests that the connection had carried before, SameID the number of
+	// those with the request's ID, and Skipped the number of responses that were skipped before.
+	Earlier int
+	SameID  int
+	Skipped int
 }
 
 // String formats an attempt for a log line.
@@ -130,8 +145,12 @@
 	if v.Target == "" {
 		return fmt.Sprintf("%s: the best has room in %v", v.Result, v.Wait.Round(time.Millisecond))
 	}
-	return fmt.Sprintf("%s %s: load %.1f wait %v expected %v rank %d warm %t, %s after %v", v.Target, v.AvailabilityZone,
+	text := fmt.Sprintf("%s %s: load %.1f wait %v expected %v rank %d warm %t, %s after %v", v.Target, v.AvailabilityZone,
 		v.Load, v.Wait.Round(time.Millisecond), v.Expected.Round(time.Millisecond), v.Rank, v.Warm, v.Result, v.Duration.Round(time.Millisecond))
+	if e := v.Evidence; e != nil {
+		text += fmt.Sprintf(" by status %d id %t earlier %d sameId %d skipped %d", e.Status, e.HasID, e.Earlier, e.SameID, e.Skipped)
+	}
+	return text
 }
 
 // Allows reports whether a version may serve.
