--- a/entry/carrier/carrier_test.go
+++ b/entry/carrier/carrier_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -185,6 +186,54 @@
 	is.True(failure.Sent)
 }
 
+// TestCopiesOfRefusals guards against a promise that a request has not run, made by an additional response to an
+// earlier try, while the target runs the later one.
+func TestCopiesOfRefusals(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\n%sX-Not-Run: full\r\nContent-Length: 0\r\n\r\n"
+	cases := []struct {
+		name string
+		// ids are the IDs of the requests that are sent one after the other.
+		ids []string
+		// copied is the header of the copy with which a target precedes its second response.
+		copied string
+	}{
+		{"the same request comes again", []string{"one", "one"}, "X-Id: one\r\n"},
+		{"the same request comes again later", []string{"one", "two", "one"}, "X-Id: one\r\n"},
+		{"the copy has no ID", []string{"one", "two"}, ""},
+		{"the copy bears the ID of the earlier request", []string{"one", "two"}, "X-Id: one\r\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			last := len(c.ids) - 1
+			var requests atomic.Int64
+			address, _ := newTarget(t, func(b *bufio.Reader, conn net.Conn, _ int64) {
+				for i := 0; ; i++ {
+					r, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					id := r.Header.Get("X-Id")
+					if i == last {
+						_, _ = fmt.Fprintf(conn, refusal, c.copied)
+					}
+					if requests.Add(1) == 1 {
+						_, _ = fmt.Fprintf(conn, refusal, "X-Id: "+id+"\r\n")
+						continue
+					}
+					writeResponse(conn, id, "Content-Length: 3\r\n", "ran")
+				}
+			})
+			n := newCarrier(t)
+			for i, id := range c.ids {
+				a, failure := n.Exchange(context.Background(), address, newRequest(id))
+				is.True(failure == nil)
+				is.Equal(a.Status == http.StatusOK, i > 0) // the target ran all but the first
+			}
+		})
+	}
+}
+
 // TestMatch checks what is recorded about how a response was matched to its request.
 func TestMatch(t *testing.T) {
 	is := is.New(t)
