Send requests with the same ID on different connections

What callers saw: an unsafe request was refused with 503 and ran all the same, or ran twice.

Cause: the ID in a response tells which request of a connection it answers only if the connection carries the ID once. The ID is the caller's on the users' platform and stays the same for each try, and a target may send the copy of a refusal late. If a refused request went over the same connection again, the copy of the first refusal answered the second try, which the target ran.

Ruled out: within one entry, a request does not come back to a target by name; but two listed targets may have one address, and a caller may send its refused request again under its ID. Closing the connection after each refusal would cost a new connection for each refusal, and that under overload.

Change: a connection remembers digests of the IDs that it carried, and a request goes over one that has not carried its own, or over a new one. After 1,024 requests a connection is closed, which bounds its memory to 8 KB.

--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -11,6 +11,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -53,6 +54,9 @@
 	// target may respond before it has read the whole body.
 	concurrentBodyBytes = 2 << 10
 	maxIdlePerTarget    = 32
+	// maxCarried is the number of requests after which a connection is closed, since it remembers their
+	// IDs.
+	maxCarried = 1024
 	// maxInterimResponses is how many interim responses (1xx) are skipped before the final one.
 	maxInterimResponses = 8
 )
@@ -75,7 +79,8 @@
 	Skipped func(address string, r *Request, a *Response)
 }
 
-// Carrier holds the connections to all targets. It is safe for concurrent use.
+// Carrier holds the connections to all targets. It sends requests with the same ID on different
+// connections, so that the ID in a response tells which of them it answers. It is safe for concurrent use.
 type Carrier struct {
 	config Config
 	dialer net.Dialer
@@ -120,10 +125,8 @@
 type Match struct {
 	// ID is the ID in the response; empty if it has none.
 	ID string
-	// Earlier is the number of requests that the connection carried before, and SameID the number of
-	// those with the request's ID.
+	// Earlier is the number of requests that the connection carried before.
 	Earlier int
-	SameID  int
 	// Skipped is the number of responses that were read before and don't count.
 	Skipped int
 }
@@ -190,7 +193,7 @@
 	if ctx.Err() != nil {
 		return nil, &Failure{Err: ctx.Err()} // closing an idle connection would come too late to stop the request
 	}
-	n, dialed, err := c.acquire(ctx, address, r.AtMostOnce)
+	n, dialed, err := c.acquire(ctx, address, r)
 	if err != nil {
 		return nil, &Failure{Err: err, Refused: true}
 	}
@@ -216,7 +219,7 @@
 
 // recycle keeps a connection for the next request if it is reusable, and closes it otherwise.
 func (c *Carrier) recycle(n *connection, stop func() bool, reusable bool) {
-	if !stop() || !reusable || n.reader.Buffered() > 0 || n.isSending() {
+	if !stop() || !reusable || n.reader.Buffered() > 0 || n.isSending() || len(n.carried) >= maxCarried {
 		n.close()
 		return
 	}
@@ -235,9 +238,10 @@
 	c.idle[n.address] = append(list, n)
 }
 
-// acquire returns an idle connection that is still open, or a new one with the time it took to dial.
-func (c *Carrier) acquire(ctx context.Context, address string, once bool) (*connection, time.Duration, error) {
-	for n := c.takeIdle(address, once); n != nil; n = c.takeIdle(address, once) {
+// acquire returns an idle connection that is still open and has not carried the request's ID, or a new
+// one with the time it took to dial.
+func (c *Carrier) acquire(ctx context.Context, address string, r *Request) (*connection, time.Duration, error) {
+	for n := c.takeIdle(address, r); n != nil; n = c.takeIdle(address, r) {
 		if n.isOpen() {
 			return n, 0, nil
 		}
@@ -253,30 +257,26 @@
 	return n, c.config.Clock.Now() - begun, nil
 }
 
-func (c *Carrier) takeIdle(address string, once bool) *connection {
+// takeIdle removes the newest idle connection that may carry a request and returns it, or nil.
+func (c *Carrier) takeIdle(address string, r *Request) *connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	n := list[len(list)-1]
-	reusable := time.Duration(float64(n.idleTimeout) * reusableFraction)
-	if once {
-		reusable /= 2
-	}
-	if c.config.Clock.Now()-n.idleSince > reusable {
-		if once {
-			return nil // requests that may be retried can still use it
-		}
+	list, now := c.idle[address], c.config.Clock.Now()
+	if len(list) > 0 && !list[len(list)-1].isReusable(now, false) {
 		delete(c.idle, address)
 		for _, old := range list {
 			old.close()
 		}
 		return nil
 	}
-	c.idle[address] = list[:len(list)-1]
-	return n
+	id := xxhash.Sum64String(r.ID)
+	for i, n := range slices.Backward(list) {
+		if n.isReusable(now, r.AtMostOnce) && !slices.Contains(n.carried, id) {
+			c.idle[address] = slices.Delete(list, i, i+1)
+			return n
+		}
+	}
+	return nil
 }
 
 // connection is one connection to a target.
@@ -301,6 +301,16 @@
 	_ = n.socket.Close() // the socket may be closed already
 }
 
+// isReusable reports whether the connection has been idle for so short a time that it can carry another
+// request. That time is shorter for requests that must not be retried.
+func (n *connection) isReusable(now time.Duration, once bool) bool {
+	limit := time.Duration(float64(n.idleTimeout) * reusableFraction)
+	if once {
+		limit /= 2
+	}
+	return now-n.idleSince <= limit
+}
+
 // isOpen reports whether the target has neither closed the connection nor sent anything on it.
 func (n *connection) isOpen() bool {
 	return n.reader.Buffered() == 0 && peeker.Peek(n.socket) == peeker.Quiet
@@ -321,9 +331,8 @@
 
 // exchange sends a request and reads the response with its ID, or with none.
 func (n *connection) exchange(r *Request, c Config) (a *Response, sent bool, err error) {
-	head, id := r.head(), xxhash.Sum64String(r.ID)
-	match := Match{Earlier: len(n.carried), SameID: count(n.carried, id)}
-	n.carried = append(n.carried, id)
+	head, match := r.head(), Match{Earlier: len(n.carried)}
+	n.carried = append(n.carried, xxhash.Sum64String(r.ID))
 	n.bodySent = nil
 	if len(r.Body) < concurrentBodyBytes {
 		_, err = n.socket.Write(append(head, r.Body...))
@@ -355,16 +364,6 @@
 	return nil, true, ErrUnmatched
 }
 
-func count(list []uint64, v uint64) int {
-	n := 0
-	for _, x := range list {
-		if x == v {
-			n++
-		}
-	}
-	return n
-}
-
 // run sends a long request while its response is awaited.
 func (n *connection) run(head, body []byte) {
 	defer close(n.bodySent)
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -89,7 +89,7 @@
 	if s.Status == 0 {
 		return nil
 	}
-	return &handler.Evidence{Status: s.Status, HasID: s.Match.ID != "", Earlier: s.Match.Earlier, SameID: s.Match.SameID, Skipped: s.Match.Skipped}
+	return &handler.Evidence{Status: s.Status, HasID: s.Match.ID != "", Earlier: s.Match.Earlier, Skipped: s.Match.Skipped}
 }
 
 // NewForwarder returns a Forwarder.
@@ -193,7 +193,7 @@
 func (f *Forwarder) recordSkipped(address string, r *carrier.Request, a *carrier.Response) {
 	f.skipped.Inc(1)
 	f.config.Logger.Log(logger.ResponseSkipped, logger.F("request", r.ID), logger.F("address", address), logger.F("status", a.Status),
-		logger.F("responseTo", a.Match.ID), logger.F("earlier", a.Match.Earlier), logger.F("sameId", a.Match.SameID))
+		logger.F("responseTo", a.Match.ID), logger.F("earlier", a.Match.Earlier))
 }
 
 // classifyFailure returns the result of a request without a response. It is certain that the
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -133,10 +133,9 @@
 	Status int
 	// HasID reports whether the response bore the request's ID.
 	HasID bool
-	// Earlier is the number of requests that the connection had carried before, SameID the number of
-	// those with the request's ID, and Skipped the number of responses that were skipped before.
+	// Earlier is the number of requests that the connection had carried before, and Skipped the number of
+	// responses that were skipped before.
 	Earlier int
-	SameID  int
 	Skipped int
 }
 
@@ -148,7 +147,7 @@
 	text := fmt.Sprintf("%s %s: load %.1f wait %v expected %v rank %d warm %t, %s after %v", v.Target, v.AvailabilityZone,
 		v.Load, v.Wait.Round(time.Millisecond), v.Expected.Round(time.Millisecond), v.Rank, v.Warm, v.Result, v.Duration.Round(time.Millisecond))
 	if e := v.Evidence; e != nil {
-		text += fmt.Sprintf(" by status %d id %t earlier %d sameId %d skipped %d", e.Status, e.HasID, e.Earlier, e.SameID, e.Skipped)
+		text += fmt.Sprintf(" by status %d id %t earlier %d skipped %d", e.Status, e.HasID, e.Earlier, e.Skipped)
 	}
 	return text
 }
