Believe a refusal only if it is certain which request it answers

Cause: a response without an ID counted as the answer to the request under way, on connections that had carried earlier requests too, and its X-Not-Executed was believed. It may be an additional response to an earlier request.

Ruled out: no deployment of the users' platform has targets without IDs; upstreams of the project's own interface may have.

Change: once a response on a connection bore an ID, one without is skipped like one with another ID. Where no response had one, a refusal is believed only as the first response of a connection; later it means that the request may have run. The fake upstreams echo the ID. Tests of the forwarder send a new ID with each request, as entries do: with one ID for all, TestNoReplay would no longer reuse a connection.

Evidence: TestCopiesOfRefusals/the_copy_has_no_ID and TestUncertainRefusals fail before and pass now.

--- a/bench/experimenter/outcomes.go
+++ b/bench/experimenter/outcomes.go
@@ -91,6 +91,7 @@
 func (u *onceUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
 	fault := u.drawFault()
+	w.Header().Set("Filberthoist-Request", r.Header.Get("Filberthoist-Request"))
 	switch fault {
 	case "closes unread":
 		panic(http.ErrAbortHandler) // net/http closes the connection
--- a/bench/faker/faker.go
+++ b/bench/faker/faker.go
@@ -151,6 +151,7 @@
 	if err != nil {
 		return
 	}
+	w.Header().Set(requestHeader, r.Header.Get(requestHeader))
 	faults, number, ok := f.startRequest(r)
 	if !ok {
 		w.Header().Set(outcomeHeader, "notRun")
--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -131,6 +131,12 @@
 	Skipped int
 }
 
+// IsCertain reports whether the response can't be an additional one to an earlier request: it bears an
+// ID, which a connection carries once, or no earlier request was sent on its connection.
+func (m Match) IsCertain() bool {
+	return m.ID != "" || m.Earlier == 0
+}
+
 // Failure describes why there is no response.
 type Failure struct {
 	Err error
@@ -292,6 +298,8 @@
 	idleSince time.Duration
 	// carried holds the digests of the IDs of all requests that the connection carried.
 	carried []uint64
+	// hasIDs means that a response on the connection bore an ID, so that all of the target's do.
+	hasIDs bool
 	// bodySent is closed once a body that is sent concurrently is written or has failed; nil if there
 	// is none.
 	bodySent chan struct{}
@@ -329,7 +337,8 @@
 	}
 }
 
-// exchange sends a request and reads the response with its ID, or with none.
+// exchange sends a request and reads the response with its ID. Until one has an ID, the target may
+// not echo them, and a response with none counts.
 func (n *connection) exchange(r *Request, c Config) (a *Response, sent bool, err error) {
 	head, match := r.head(), Match{Earlier: len(n.carried)}
 	n.carried = append(n.carried, xxhash.Sum64String(r.ID))
@@ -350,7 +359,8 @@
 		}
 		match.ID = a.Header.Get(c.RequestHeader)
 		a.Match = match
-		if c.RequestHeader == "" || match.ID == r.ID || match.ID == "" {
+		n.hasIDs = n.hasIDs || match.ID != ""
+		if c.RequestHeader == "" || match.ID == r.ID || !n.hasIDs {
 			return a, true, nil
 		}
 		if c.Skipped != nil {
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -228,11 +228,14 @@
 	s := &SendResult{
 		Load: parseLoad(response.Header.Get(d.Load)), DialTime: response.DialTime, Status: response.Status, Match: response.Match,
 	}
-	switch {
-	case d.ExpectedTarget != "" && response.Status == http.StatusMisdirectedRequest:
+	switch refused := d.Refused(response.Status, response.Header); {
+	case refused && !response.Match.IsCertain():
+		s.Result = dispatcher.Result{Failed: true}
+		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUnmatched)
+	case refused && response.Status == http.StatusMisdirectedRequest && d.ExpectedTarget != "":
 		s.Misdirected, s.Refused = true, true
 		s.Outcome = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoCapacity)
-	case d.Refused(response.Status, response.Header):
+	case refused:
 		s.Refused, s.Result = true, dispatcher.Result{Failed: true}
 		s.Outcome = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoCapacity)
 	case !f.isOwnResponse(response.Status, response.Header):
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -178,6 +178,29 @@
 	})
 }
 
+// TestUncertainRefusals guards against a promise that a request has not run, made by a response without an ID on a
+// connection on which an earlier request may have got two.
+func TestUncertainRefusals(t *testing.T) {
+	const refusal = "HTTP/1.1 503 No\r\nFilberthoist-Outcome: notRun\r\nContent-Length: 0\r\n\r\n"
+	r := newRawUpstream(t, func(r *rawUpstream, c net.Conn) {
+		defer c.Close()
+		b := bufio.NewReader(c)
+		if r.readRequest(b) {
+			_, _ = io.WriteString(c, completeResponse)
+		}
+		if r.readRequest(b) {
+			_, _ = io.WriteString(c, refusal+completeResponse)
+		}
+	})
+	f := newForwarder(t, true)
+	for _, want := range []handler.Run{handler.Done, handler.Unknown} {
+		is := is.New(t)
+		e, _ := newExchange(parser.ClassAtMostOnce, http.MethodPost, "12.50")
+		o, _ := f.Forward(context.Background(), e, &parser.Target{Address: r.address})
+		is.Equal(o.Run, want)
+	}
+}
+
 // TestStoppedRequests checks what a caller is told of a request that still runs, or was not sent yet,
 // when the process stops.
 func TestStoppedRequests(t *testing.T) {
@@ -329,13 +352,16 @@
 	return f
 }
 
+// exchangeCount numbers the exchanges, so that each has an ID of its own.
+var exchangeCount atomic.Int64
+
 // newExchange returns an exchange with 300 ms left and the recorder of its response.
 func newExchange(class parser.Class, method, body string) (*handler.Exchange, *httptest.ResponseRecorder) {
 	w := httptest.NewRecorder()
 	now := timekeeper.NewClock().Now()
 	return &handler.Exchange{
 		Writer: w, Request: httptest.NewRequest(method, "/charges/7", strings.NewReader(body)),
-		ID: "request", Start: now, Deadline: now + 300*time.Millisecond,
+		ID: fmt.Sprint("request", exchangeCount.Add(1)), Start: now, Deadline: now + 300*time.Millisecond,
 		Route: &parser.Route{Class: class}, Body: []byte(body),
 	}, w
 }
