Never pass on a target's status that callers read as "not run" unless the target says so

What callers saw: read only; a target that answers an unsafe request with 503 (or 408, 421, 429) without X-Not-Executed has or may have run it, and the caller is told the opposite and sends it again.

Cause: on the users' platform the status alone is the promise, and only X-Not-Executed or 421 states it to the entry. classifyResponse passed every other failure on with its status, signed or not.

Change: the dialect names the statuses that are a promise. On routes whose requests must not be repeated such a response becomes 502, without the target's signature. Idempotent requests keep the target's answer.

--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -238,6 +238,10 @@
 	case refused:
 		s.Refused, s.Result = true, dispatcher.Result{Failed: true}
 		s.Outcome = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoCapacity)
+	case !e.Route.Retryable() && d.PromisesNotRun(response.Status):
+		// The target ran the request, or does not say so; its status would tell the caller the opposite.
+		s.Result = dispatcher.Result{Failed: true}
+		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUpstream)
 	case !f.isOwnResponse(response.Status, response.Header):
 		s.Result = dispatcher.Result{Failed: true}
 		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUnmatched)
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -201,6 +201,44 @@
 	}
 }
 
+// TestFailuresPromiseNothing guards against a promise that a request has not run, read by the caller from the status
+// of a target that ran it.
+func TestFailuresPromiseNothing(t *testing.T) {
+	d := handler.Dialect{
+		RequestID: "Id", Signature: "Signature", NotRun: "Not-Run",
+		NotRunStatuses: []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable},
+	}
+	cases := []struct {
+		status int
+		header string
+		class  parser.Class
+		run    handler.Run
+	}{
+		{http.StatusServiceUnavailable, "", parser.ClassAtMostOnce, handler.Unknown},
+		{http.StatusServiceUnavailable, "Signature: s\r\n", parser.ClassAtMostOnce, handler.Unknown},
+		{http.StatusTooManyRequests, "", parser.ClassAtMostOnce, handler.Unknown},
+		{http.StatusRequestTimeout, "", parser.ClassAtMostOnce, handler.Unknown},
+		{http.StatusInternalServerError, "", parser.ClassAtMostOnce, handler.Done},
+		{http.StatusServiceUnavailable, "Not-Run: full\r\n", parser.ClassAtMostOnce, handler.NotRun},
+		{http.StatusServiceUnavailable, "", parser.ClassIdempotent, handler.Done},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%d %q %s", c.status, c.header, c.class), func(t *testing.T) {
+			is := is.New(t)
+			r := newRawUpstream(t, func(r *rawUpstream, n net.Conn) {
+				defer n.Close()
+				r.readRequest(bufio.NewReader(n))
+				_, _ = fmt.Fprintf(n, "HTTP/1.1 %d Failed\r\n%sContent-Length: 0\r\n\r\n", c.status, c.header)
+			})
+			f := NewForwarder(Config{Clock: timekeeper.NewClock(), Fresh: func() bool { return true }, Dialect: &d})
+			t.Cleanup(f.Close)
+			e, _ := newExchange(c.class, http.MethodPost, "12.50")
+			o, _ := f.Forward(context.Background(), e, &parser.Target{Address: r.address})
+			is.Equal(o.Run, c.run)
+		})
+	}
+}
+
 // TestStoppedRequests checks what a caller is told of a request that still runs, or was not sent yet,
 // when the process stops.
 func TestStoppedRequests(t *testing.T) {
--- a/entry/handler/dialect.go
+++ b/entry/handler/dialect.go
@@ -31,6 +31,9 @@
 	// value and status count.
 	NotRun      string
 	NotRunValue string
+	// NotRunStatuses are the statuses that guarantee to a caller that its request never runs; empty if
+	// only Outcome does.
+	NotRunStatuses []int
 	// Signature is set on every response that an upstream made itself. A successful response
 	// without it is not accepted as one; optional.
 	Signature string
@@ -81,6 +84,11 @@
 	return Unknown
 }
 
+// PromisesNotRun reports whether a status guarantees to a caller that its request never runs.
+func (d Dialect) PromisesNotRun(status int) bool {
+	return slices.Contains(d.NotRunStatuses, status)
+}
+
 // Refused reports whether a response states that the upstream did not run the request.
 func (d Dialect) Refused(status int, h http.Header) bool {
 	switch {
