Never take a signed response for a refusal

Cause: an additional response that breaks off inside a header field, such as "421 Misdirected Request" with half of a field, merges with the head of the own answer that follows: the status is that of the copy, the ID and the signature are those of the answer. A 421 counted as a refusal whatever else the head says. A 503 with X-Not-Executed and a signature did not, but was passed on with its status on routes that may be repeated.

Ruled out: a refusal with a signature.

Change: a response that states "not run" and bears a signature is unmatched: the request may have run.

--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -205,8 +205,8 @@
 // of a target that ran it.
 func TestFailuresPromiseNothing(t *testing.T) {
 	d := handler.Dialect{
-		RequestID: "Id", Signature: "Signature", NotRun: "Not-Run",
-		NotRunStatuses: []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable},
+		RequestID: "Id", Signature: "Signature", NotRun: "Not-Run", ExpectedTarget: "Target",
+		NotRunStatuses: []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable},
 	}
 	cases := []struct {
 		status int
@@ -220,6 +220,11 @@
 		{http.StatusRequestTimeout, "", parser.ClassAtMostOnce, handler.Unknown},
 		{http.StatusInternalServerError, "", parser.ClassAtMostOnce, handler.Done},
 		{http.StatusServiceUnavailable, "Not-Run: full\r\n", parser.ClassAtMostOnce, handler.NotRun},
+		{http.StatusServiceUnavailable, "Not-Run: full\r\nSignature: s\r\n", parser.ClassAtMostOnce, handler.Unknown},
+		{http.StatusServiceUnavailable, "Not-Run: full\r\nSignature: s\r\n", parser.ClassIdempotent, handler.Unknown},
+		{http.StatusMisdirectedRequest, "", parser.ClassAtMostOnce, handler.NotRun},
+		{http.StatusMisdirectedRequest, "Signature: s\r\n", parser.ClassAtMostOnce, handler.Unknown},
+		{http.StatusMisdirectedRequest, "Signature: s\r\n", parser.ClassIdempotent, handler.Unknown},
 		{http.StatusServiceUnavailable, "", parser.ClassIdempotent, handler.Done},
 	}
 	for _, c := range cases {
--- a/entry/handler/dialect.go
+++ b/entry/handler/dialect.go
@@ -91,11 +91,23 @@
 
 // Refused reports whether a response states that the upstream did not run the request.
 func (d Dialect) Refused(status int, h http.Header) bool {
+	return d.statesNotRun(status, h) && !d.isSigned(h)
+}
+
+// IsContradictory reports whether a response states that the upstream did not run the request, but bears the
+// signature of one that it made. Its head may consist of parts of two responses.
+func (d Dialect) IsContradictory(status int, h http.Header) bool {
+	return d.statesNotRun(status, h) && d.isSigned(h)
+}
+
+func (d Dialect) isSigned(h http.Header) bool {
+	return d.Signature != "" && h.Get(d.Signature) != ""
+}
+
+func (d Dialect) statesNotRun(status int, h http.Header) bool {
 	switch {
 	case d.ExpectedTarget != "" && status == http.StatusMisdirectedRequest:
 		return true
-	case d.Signature != "" && h.Get(d.Signature) != "":
-		return false
 	case d.NotRunValue == "":
 		return h.Get(d.NotRun) != ""
 	}
