Name the holder of an idempotency key after one try, not after the request

What callers saw: read only; a request that is sent again under the same ID and Idempotency-Key while its first try is under way runs a second time, or after a "not run" of the first try gets in beside the second.

Cause: the holder of a key was the ID of the request. It is the same in each try of a caller that chooses it, and control takes a second start of the same holder for the resent call of the first. The end "not run" of one try, queued because the response to its start was lost or sent again late, freed the key that another try holds.

Ruled out: entries send one start for each try, and a transport resend has the same bytes, so such a call still gets the key.

Change: the holder is the ID with a random part for each try.

Evidence: TestTriesWithOneID fails before in three of three cases, and passes now (race detector on). bench/endtoend TestAtMostOnce passes.

--- a/entry/deduplicator/deduplicator.go
+++ b/entry/deduplicator/deduplicator.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
@@ -34,7 +35,7 @@
 	// stopTimeout bounds the sending of the commands that are left when the process stops.
 	stopTimeout = 500 * time.Millisecond
 	// finishWorkers is the number of finish commands that are sent to control concurrently. Their
-	// order does not matter, since only the request that began under a key may finish it.
+	// order does not matter, since only the try that began under a key may finish it.
 	finishWorkers = 8
 )
 
@@ -76,13 +77,13 @@
 	if len(key) > maxKeyBytes {
 		return handler.Refuse(http.StatusBadRequest, handler.ReasonBadRequest)
 	}
-	c := &wire.BeginOnceCommand{Key: recordKey(e.Team.Name, key), Holder: e.ID, Digest: requestDigest(e)}
+	c := &wire.BeginOnceCommand{Key: recordKey(e.Team.Name, key), Holder: newHolder(e), Digest: requestDigest(e)}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	r, err := d.outcomeClient().Begin(ctx, connect.NewRequest(c))
 	if err != nil {
 		// The start may be committed, but the request was not forwarded.
-		d.enqueue(&wire.FinishOnceCommand{Key: c.GetKey(), Holder: e.ID, NotRun: true})
+		d.enqueue(&wire.FinishOnceCommand{Key: c.GetKey(), Holder: c.GetHolder(), NotRun: true})
 		return handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNotAvailable)
 	}
 	switch r.Msg.GetResult() {
@@ -207,6 +208,12 @@
 	return k.ResponseWriter
 }
 
+// newHolder returns a name of one try of a request. The request's ID does not suffice, since a caller may
+// choose it and send its request again under the same one.
+func newHolder(e *handler.Exchange) string {
+	return e.ID + "/" + rand.Text()
+}
+
 // recordKey returns the key of the record at control: the team and the digest of the caller's key.
 func recordKey(team, key string) string {
 	h := sha256.Sum256([]byte(key))
