Leave Idempotency-Key to callers and targets on the users' platform

Cause: the deduplicator took a caller's Idempotency-Key as its own header on every platform.

Change: the name of the header is an optional part of the dialect; the default dialect keeps it, the platform's has none.

--- a/entry/deduplicator/deduplicator.go
+++ b/entry/deduplicator/deduplicator.go
@@ -1,4 +1,4 @@
-// Package deduplicator ensures that an at-most-once request with an Idempotency-Key runs at most
+// Package deduplicator ensures that an at-most-once request with an idempotency key runs at most
 // once, even if the caller sends it again to another entry. Control stores a record for each key.
 package deduplicator
 
@@ -20,9 +20,6 @@
 	"github.com/filberthoist/filberthoist/entry/handler"
 )
 
-// IdempotencyKeyHeader carries the key that the caller chose for a request and its resends.
-const IdempotencyKeyHeader = "Idempotency-Key"
-
 // Bounds of keys, stored responses and calls to control.
 const (
 	maxKeyBytes  = 256
@@ -70,7 +67,7 @@
 }
 
 func (d *Deduplicator) deduplicate(ctx context.Context, e *handler.Exchange) handler.Outcome {
-	key := e.Request.Header.Get(IdempotencyKeyHeader)
+	key := e.Request.Header.Get(e.Dialect.IdempotencyKey)
 	if key == "" || e.Route.Retryable() || e.Team == nil {
 		return handler.Outcome{}
 	}
--- a/entry/deduplicator/deduplicator_test.go
+++ b/entry/deduplicator/deduplicator_test.go
@@ -116,6 +116,16 @@
 	}
 }
 
+// newExchange returns a request with an idempotency key.
+func newExchange(d handler.Dialect) *handler.Exchange {
+	r := httptest.NewRequest(http.MethodPost, "/charges/7", nil)
+	r.Header.Set(handler.IdempotencyKeyHeader, "charge-1")
+	return &handler.Exchange{
+		Writer: httptest.NewRecorder(), Request: r, ID: "r1", Dialect: &d,
+		Team: &parser.Team{Name: "good"}, Route: &parser.Route{Class: parser.ClassAtMostOnce},
+	}
+}
+
 // Guards against a request that runs beside another try of it with the same ID and key, because the end of one
 // try counts for the other.
 func TestTriesWithOneID(t *testing.T) {
@@ -126,11 +136,7 @@
 		d, g := newDeduplicator(t, l)
 		t.Cleanup(g.Stop)
 		return l, func() (handler.Outcome, *handler.Exchange) {
-			r := httptest.NewRequest(http.MethodPost, "/charges/7", nil)
-			r.Header.Set(IdempotencyKeyHeader, "charge-1")
-			e := &handler.Exchange{
-				Writer: httptest.NewRecorder(), Request: r, ID: "r1", Team: &parser.Team{Name: "good"}, Route: &parser.Route{Class: parser.ClassAtMostOnce},
-			}
+			e := newExchange(handler.DefaultDialect())
 			return d.deduplicate(context.Background(), e), e
 		}
 	}
@@ -164,3 +170,17 @@
 		expect(t, try, begun)
 	})
 }
+
+// Guards against an answer to another request, where the header of the key is a matter between callers and targets.
+func TestDialectWithoutKeys(t *testing.T) {
+	is := is.New(t)
+	l := &keyLeader{holders: map[string]string{}}
+	d, g := newDeduplicator(t, l)
+	t.Cleanup(g.Stop)
+	x := handler.DefaultDialect()
+	x.IdempotencyKey = ""
+	for range 2 {
+		is.Equal(d.deduplicate(context.Background(), newExchange(x)), handler.Outcome{})
+	}
+	is.Equal(len(l.holders), 0)
+}
--- a/entry/handler/dialect.go
+++ b/entry/handler/dialect.go
@@ -40,6 +40,8 @@
 	// Delegated marks a request that another entry delegated to this one, and a response by which
 	// this one declines it. It is never forwarded to an upstream.
 	Delegated string
+	// IdempotencyKey carries the key that the caller chose for a request and its resends; optional.
+	IdempotencyKey string
 	// Load carries the numbers of running and waiting requests and of slots of a target; optional.
 	Load string
 	// Leaving is the response header by which a target states, with the value 1, that it is leaving;
@@ -56,7 +58,7 @@
 func DefaultDialect() Dialect {
 	return Dialect{
 		Key: KeyHeader, Deadline: DeadlineHeader, RequestID: RequestHeader, Team: TeamHeader, Outcome: OutcomeHeader, Delegated: DelegatedHeader,
-		NotRun: OutcomeHeader, NotRunValue: string(NotRun), Prefix: HeaderPrefix,
+		NotRun: OutcomeHeader, NotRunValue: string(NotRun), Prefix: HeaderPrefix, IdempotencyKey: IdempotencyKeyHeader,
 	}
 }
 
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -26,6 +26,8 @@
 	OutcomeHeader = "Filberthoist-Outcome"
 	// DelegatedHeader marks a request that one entry delegates to another.
 	DelegatedHeader = "Filberthoist-Delegated"
+	// IdempotencyKeyHeader carries the key that the caller chose for a request and its resends.
+	IdempotencyKeyHeader = "Idempotency-Key"
 	// HeaderPrefix is the prefix of every header of the system. Headers with it are removed from
 	// callers' requests.
 	HeaderPrefix = "Filberthoist-"
