Take a handed-over request for declined only for the reasons that entries give

What callers saw: read only; an isolated entry hands an unsafe request over, the other entry passes it on to a target that leaves and fails it with an unsigned 503, and the request goes to a third entry and runs again.

Cause: any value of the header Delegated in an unsigned 503 counted as "declined". The same header names a leaving target to the other entry, and a target's own header of that name was copied, to callers too.

Ruled out: with the default dialect the outcome header, which the entry sets itself, said "done" already.

Change: only the two known reasons count; a target's header of that name is dropped. A response that may be an additional one to an earlier request on the connection to the other entry does not count at all, as with targets. The reasons are those of earlier versions, so that entries of both decline to each other as before.

Evidence: TestOnlyEntriesDecline fails before in two of five cases, TestTargetDeclinesForNoEntry in both; they pass now (race detector on).

--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -156,13 +156,18 @@
 	return handler.Outcome{}, false
 }
 
-// declineReason returns the reason for which an entry declined a request, or "" if it took it.
+// declineReason returns the reason for which an entry declined a request, or "" if it took it. Only the known
+// reasons count, since entries of earlier versions pass on what a target wrote into the header.
 func declineReason(d *handler.Dialect, s *forwarder.SendResult) string {
 	if s.Response == nil || s.Response.Status != http.StatusServiceUnavailable ||
 		d.StatedRun(s.Response.Status, s.Response.Header) != handler.NotRun {
 		return ""
 	}
-	return s.Response.Header.Get(d.Delegated)
+	switch reason := s.Response.Header.Get(d.Delegated); reason {
+	case declinedIsolated, declinedUnreachable:
+		return reason
+	}
+	return ""
 }
 
 func newAttempt(m *wire.EntryMember, s *forwarder.SendResult, declined string, took time.Duration) handler.Attempt {
--- a/entry/delegator/delegator_test.go
+++ b/entry/delegator/delegator_test.go
@@ -28,16 +28,30 @@
 // fixture is a Delegator of an isolated entry with its members, whose addresses are those of servers.
 type fixture struct {
 	*Delegator
-	view *receiver.View
+	view    *receiver.View
+	dialect handler.Dialect
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWith(t, handler.DefaultDialect())
+}
+
+// signedDialect returns a dialect of callers who read the outcome from the status, and of targets that sign.
+func signedDialect() handler.Dialect {
+	return handler.Dialect{
+		Key: "Key", Deadline: "Deadline", RequestID: "Id", Signature: "Signature", NotRun: "Not-Run", Delegated: "Delegated", Leaving: "Leaving",
+		NotRunStatuses: []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable},
+	}
+}
+
+func newFixtureWith(t *testing.T, d handler.Dialect) *fixture {
 	t.Helper()
 	clock := timekeeper.NewClock()
-	w := forwarder.NewForwarder(forwarder.Config{Clock: clock, Fresh: func() bool { return true }})
+	w := forwarder.NewForwarder(forwarder.Config{Clock: clock, Fresh: func() bool { return true }, Dialect: &d})
 	t.Cleanup(w.Close)
 	self := &wire.EntryMember{Name: "self", Region: "north", AvailabilityZone: "north1"}
-	f := &fixture{view: &receiver.View{Entries: map[string]*wire.EntryMember{"self": self}}}
+	f := &fixture{dialect: d, view: &receiver.View{Entries: map[string]*wire.EntryMember{"self": self}}}
 	f.Delegator = NewDelegator(Config{
 		Clock: clock, Scope: tally.NoopScope, Self: self, Isolated: func() bool { return true }, Send: w.Delegate, Relay: w.Relay,
 	})
@@ -59,10 +73,10 @@
 
 // newExchange returns a request with a body, a second before its deadline.
 func (f *fixture) newExchange(class parser.Class, body string) (*handler.Exchange, *httptest.ResponseRecorder) {
-	w, d, now := httptest.NewRecorder(), handler.DefaultDialect(), timekeeper.NewClock().Now()
+	w, now := httptest.NewRecorder(), timekeeper.NewClock().Now()
 	return &handler.Exchange{
 		Writer: w, Request: httptest.NewRequest(http.MethodPost, "/charges/7?a=b", strings.NewReader(body)), View: f.view,
-		ID: "r1", Start: now, Deadline: now + time.Second, Body: []byte(body), Dialect: &d,
+		ID: "r1", Start: now, Deadline: now + time.Second, Body: []byte(body), Dialect: &f.dialect,
 		Route: &parser.Route{Class: class, Timeout: time.Second}, Service: &parser.Service{Name: "lamps"},
 	}, w
 }
@@ -199,6 +213,39 @@
 	}
 }
 
+// Guards against a request that a third entry gets although the second passed it on to a target: entries of earlier
+// versions name a target that is leaving where others state that they decline, and copy what a target writes there.
+func TestOnlyEntriesDecline(t *testing.T) {
+	cases := []struct {
+		name   string
+		header []string
+		served bool
+	}{
+		{"declined", []string{"Delegated", declinedIsolated}, true},
+		{"a leaving target failed", []string{"Leaving", "1", "Delegated", "lamp7"}, false},
+		{"a target's own header", []string{"Delegated", "1"}, false},
+		{"signed", []string{"Delegated", declinedIsolated, "Signature", "s"}, false},
+		{"no reason", nil, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixtureWith(t, signedDialect())
+			f.config.Leaving = func(string) {}
+			f.add(t, "a", answer(http.StatusServiceUnavailable, append(c.header, "Id", "r1")...))
+			served := false
+			b := f.add(t, "b", func(w http.ResponseWriter, _ *http.Request) {
+				served = true
+				answer(http.StatusOK, "Id", "r1", "Signature", "s")(w, nil)
+			})
+			b.AvailabilityZone, b.Region = "south1", "south" // used only without the first
+			e, _ := f.newExchange(atMostOnce, "x")
+			f.delegate(context.Background(), e)
+			is.Equal(served, c.served)
+		})
+	}
+}
+
 // TestNoOtherEntry checks that a request that no entry can take is refused at once.
 func TestNoOtherEntry(t *testing.T) {
 	cases := []struct {
--- a/entry/forwarder/delegate.go
+++ b/entry/forwarder/delegate.go
@@ -28,7 +28,7 @@
 	if failed != nil {
 		return failed
 	}
-	if !f.isOwnResponse(response.Status, response.Header) {
+	if !response.Match.IsCertain() || !f.isOwnResponse(response.Status, response.Header) {
 		if response.Remainder != nil {
 			_ = response.Remainder.Close() // the response is not used
 		}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -292,6 +292,7 @@
 		e.Writer.Header().Set(f.config.Dialect.Outcome, string(handler.Done))
 	}
 	e.Writer.Header().Set(f.config.Dialect.RequestID, e.ID)
+	e.Writer.Header().Del(f.config.Dialect.Delegated) // only entries may set it
 	if e.Delegated && s.LeavingTarget != "" {
 		e.Writer.Header().Set(f.config.Dialect.Delegated, s.LeavingTarget) // the other entry must know it, too
 	}
--- a/entry/forwarder/statement_test.go
+++ b/entry/forwarder/statement_test.go
@@ -1,13 +1,50 @@
 package forwarder
 
 import (
+	"context"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/entry/handler"
 )
 
+// Guards against a target whose response reads as if another entry had declined the request.
+func TestTargetDeclinesForNoEntry(t *testing.T) {
+	for _, delegated := range []bool{false, true} {
+		t.Run(fmt.Sprintf("delegated %t", delegated), func(t *testing.T) {
+			is := is.New(t)
+			d := handler.DefaultDialect()
+			d.Leaving = "Leaving"
+			f := NewForwarder(Config{Clock: timekeeper.NewClock(), Fresh: func() bool { return true }, Dialect: &d})
+			t.Cleanup(f.Close)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(handler.DelegatedHeader, "isolated")
+				if r.URL.RawQuery == "leaving" {
+					w.Header().Set("Leaving", "1")
+				}
+			}))
+			defer s.Close()
+			for query, want := range map[string]string{"": "", "leaving": "lamp7"} {
+				e, w := newExchange(parser.ClassAtMostOnce, http.MethodPost, "12.50")
+				e.Request.RequestURI += "?" + query
+				e.Delegated = delegated
+				f.Forward(context.Background(), e, &parser.Target{Name: "lamp7", Address: s.Listener.Addr().String()})
+				if !delegated {
+					want = ""
+				}
+				is.Equal(w.Header().Get(handler.DelegatedHeader), want)
+			}
+		})
+	}
+}
+
 // TestParseRetryAfter checks all kinds of values, those that targets should not send included.
 func TestParseRetryAfter(t *testing.T) {
 	const date = "Sat, 05 Dec 2026 10:00:00 GMT"
