Refuse a request at once if its token arrives after its deadline

What callers saw: read only; a request over its team's limit with less time left than until the next token waited up to 100 ms for it, was refused at its deadline, and the token was lost to a request that could have been served.

Cause: a token was reserved if it arrives within maxTokenWait, whatever the deadline.

Change: the wait is bounded by the time left, too. The 429 states when the token is there.

Evidence: TestTokenAfterTheDeadline fails before and passes now. The other tests of the package pass the same bound as before.

--- a/entry/limiter/share.go
+++ b/entry/limiter/share.go
@@ -145,7 +145,7 @@
 		}
 		d.awaitShare(ctx, e)
 	}
-	wait, ok := d.take(t)
+	wait, ok := d.take(t, min(maxTokenWait, e.Deadline-d.config.Clock.Now()))
 	switch {
 	case !ok && ctx.Err() != nil:
 		return handler.Abandoned(ctx, http.StatusTooManyRequests)
@@ -214,9 +214,9 @@
 	d.bucket(t).rate.Add(d.config.Clock.Now(), 1)
 }
 
-// take spends a token, or reserves one that arrives within maxTokenWait. The returned wait is the
-// time until that token arrives, or without ok the time after which another attempt may succeed.
-func (d *ShareLimiter) take(t *parser.Team) (wait time.Duration, ok bool) {
+// take spends a token, or reserves one that arrives within longest. The returned wait is the time
+// until that token arrives, or without ok the time after which another attempt may succeed.
+func (d *ShareLimiter) take(t *parser.Team, longest time.Duration) (wait time.Duration, ok bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	t = d.latest(t) // under the mutex, so that no older rate fills the bucket
@@ -233,7 +233,7 @@
 		return rateSpan, false
 	}
 	wait = time.Duration((1 - b.tokens) / rate * float64(time.Second))
-	if wait > maxTokenWait {
+	if wait > longest {
 		return wait, false
 	}
 	b.tokens--
--- a/entry/limiter/share_test.go
+++ b/entry/limiter/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -62,7 +63,7 @@
 				Share: func(string) float64 { return c.share(now - begun) },
 			})
 			admitted, reported := 0, begun
-			_, _ = d.take(team) // creates the team's bucket
+			_, _ = d.take(team, maxTokenWait) // creates the team's bucket
 			for now < begun+4*time.Second {
 				now += 2 * time.Millisecond
 				if now-reported >= 500*time.Millisecond {
@@ -72,7 +73,7 @@
 				if now < begun+c.from {
 					continue
 				}
-				if _, ok := d.take(team); ok {
+				if _, ok := d.take(team, maxTokenWait); ok {
 					admitted++
 				}
 			}
@@ -99,6 +100,25 @@
 	})
 }
 
+// TestTokenAfterTheDeadline guards against a request that waits for a token that arrives after its deadline, and that
+// takes it from a request which could be served.
+func TestTokenAfterTheDeadline(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	team := &parser.Team{Name: "t", Rate: 20, Burst: 20}
+	d := NewShareLimiter(ShareLimiterConfig{
+		Clock: timekeeper.Clock{Now: func() time.Duration { return now }},
+		View:  func() *receiver.View { return &receiver.View{} }, Share: func(string) float64 { return 1 },
+	})
+	d.bucket(team).share = 1
+	late := &handler.Exchange{Team: team, Deadline: now + 10*time.Millisecond}
+	o := d.limit(context.Background(), late) // the token arrives in 50 ms
+	is.Equal(o, handler.Refuse(http.StatusTooManyRequests, handler.ReasonLimit))
+	is.Equal(late.RetryAfter, 50*time.Millisecond)
+	is.True(!d.limit(context.Background(), &handler.Exchange{Team: team, Deadline: now + time.Second}).IsFinal())
+	is.Equal(d.bucket(team).tokens, -1.0) // the only token that was taken
+}
+
 // TestOverdraftFollowsShares guards against an overdraft divided by the number of entries, on
 // which entries may disagree. Divided by shares, the parts never add up to more than the whole.
 func TestOverdraftFollowsShares(t *testing.T) {
@@ -116,7 +136,7 @@
 		d.RequestRates()
 		now += time.Minute
 		for {
-			if wait, ok := d.take(team); !ok || wait > 0 {
+			if wait, ok := d.take(team, maxTokenWait); !ok || wait > 0 {
 				break
 			}
 			admitted++
@@ -137,11 +157,11 @@
 		Share: func(string) float64 { return 1 },
 	})
 	_ = d.RequestRates() // creates the bucket
-	_, _ = d.take(before)
+	_, _ = d.take(before, maxTokenWait)
 	now += 10 * time.Second
 	admitted := 0
 	for range 100 {
-		if wait, ok := d.take(before); ok && wait == 0 {
+		if wait, ok := d.take(before, maxTokenWait); ok && wait == 0 {
 			admitted++
 		}
 	}
