Pay for a retry once if it falls back to the old side of a move

What callers saw: read only; during a move a request whose first attempt on the new side broke off got 502, though the old side could serve it and a retry was left.

Cause: if the new side had no further target, the loop of attempts began again and paid for the same retry a second time.

Change: the fallback is picked within the same attempt.

Evidence: TestFallbackIsOneRetry fails before and passes now.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -110,12 +110,7 @@
 		if w.sent > 0 && b.config.Reselect != nil {
 			b.config.Reselect(e)
 		}
-		w.request.Allows = e.Selection.Allows
-		pick, delay := b.config.Picker.Pick(w.request)
-		if pick == nil && e.Fallback != nil {
-			e.Selection, e.Fallback = *e.Fallback, nil
-			continue
-		}
+		pick, delay := b.pick(e, w)
 		if pick == nil {
 			if o, ok := b.delegate(ctx, e, w, 1); ok {
 				return o
@@ -137,6 +132,18 @@
 	return w.lastOutcome
 }
 
+// pick picks a target of the selection, or else of the fallback.
+func (b *Balancer) pick(e *handler.Exchange, w *retryState) (k *Pick, delay time.Duration) {
+	w.request.Allows = e.Selection.Allows
+	k, delay = b.config.Picker.Pick(w.request)
+	if k != nil || e.Fallback == nil {
+		return k, delay
+	}
+	e.Selection, e.Fallback = *e.Fallback, nil
+	w.request.Allows = e.Selection.Allows
+	return b.config.Picker.Pick(w.request)
+}
+
 // delegate hands a request to another entry once it found a number of targets unreachable and reached
 // none. It does so once.
 func (b *Balancer) delegate(ctx context.Context, e *handler.Exchange, w *retryState, unreachable int) (handler.Outcome, bool) {
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -366,3 +366,17 @@
 		Route: &parser.Route{Name: "r", Service: s, Class: c, Timeout: time.Second}, Deadline: b.config.Clock.Now() + time.Second,
 	}
 }
+
+// TestFallbackIsOneRetry guards against a retry that is paid twice, and so is not sent, since the new side of a move has no
+// further target.
+func TestFallbackIsOneRetry(t *testing.T) {
+	is := is.New(t)
+	b, view, sent := newBalancer(1, []func() *forwarder.SendResult{breaks, answers})
+	newSide := *view.Targets["drafts"][0].Target
+	newSide.Version = "v2"
+	view.Targets["drafts"][0].Target = &newSide
+	e := newExchange(b, view, parser.ClassIdempotent)
+	e.Selection, e.Fallback = handler.Selection{Version: "v2"}, &handler.Selection{Version: "v1"}
+	is.Equal(b.balance(context.Background(), e), handler.Outcome{Run: handler.Done, Status: 200})
+	is.Equal(len(*sent), 2)
+}
