Promise nothing for a request whose last step returned no outcome

What callers saw: nothing yet; no step that sends requests returns without an outcome today, which TestNoPromiseOnAnotherAttempt now checks for the balancer.

Change: the outcome is that the request may have run.

Evidence: TestNoOutcomePromisesNothing fails before and passes now.

--- a/entry/balancer/promise_test.go
+++ b/entry/balancer/promise_test.go
@@ -55,6 +55,7 @@
 			runs++
 		}
 	}
+	is.True(o.IsFinal())
 	is.Equal(o.Run == handler.NotRun, runs == 0)
 	is.True(class == parser.ClassIdempotent || runs <= 1)
 }
--- a/entry/handler/handler.go
+++ b/entry/handler/handler.go
@@ -102,7 +102,7 @@
 			return o, s.Name
 		}
 	}
-	return Refuse(http.StatusInternalServerError, ReasonNotAvailable), ""
+	return MayHaveRun(http.StatusInternalServerError, ReasonNotAvailable), ""
 }
 
 func (h *Handler) writeFailure(e *Exchange, o Outcome) {
--- a/entry/handler/handler_test.go
+++ b/entry/handler/handler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/entry/receiver"
 )
@@ -36,3 +38,18 @@
 	is.Equal(w.Header().Get(OutcomeHeader), string(NotRun)+"; reason="+string(ReasonStopping))
 	is.Equal(traced.Reason, ReasonStopping) // the refusal is logged
 }
+
+// TestNoOutcomePromisesNothing guards against a promise that a request has not run, which rests on a step that has seen it
+// and returned no outcome.
+func TestNoOutcomePromisesNothing(t *testing.T) {
+	is := is.New(t)
+	h := NewHandler(Config{
+		Clock: timekeeper.NewClock(), Logger: logger.NewLogger(logger.Config{Writer: io.Discard, Level: "info"}), Scope: tally.NoopScope,
+		View:  func() *receiver.View { return &receiver.View{} },
+		Steps: []Step{{Name: "step", Handle: func(context.Context, *Exchange) Outcome { return Outcome{} }}},
+	})
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", strings.NewReader("body")))
+	is.Equal(w.Code, http.StatusInternalServerError)
+	is.Equal(w.Header().Get(OutcomeHeader), string(Unknown)+"; reason="+string(ReasonNotAvailable))
+}
