Never believe a refusal whose head is merged from two responses

The status and X-Not-Executed are those of the additional response that breaks off, the ID is that of the response behind it.

Ruled out: looking for doubled fields, since a copy that breaks off early doubles none. Failing each exchange with such a head: a sound target may quote a status line in a field; only its refusals on used connections become "may have run".

Change: a match on a connection that carried earlier requests is uncertain if the reason phrase or a field holds a second status line.

Evidence: TestMergedHeads fails before in its cases (the two of fields; those of the reason phrase were added with the change).

--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -119,6 +119,8 @@
 	CloseAfter bool
 	// DialTime is the time that it took to open a new connection; 0 for a reused one.
 	DialTime time.Duration
+	// reason is the rest of the status line.
+	reason string
 }
 
 // Match describes how a response was matched to its request.
@@ -129,12 +131,14 @@
 	Earlier int
 	// Skipped is the number of responses that were read before and don't count.
 	Skipped int
+	// Merged means that the head holds a second status line, since an additional response broke off in it.
+	Merged bool
 }
 
-// IsCertain reports whether the response can't be an additional one to an earlier request: it bears an
-// ID, which a connection carries once, or no earlier request was sent on its connection.
+// IsCertain reports whether no part of the response can be of an additional one to an earlier request: it
+// is whole and bears an ID, which a connection carries once, or no earlier request was sent on its connection.
 func (m Match) IsCertain() bool {
-	return m.ID != "" || m.Earlier == 0
+	return m.Earlier == 0 || (m.ID != "" && !m.Merged)
 }
 
 // Failure describes why there is no response.
@@ -357,7 +361,7 @@
 		if err != nil {
 			return nil, true, err
 		}
-		match.ID = a.Header.Get(c.RequestHeader)
+		match.ID, match.Merged = a.Header.Get(c.RequestHeader), match.Earlier > 0 && a.isMerged()
 		a.Match = match
 		n.hasIDs = n.hasIDs || match.ID != ""
 		if c.RequestHeader == "" || match.ID == r.ID || !n.hasIDs {
@@ -374,6 +378,23 @@
 	return nil, true, ErrUnmatched
 }
 
+// isMerged reports whether the head holds a second status line.
+func (a *Response) isMerged() bool {
+	if holdsStatusLine(a.reason) {
+		return true
+	}
+	for _, values := range a.Header {
+		if slices.ContainsFunc(values, holdsStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+func holdsStatusLine(text string) bool {
+	return strings.Contains(text, "HTTP/1.1 ") || strings.Contains(text, "HTTP/1.0 ")
+}
+
 // run sends a long request while its response is awaited.
 func (n *connection) run(head, body []byte) {
 	defer close(n.bodySent)
@@ -418,7 +439,7 @@
 
 // readBody reads the body up to limit; Remainder is set if there may be more.
 func (n *connection) readBody(response *http.Response, limit int64) (*Response, error) {
-	a := &Response{Status: response.StatusCode, Header: response.Header, CloseAfter: response.Close}
+	a := &Response{Status: response.StatusCode, Header: response.Header, CloseAfter: response.Close, reason: response.Status}
 	n.idleTimeout = keepAliveTimeout(response.Header)
 	var b bytes.Buffer
 	if response.ContentLength > 0 && response.ContentLength <= limit {
--- a/entry/carrier/carrier_test.go
+++ b/entry/carrier/carrier_test.go
@@ -234,6 +234,40 @@
 	}
 }
 
+// TestMergedHeads guards against a refusal that consists of the head of an additional response, which breaks
+// off, and the ID of the response that follows.
+func TestMergedHeads(t *testing.T) {
+	for _, cut := range []string{" ", " Serv", " Full\r\nX-Not-Run: f", " Full\r\nX-Not-Run: full\r\nServer: "} {
+		t.Run(fmt.Sprintf("%q", cut), func(t *testing.T) {
+			is := is.New(t)
+			address, _ := newTarget(t, func(b *bufio.Reader, c net.Conn, _ int64) {
+				for i := 0; ; i++ {
+					r, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					if i > 0 {
+						_, _ = io.WriteString(c, "HTTP/1.1 503"+cut)
+					}
+					writeResponse(c, r.Header.Get("X-Id"), "Content-Length: 0\r\n", "")
+				}
+			})
+			n := newCarrier(t)
+			for _, c := range []struct {
+				id      string
+				status  int
+				certain bool
+			}{{"one", http.StatusOK, true}, {"two", http.StatusServiceUnavailable, false}} {
+				a, failure := n.Exchange(context.Background(), address, newRequest(c.id))
+				is.True(failure == nil)
+				is.Equal(a.Status, c.status)
+				is.Equal(a.Match.ID, c.id)
+				is.Equal(a.Match.IsCertain(), c.certain)
+			}
+		})
+	}
+}
+
 // TestMatch checks what is recorded about how a response was matched to its request.
 func TestMatch(t *testing.T) {
 	is := is.New(t)
