Doubt merged heads of refusals only

What callers would see: a whole answer of another entry refused with 502, since a target of that entry quotes a status line in a field. Read only: Delegate drops each response whose match is uncertain, and entries send no additional ones.

Change: whether a head is merged is part of the match, but IsCertain tells again only which request is answered; refusals of targets need both.

--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -135,10 +135,10 @@
 	Merged bool
 }
 
-// IsCertain reports whether no part of the response can be of an additional one to an earlier request: it
-// is whole and bears an ID, which a connection carries once, or no earlier request was sent on its connection.
+// IsCertain reports whether the response can't be an additional one to an earlier request: it bears an
+// ID, which a connection carries once, or no earlier request was sent on its connection.
 func (m Match) IsCertain() bool {
-	return m.Earlier == 0 || (m.ID != "" && !m.Merged)
+	return m.ID != "" || m.Earlier == 0
 }
 
 // Failure describes why there is no response.
