Read no response out of the heads of two

What callers saw: read only; a copy that breaks off inside its head lends its status to the answer behind it, so that a signed failure of a target reads as a success, or a success as a failure.

Cause: only refusals with such a head were doubted ("Never believe a refusal whose head is merged").

Change: on a connection that carried earlier requests, a response whose head holds a second status line (HTTP/1.1 and three digits) counts as unmatched whatever its status: the request may have run, and the connection is closed. The pattern needs the digits, so that a field which only names the protocol is no sign.

--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -11,6 +11,7 @@
 	"math"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -61,10 +62,13 @@
 	maxInterimResponses = 8
 )
 
-// ErrUnmatched is the error if the target sent only responses to other requests, or too many interim
-// ones.
+// ErrUnmatched is the error if the target sent only responses to other requests, one that is merged with
+// another, or too many interim ones.
 var ErrUnmatched = errors.New("the target answered another request")
 
+// statusLine matches the beginning of a status line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
 var errEarlyClose = errors.New("the target closed the connection before it answered")
 
 // Config configures a Carrier.
@@ -131,8 +135,6 @@
 	Earlier int
 	// Skipped is the number of responses that were read before and don't count.
 	Skipped int
-	// Merged means that the head holds a second status line, since an additional response broke off in it.
-	Merged bool
 }
 
 // IsCertain reports whether the response can't be an additional one to an earlier request: it bears an
@@ -361,40 +363,38 @@
 		if err != nil {
 			return nil, true, err
 		}
-		match.ID, match.Merged = a.Header.Get(c.RequestHeader), match.Earlier > 0 && a.isMerged()
+		match.ID = a.Header.Get(c.RequestHeader)
 		a.Match = match
 		n.hasIDs = n.hasIDs || match.ID != ""
-		if c.RequestHeader == "" || match.ID == r.ID || !n.hasIDs {
+		isMerged := match.Earlier > 0 && a.isMerged()
+		if !isMerged && (c.RequestHeader == "" || match.ID == r.ID || !n.hasIDs) {
 			return a, true, nil
 		}
 		if c.Skipped != nil {
 			c.Skipped(n.address, r, a)
 		}
 		match.Skipped++
-		if match.Earlier == 0 || a.CloseAfter || a.Remainder != nil {
-			break // only a used connection can hold responses to earlier requests
+		if isMerged || match.Earlier == 0 || a.CloseAfter || a.Remainder != nil {
+			break // no other response can follow
 		}
 	}
 	return nil, true, ErrUnmatched
 }
 
-// isMerged reports whether the head holds a second status line.
+// isMerged reports whether the head holds a second status line: that of the response which follows one that
+// breaks off in its head.
 func (a *Response) isMerged() bool {
-	if holdsStatusLine(a.reason) {
+	if statusLine.MatchString(a.reason) {
 		return true
 	}
 	for _, values := range a.Header {
-		if slices.ContainsFunc(values, holdsStatusLine) {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
 			return true
 		}
 	}
 	return false
 }
 
-func holdsStatusLine(text string) bool {
-	return strings.Contains(text, "HTTP/1.1 ") || strings.Contains(text, "HTTP/1.0 ")
-}
-
 // run sends a long request while its response is awaited.
 func (n *connection) run(head, body []byte) {
 	defer close(n.bodySent)
--- a/entry/carrier/carrier_test.go
+++ b/entry/carrier/carrier_test.go
@@ -234,8 +234,8 @@
 	}
 }
 
-// TestMergedHeads guards against a refusal that consists of the head of an additional response, which breaks
-// off, and the ID of the response that follows.
+// TestMergedHeads guards against a response that consists of the status of an additional one, which breaks off in
+// its head, and the ID of the response that follows.
 func TestMergedHeads(t *testing.T) {
 	for _, cut := range []string{" ", " Serv", " Full\r\nX-Not-Run: f", " Full\r\nX-Not-Run: full\r\nServer: "} {
 		t.Run(fmt.Sprintf("%q", cut), func(t *testing.T) {
@@ -253,17 +253,11 @@
 				}
 			})
 			n := newCarrier(t)
-			for _, c := range []struct {
-				id     string
-				status int
-				merged bool
-			}{{"one", http.StatusOK, false}, {"two", http.StatusServiceUnavailable, true}} {
-				a, failure := n.Exchange(context.Background(), address, newRequest(c.id))
-				is.True(failure == nil)
-				is.Equal(a.Status, c.status)
-				is.Equal(a.Match.ID, c.id)
-				is.Equal(a.Match.Merged, c.merged)
-			}
+			_, failure := n.Exchange(context.Background(), address, newRequest("one"))
+			is.True(failure == nil)
+			_, failure = n.Exchange(context.Background(), address, newRequest("two"))
+			is.Equal(failure.Err, ErrUnmatched)
+			is.True(failure.Sent)
 		})
 	}
 }
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -229,7 +229,7 @@
 		Load: parseLoad(response.Header.Get(d.Load)), DialTime: response.DialTime, Status: response.Status, Match: response.Match,
 	}
 	switch refused := d.Refused(response.Status, response.Header); {
-	case d.IsContradictory(response.Status, response.Header), refused && (!response.Match.IsCertain() || response.Match.Merged):
+	case d.IsContradictory(response.Status, response.Header), refused && !response.Match.IsCertain():
 		s.Result = dispatcher.Result{Failed: true}
 		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUnmatched)
 	case refused && response.Status == http.StatusMisdirectedRequest && d.ExpectedTarget != "":
