Close a connection after a refusal that may be of another request

What callers would see: the answer to one request as that of the next, from an upstream that echoes no IDs (own interface only). Seen in a test only, no report.

Cause: a refusal without an ID on a used connection counts as "may have run", since it may be an additional one, but its connection went on to the next request, to which the own answer behind the refusal was then taken to belong.

Ruled out: closing after each uncertain response, since without IDs all but the first on a connection are. After such a refusal the next one comes first on a new connection and is certain. Targets that echo IDs are not concerned.

Change: carrier.Config.IsRefusal; the connection is closed after a refusal that is not certain.

Evidence: TestAnswersBehindUncertainRefusals fails before (the third request gets the answer to the second) and passes now.

--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -79,6 +79,9 @@
 	// IsOwnResponse reports from the head of a response whether the target itself made it; nil
 	// means that all are.
 	IsOwnResponse func(status int, h http.Header) bool
+	// IsRefusal reports from the head of a response whether it states that the request has not run; nil
+	// means that none does.
+	IsRefusal func(status int, h http.Header) bool
 	// Skipped is called for each response that was read and does not count; nil means never.
 	Skipped func(address string, r *Request, a *Response)
 }
@@ -225,10 +228,16 @@
 		a.Remainder = &remainder{Reader: a.Remainder, finish: func(complete bool) { c.recycle(n, stop, complete && !a.CloseAfter) }}
 		return a, nil
 	}
-	c.recycle(n, stop, !a.CloseAfter)
+	c.recycle(n, stop, !a.CloseAfter && !c.config.mayPrecedeAnswer(a))
 	return a, nil
 }
 
+// mayPrecedeAnswer reports whether a response may be an additional one, behind which the request's own answer follows:
+// a refusal that is not certain to answer this request. It would count for the next request.
+func (c Config) mayPrecedeAnswer(a *Response) bool {
+	return c.IsRefusal != nil && !a.Match.IsCertain() && c.IsRefusal(a.Status, a.Header)
+}
+
 // recycle keeps a connection for the next request if it is reusable, and closes it otherwise.
 func (c *Carrier) recycle(n *connection, stop func() bool, reusable bool) {
 	if !stop() || !reusable || n.reader.Buffered() > 0 || n.isSending() || len(n.carried) >= maxCarried {
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -103,7 +103,8 @@
 	}
 	f := &Forwarder{config: c, skipped: c.Scope.Counter("responsesSkipped")}
 	f.carrier = carrier.NewCarrier(carrier.Config{
-		Clock: c.Clock, RequestHeader: c.Dialect.RequestID, IsOwnResponse: f.isOwnResponse, Skipped: f.recordSkipped,
+		Clock: c.Clock, RequestHeader: c.Dialect.RequestID, IsOwnResponse: f.isOwnResponse, IsRefusal: c.Dialect.Refused,
+		Skipped: f.recordSkipped,
 	})
 	return f
 }
