--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -240,7 +240,7 @@
 
 // recycle keeps a connection for the next request if it is reusable, and closes it otherwise.
 func (c *Carrier) recycle(n *connection, stop func() bool, reusable bool) {
-	if !stop() || !reusable || n.reader.Buffered() > 0 || n.isSending() || len(n.carried) >= maxCarried {
+	if !stop() || !reusable || n.reader.Buffered() > 0 || n.isSending() || n.quotes || len(n.carried) >= maxCarried {
 		n.close()
 		return
 	}
@@ -315,6 +315,9 @@
 	carried []uint64
 	// hasIDs means that a response on the connection bore an ID, so that all of the target's do.
 	hasIDs bool
+	// quotes means that the last response held a second status line. The target may do so in each, which
+	// then could not be told from merged ones, so that the connection is not kept.
+	quotes bool
 	// bodySent is closed once a body that is sent concurrently is written or has failed; nil if there
 	// is none.
 	bodySent chan struct{}
@@ -375,7 +378,8 @@
 		match.ID = a.Header.Get(c.RequestHeader)
 		a.Match = match
 		n.hasIDs = n.hasIDs || match.ID != ""
-		isMerged := match.Earlier > 0 && a.isMerged()
+		n.quotes = a.holdsSecondStatusLine()
+		isMerged := n.quotes && match.Earlier > 0
 		if !isMerged && (c.RequestHeader == "" || match.ID == r.ID || !n.hasIDs) {
 			return a, true, nil
 		}
@@ -390,9 +394,9 @@
 	return nil, true, ErrUnmatched
 }
 
-// isMerged reports whether the head holds a second status line: that of the response which follows one that
-// breaks off in its head.
-func (a *Response) isMerged() bool {
+// holdsSecondStatusLine reports whether the head holds a status line in its reason phrase or a field, as if it were
+// merged from an additional response that breaks off and the one behind it.
+func (a *Response) holdsSecondStatusLine() bool {
 	if statusLine.MatchString(a.reason) {
 		return true
 	}
--- a/entry/carrier/carrier_test.go
+++ b/entry/carrier/carrier_test.go
@@ -77,6 +77,7 @@
 		{"extra bytes", "Content-Length: 2\r\n", "abHTTP/1.1 200 OK\r\n\r\n", 20 * time.Millisecond, false, 2},
 		{"idle too long", "Keep-Alive: timeout=1\r\nContent-Length: 2\r\n", "ab", 700 * time.Millisecond, false, 2},
 		{"idle too long, once", "Keep-Alive: timeout=1\r\nContent-Length: 2\r\n", "ab", 400 * time.Millisecond, true, 2},
+		{"a second status line", "Via: HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", "ab", 0, false, 2},
 		{"idle, not too long", "Keep-Alive: timeout=1\r\nContent-Length: 2\r\n", "ab", 400 * time.Millisecond, false, 1},
 	}
 	for _, c := range cases {
@@ -234,6 +235,40 @@
 	}
 }
 
+// TestCarriedIDs guards against a connection that carries an ID twice, and against one that remembers IDs without end.
+func TestCarriedIDs(t *testing.T) {
+	cases := []struct {
+		name        string
+		requests    int
+		newID       func(i int) string
+		connections int64
+	}{
+		{"the same ID", 3, func(int) string { return "one" }, 3},
+		{"another ID", maxCarried, func(i int) string { return fmt.Sprint(i) }, 1},
+		{"too many IDs", maxCarried + 1, func(i int) string { return fmt.Sprint(i) }, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			address, connections := newTarget(t, func(b *bufio.Reader, conn net.Conn, _ int64) {
+				for {
+					r, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					writeResponse(conn, r.Header.Get("X-Id"), "Content-Length: 0\r\n", "")
+				}
+			})
+			n := newCarrier(t)
+			for i := range c.requests {
+				_, failure := n.Exchange(context.Background(), address, newRequest(c.newID(i)))
+				is.True(failure == nil)
+			}
+			is.Equal(connections.Load(), c.connections)
+		})
+	}
+}
+
 // TestMergedHeads guards against a response that consists of the status of an additional one, which breaks off in
 // its head, and the ID of the response that follows.
 func TestMergedHeads(t *testing.T) {
