Keep accepting connections in the soak when a file limit is reached

Cause, inferred from the trace of the targets (no failed accept was logged): 360 callers held connections to each of 60 edges, the test reached its limit of 20,000 files, and each target and relay in front of it stopped at its first connection that it could not accept, one after the other from 8 s on. The edges were right.

--- a/bench/relayer/relayer.go
+++ b/bench/relayer/relayer.go
@@ -3,6 +3,7 @@
 package relayer
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -15,6 +16,8 @@
 	dialTimeout = time.Second
 	// holdPollInterval is how often the mode is checked while bytes are held.
 	holdPollInterval = 5 * time.Millisecond
+	// acceptPause is the pause after a connection that could not be accepted.
+	acceptPause = 50 * time.Millisecond
 	// bufferBytes is the maximum number of bytes that are forwarded at once.
 	bufferBytes = 32 << 10
 )
@@ -107,8 +110,12 @@
 func (r *Relay) run() {
 	for {
 		client, err := r.listener.Accept()
-		if err != nil {
-			return // the listener is closed
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // too many open files, for example
+			time.Sleep(acceptPause)
+			continue
 		}
 		go r.loop(&connection{client: client})
 	}
