Learn nothing of a target from a refusal that may be of another request

What callers would see: an additional response to a request of long ago states a Retry-After of a minute, and its target gets no requests for that time.

Cause: load, leaving and Retry-After were read from refusals that are not believed. Read only; TestUncertainStatements fails before and passes now. The classification of a response that is certain is a method of its own.

--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -225,18 +225,35 @@
 
 // classifyResponse returns what a response means for the request and for its target.
 func (f *Forwarder) classifyResponse(e *handler.Exchange, t *parser.Target, response *carrier.Response, took time.Duration) *SendResult {
-	d := f.config.Dialect
-	s := &SendResult{
-		Load: parseLoad(response.Header.Get(d.Load)), DialTime: response.DialTime, Status: response.Status, Match: response.Match,
-	}
-	switch refused := d.Refused(response.Status, response.Header); {
-	case d.IsContradictory(response.Status, response.Header), refused && !response.Match.IsCertain():
+	s := &SendResult{DialTime: response.DialTime, Status: response.Status, Match: response.Match}
+	if f.mayAnswerAnother(response) {
 		s.Result = dispatcher.Result{Failed: true}
 		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUnmatched)
-	case refused && response.Status == http.StatusMisdirectedRequest && d.ExpectedTarget != "":
+	} else {
+		f.classifyOwn(s, e, response, took)
+		f.readStatements(s, t, response)
+	}
+	if s.Response == nil && response.Remainder != nil {
+		_ = response.Remainder.Close() // the response is not used
+	}
+	return s
+}
+
+// mayAnswerAnother reports whether a refusal is, as a whole or in part, that of an earlier request.
+func (f *Forwarder) mayAnswerAnother(response *carrier.Response) bool {
+	d := f.config.Dialect
+	return d.IsContradictory(response.Status, response.Header) ||
+		(d.Refused(response.Status, response.Header) && !response.Match.IsCertain())
+}
+
+// classifyOwn sets what the response to a request means for it and for its target.
+func (f *Forwarder) classifyOwn(s *SendResult, e *handler.Exchange, response *carrier.Response, took time.Duration) {
+	d := f.config.Dialect
+	switch {
+	case d.ExpectedTarget != "" && response.Status == http.StatusMisdirectedRequest:
 		s.Misdirected, s.Refused = true, true
 		s.Outcome = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoCapacity)
-	case refused:
+	case d.Refused(response.Status, response.Header):
 		s.Refused, s.Result = true, dispatcher.Result{Failed: true}
 		s.Outcome = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoCapacity)
 	case !e.Route.Retryable() && d.PromisesNotRun(response.Status):
@@ -254,15 +271,11 @@
 			Leaving: response.CloseAfter && e.Route.Retryable(),
 		}
 	}
-	f.readStatements(s, t, response)
-	if s.Response == nil && response.Remainder != nil {
-		_ = response.Remainder.Close() // the response is not used
-	}
-	return s
 }
 
 // readStatements reads what a target states in a response about itself.
 func (f *Forwarder) readStatements(s *SendResult, t *parser.Target, response *carrier.Response) {
+	s.Load = parseLoad(response.Header.Get(f.config.Dialect.Load))
 	if s.Misdirected {
 		return // another target responded
 	}
