--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -163,6 +163,7 @@
 		return ""
 	}
 	run := e.Dialect.StatedRun(s.Response.Status, s.Response.Header, s.Response.Body)
+	// The response to HEAD has no body that could state the outcome.
 	hasNoBody := run == handler.Unknown && e.Dialect.Outcome == "" && e.Request.Method == http.MethodHead
 	if run != handler.NotRun && !hasNoBody {
 		return ""
