--- a/bench/endtoend/deployment_test.go
+++ b/bench/endtoend/deployment_test.go
@@ -214,7 +214,7 @@
 
 func (p *process) start(program string) {
 	p.command = exec.Command(filepath.Join(programFolder, program), "--settings", p.settings)
-	p.command.Stderr = p.log
+	p.command.Stdout, p.command.Stderr = p.log, p.log
 	if err := p.command.Start(); err != nil {
 		p.t.Fatal(err)
 	}
