Let no response count whose status HTTP does not have

Cause: each reader of a response decided for itself what its status means, behind http.ReadResponse, which accepts any three characters that strconv.Atoi reads as 0 or more.

Such a response closes its connection and states nothing; its request is of unknown outcome (502, invalidAnswer), may run again only if it is safe, and counts as a failure of a target that was reached.

--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/filberthoist/filberthoist/core/inspector"
 	"github.com/filberthoist/filberthoist/core/loader"
 )
 
@@ -88,7 +89,7 @@
 		t.TLSClientConfig = c.reloader.clientConfig()
 		t.TLSHandshakeTimeout = dialTimeout
 	}
-	return &http.Client{Transport: trimmer{t}}
+	return &http.Client{Transport: inspector.Transport{Next: trimmer{t}}}
 }
 
 // URL returns the base URL of the process at an address.
--- a/core/connector/connector_test.go
+++ b/core/connector/connector_test.go
@@ -1,6 +1,9 @@
 package connector
 
 import (
+	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -8,10 +11,13 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/matryer/is"
 
 	"github.com/filberthoist/filberthoist/core/issuer"
 	"github.com/filberthoist/filberthoist/core/loader"
+	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/core/wire/wireconnect"
 )
 
 func TestTLS(t *testing.T) {
@@ -47,6 +53,33 @@
 	})
 }
 
+// TestInvalidStatus guards against a call that believes the error in a response with a status that no response may have.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "+20"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				body := `{"code":"failed_precondition"}`
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 %s OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+			}()
+			n, err := NewConnector(Config{})
+			is.NoErr(err)
+			_, err = wireconnect.NewAdministrationServiceClient(n.Client(), n.URL(l.Addr().String())).Read(context.Background(), connect.NewRequest(&wire.ReadRequest{}))
+			is.True(err != nil)
+			is.True(connect.CodeOf(err) != connect.CodeFailedPrecondition)
+		})
+	}
+}
+
 func TestReadConfig(t *testing.T) {
 	cases := []struct {
 		name, text, address string
--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/filberthoist/filberthoist/core/inspector"
 	"github.com/filberthoist/filberthoist/core/logger"
 )
 
@@ -131,8 +132,11 @@
 // Header returns the header of the response.
 func (e *exchange) Header() http.Header { return e.header }
 
-// WriteHeader sets the status of the response.
+// WriteHeader sets the status of the response. It panics, as net/http does, unless the status is one of a final response.
 func (e *exchange) WriteHeader(status int) {
+	if !inspector.IsFinal(status) {
+		panic(fmt.Sprintf("invalid status %d", status))
+	}
 	if e.status == 0 {
 		e.status = status
 	}
--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -22,6 +22,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
+	"github.com/filberthoist/filberthoist/core/inspector"
 	"github.com/filberthoist/filberthoist/core/peeker"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 )
@@ -155,6 +156,8 @@
 	Stopped bool
 	// Refused means that no connection could be opened.
 	Refused bool
+	// Earlier is the number of requests that the connection carried before.
+	Earlier int
 }
 
 // NewCarrier returns a Carrier without connections.
@@ -217,11 +220,12 @@
 		return nil, &Failure{Err: errors.New("stopped before the first byte"), Stopped: true}
 	}
 	stop := context.AfterFunc(ctx, n.close)
+	earlier := len(n.carried)
 	a, sent, err := n.exchange(r, c.config)
 	if err != nil {
 		stop()
 		n.close()
-		return nil, &Failure{Err: err, Sent: sent}
+		return nil, &Failure{Err: err, Sent: sent, Earlier: earlier}
 	}
 	a.DialTime = dialed
 	if a.Remainder != nil {
@@ -426,7 +430,7 @@
 func (n *connection) readResponse(r *Request, c Config) (*Response, error) {
 	for range maxInterimResponses + 1 {
 		n.headLimit.N = maxHeaderBytes
-		response, err := http.ReadResponse(n.reader, &http.Request{Method: r.Method})
+		response, err := inspector.ReadResponse(n.reader, r.Method)
 		n.headLimit.N = math.MaxInt64
 		if err == io.EOF || err == io.ErrUnexpectedEOF {
 			err = errEarlyClose
@@ -434,7 +438,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		if inspector.IsFinal(response.StatusCode) {
 			return n.readBody(response, c.bufferLimit(response))
 		}
 	}
--- a/entry/deduplicator/deduplicator.go
+++ b/entry/deduplicator/deduplicator.go
@@ -14,6 +14,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/filberthoist/filberthoist/core/connector"
+	"github.com/filberthoist/filberthoist/core/inspector"
 	"github.com/filberthoist/filberthoist/core/supervisor"
 	"github.com/filberthoist/filberthoist/core/wire"
 	"github.com/filberthoist/filberthoist/core/wire/wireconnect"
@@ -88,7 +89,9 @@
 		d.capture(e, c)
 		return handler.Outcome{}
 	case wire.BeginResult_BEGIN_RESULT_DONE:
-		return replay(e, r.Msg.GetAnswer())
+		if inspector.IsFinal(int(r.Msg.GetAnswer().GetStatus())) {
+			return replay(e, r.Msg.GetAnswer())
+		} // earlier versions recorded responses with an invalid status
 	case wire.BeginResult_BEGIN_RESULT_MISMATCH:
 		return handler.Refuse(http.StatusUnprocessableEntity, handler.ReasonKeyReused)
 	}
--- a/entry/deduplicator/deduplicator_test.go
+++ b/entry/deduplicator/deduplicator_test.go
@@ -80,7 +80,9 @@
 	holders map[string]string
 	// losesResponses makes Begin record its command and fail.
 	losesResponses bool
-	finishes       chan *wire.FinishOnceCommand
+	// answer is the recorded response of all requests; nil if there is none.
+	answer   *wire.OnceAnswer
+	finishes chan *wire.FinishOnceCommand
 }
 
 // Begin lets a request run if its key is free or its holder began under it.
@@ -93,6 +95,8 @@
 		l.holders[r.Msg.GetKey()] = holder
 	}
 	switch {
+	case l.answer != nil:
+		return connect.NewResponse(&wire.BeginResponse{Result: wire.BeginResult_BEGIN_RESULT_DONE, Answer: l.answer}), nil
 	case l.losesResponses:
 		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the response is lost"))
 	case holder != r.Msg.GetHolder():
@@ -171,6 +175,19 @@
 	})
 }
 
+// Guards against a recorded response with a status that no response may have, which earlier versions passed on.
+func TestRecordedStatus(t *testing.T) {
+	for status, want := range map[uint32]handler.Outcome{
+		http.StatusOK: handler.Answered(), 0: handler.MayHaveRun(http.StatusConflict, handler.ReasonBegun),
+		600: handler.MayHaveRun(http.StatusConflict, handler.ReasonBegun),
+	} {
+		is := is.New(t)
+		d, g := newDeduplicator(t, &keyLeader{holders: map[string]string{}, answer: &wire.OnceAnswer{Status: status}})
+		t.Cleanup(g.Stop)
+		is.Equal(d.deduplicate(context.Background(), newExchange(handler.DefaultDialect())), want)
+	}
+}
+
 // Guards against an answer to another request, where the header of the key is a matter between callers and targets.
 func TestDialectWithoutKeys(t *testing.T) {
 	is := is.New(t)
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -185,7 +185,7 @@
 	case s.Response == nil:
 		v.Result = string(s.Outcome.Reason)
 	}
-	if declined != "" {
+	if declined != "" || s.Invalid != "" {
 		v.Evidence = s.Evidence()
 	}
 	return v
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/filberthoist/filberthoist/core/inspector"
 	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
@@ -45,6 +46,7 @@
 	config  Config
 	carrier *carrier.Carrier
 	skipped tally.Counter
+	invalid tally.Counter
 }
 
 // SendResult is the result of sending a request to one target.
@@ -74,6 +76,8 @@
 	// the zero value if there was none.
 	Status int
 	Match  carrier.Match
+	// Invalid describes the head of a response that was invalid, so that nothing in it counts; else it is empty.
+	Invalid string
 }
 
 // Load is the load that a target reports in a response: numbers of running and waiting requests
@@ -86,10 +90,10 @@
 
 // Evidence describes the response for the request's log line. It is nil if there was none.
 func (s *SendResult) Evidence() *handler.Evidence {
-	if s.Status == 0 {
+	if s.Status == 0 && s.Invalid == "" {
 		return nil
 	}
-	return &handler.Evidence{Status: s.Status, HasID: s.Match.ID != "", Earlier: s.Match.Earlier, Skipped: s.Match.Skipped}
+	return &handler.Evidence{Status: s.Status, Invalid: s.Invalid, HasID: s.Match.ID != "", Earlier: s.Match.Earlier, Skipped: s.Match.Skipped}
 }
 
 // NewForwarder returns a Forwarder.
@@ -101,7 +105,7 @@
 	if c.Scope == nil {
 		c.Scope = tally.NoopScope
 	}
-	f := &Forwarder{config: c, skipped: c.Scope.Counter("responsesSkipped")}
+	f := &Forwarder{config: c, skipped: c.Scope.Counter("responsesSkipped"), invalid: c.Scope.Counter("responsesInvalid")}
 	f.carrier = carrier.NewCarrier(carrier.Config{
 		Clock: c.Clock, RequestHeader: c.Dialect.RequestID, IsOwnResponse: f.isOwnResponse, IsRefusal: c.Dialect.Refused,
 		Skipped: f.recordSkipped,
@@ -154,7 +158,9 @@
 	response, failure := f.carrier.Exchange(ctx, address, r)
 	if failure != nil {
 		defer cancel()
-		return nil, f.classifyFailure(ctx, e, failure, left)
+		s := f.classifyFailure(ctx, e, failure, left)
+		f.recordInvalid(e, address, s, failure)
+		return nil, s
 	}
 	if response.Remainder == nil {
 		cancel()
@@ -177,10 +183,10 @@
 }
 
 // recordFailure records that a target was not reached, unless the caller or the deadline ended the
-// exchange early. A target that answers another request is reached.
+// exchange early. A target that answers another request, or sends an invalid head, is reached.
 func (f *Forwarder) recordFailure(t *parser.Target, s *SendResult) {
 	if s.Result.Failed {
-		f.record(t, s.Outcome.Reason == handler.ReasonUnmatched)
+		f.record(t, s.Outcome.Reason == handler.ReasonUnmatched || s.Invalid != "")
 	}
 }
 
@@ -197,6 +203,18 @@
 		logger.F("responseTo", a.Match.ID), logger.F("earlier", a.Match.Earlier))
 }
 
+// recordInvalid adds to the result of an exchange the invalid head that ended it, and counts and logs it.
+func (f *Forwarder) recordInvalid(e *handler.Exchange, address string, s *SendResult, n *carrier.Failure) {
+	var head *inspector.HeadError
+	if !errors.As(n.Err, &head) {
+		return
+	}
+	s.Invalid, s.Match = head.Text, carrier.Match{Earlier: n.Earlier}
+	f.invalid.Inc(1)
+	f.config.Logger.Log(logger.ResponseInvalid, logger.F("request", e.ID), logger.F("address", address), logger.F("head", head.Text),
+		logger.F("earlier", n.Earlier))
+}
+
 // classifyFailure returns the result of a request without a response. It is certain that the
 // request did not run only if nothing was sent.
 func (f *Forwarder) classifyFailure(ctx context.Context, e *handler.Exchange, n *carrier.Failure, left time.Duration) *SendResult {
@@ -217,6 +235,8 @@
 		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonStopping)
 	case errors.Is(n.Err, carrier.ErrUnmatched):
 		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUnmatched)
+	case errors.As(n.Err, new(*inspector.HeadError)):
+		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonInvalid)
 	default:
 		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUpstream)
 	}
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -133,6 +133,8 @@
 // Evidence describes a response: its status and how it was matched to the request.
 type Evidence struct {
 	Status int
+	// Invalid describes a head that no response may have; empty if the head is valid.
+	Invalid string
 	// HasID reports whether the response bore the request's ID.
 	HasID bool
 	// Earlier is the number of requests that the connection had carried before, and Skipped the number of
@@ -148,7 +150,11 @@
 	}
 	text := fmt.Sprintf("%s %s: load %.1f wait %v expected %v rank %d warm %t, %s after %v", v.Target, v.AvailabilityZone,
 		v.Load, v.Wait.Round(time.Millisecond), v.Expected.Round(time.Millisecond), v.Rank, v.Warm, v.Result, v.Duration.Round(time.Millisecond))
-	if e := v.Evidence; e != nil {
+	switch e := v.Evidence; {
+	case e == nil:
+	case e.Invalid != "":
+		text += fmt.Sprintf(" by head %s earlier %d", e.Invalid, e.Earlier)
+	default:
 		text += fmt.Sprintf(" by status %d id %t earlier %d skipped %d", e.Status, e.HasID, e.Earlier, e.Skipped)
 	}
 	return text
--- a/entry/handler/outcome.go
+++ b/entry/handler/outcome.go
@@ -42,6 +42,7 @@
 	ReasonCallerGone   Reason = "callerGone"
 	ReasonKeyReused    Reason = "idempotencyKeyReused"
 	ReasonUnmatched    Reason = "unmatchedAnswer"
+	ReasonInvalid      Reason = "invalidAnswer"
 	ReasonNotAvailable Reason = "notAvailable"
 	ReasonStopping     Reason = "stopping"
 	// ReasonIsolated means that this entry reaches no target and no other entry took the request.
--- a/entry/prober/prober.go
+++ b/entry/prober/prober.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/filberthoist/filberthoist/core/inspector"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/entry/dispatcher"
 )
@@ -58,7 +59,8 @@
 
 // NewProber returns a Prober.
 func NewProber(c Config) *Prober {
-	return &Prober{config: c, client: &http.Client{Timeout: probeTimeout, Transport: &http.Transport{IdleConnTimeout: 2 * probeInterval}}}
+	transport := inspector.Transport{Next: &http.Transport{IdleConnTimeout: 2 * probeInterval}}
+	return &Prober{config: c, client: &http.Client{Timeout: probeTimeout, Transport: transport}}
 }
 
 // Run probes until the context ends.
