--- a/entry/limiter/share.go
+++ b/entry/limiter/share.go
@@ -263,12 +263,17 @@
 	return share * (t.Burst + o.Part*(t.Burst+t.Rate*o.Window.Seconds()) + o.Tokens)
 }
 
+// tokensAt returns the tokens of a bucket after a refill with a share.
+func (o Overdraft) tokensAt(now time.Duration, t *parser.Team, share float64, b *shareBucket) float64 {
+	added := t.Rate * min(b.share, share) * (now - b.refilledAt).Seconds()
+	return min(o.capacity(t, share), b.tokens+added)
+}
+
 // refill adds the tokens since the last refill. A bucket starts empty, and growth of a share adds
 // no tokens for the past, since the entries that held that part of the rate may have spent them.
 func (d *ShareLimiter) refill(now time.Duration, t *parser.Team, b *shareBucket) {
 	share := d.config.Share(t.Name)
-	added := t.Rate * min(b.share, share) * (now - b.refilledAt).Seconds()
-	b.tokens = min(d.config.Overdraft.capacity(t, share), b.tokens+added)
+	b.tokens = d.config.Overdraft.tokensAt(now, t, share, b)
 	if b.share == 0 && share > 0 {
 		d.config.Logger.Log(logger.AllowanceBegun, logger.F("team", t.Name), logger.F("share", share), logger.F("tokens", b.tokens))
 	}
