--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -76,14 +76,6 @@
 	Match  carrier.Match
 }
 
-// Load is the load that a target reports in a response: numbers of running and waiting requests
-// and of slots.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-}
-
 // Evidence describes the response for the request's log line. It is nil if there was none.
 func (s *SendResult) Evidence() *handler.Evidence {
 	if s.Status == 0 {
@@ -427,21 +419,3 @@
 	}
 	return !errors.Is(ctx.Err(), context.Canceled)
 }
-
-// parseLoad parses the numbers of running and waiting requests and of slots, separated by
-// commas. It returns nil if the text is malformed.
-func parseLoad(text string) *Load {
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return nil
-	}
-	var n [3]int
-	for i, p := range parts {
-		v, err := strconv.Atoi(strings.TrimSpace(p))
-		if err != nil || v < 0 {
-			return nil
-		}
-		n[i] = v
-	}
-	return &Load{Running: n[0], Waiting: n[1], Slots: n[2]}
-}
