Use the slowness that targets state about themselves

Targets on shared machines state how long work takes there now. The figure changes many times a second, so it decays with its age to its mean and that to 1. It multiplies the wait and the processing of a candidate. A response's time is divided by the slowness stated with it, so that the learnt ratio and the estimates of work don't count it a second time. Targets that state none are served as before.

The log line and the dump show the figure and its age.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -293,7 +293,7 @@
 func newAttempt(k *Pick, s *forwarder.SendResult, took time.Duration) handler.Attempt {
 	v := handler.Attempt{
 		Target: k.Target.Name, AvailabilityZone: k.Target.AvailabilityZone, Load: k.Load, Wait: k.Wait, Expected: k.Cost,
-		Rank: k.Rank, Warm: k.Warm, Duration: took, Result: "answered",
+		Slowness: k.Slowness, SlownessAge: k.SlownessAge, Rank: k.Rank, Warm: k.Warm, Duration: took, Result: "answered",
 	}
 	switch {
 	case s.Misdirected:
--- a/entry/balancer/dump.go
+++ b/entry/balancer/dump.go
@@ -9,8 +9,12 @@
 	Load     float64
 	Failures float64
 	Pace     float64
-	Ejected  bool
-	Leaving  bool
+	// Slowness is what the target stated last about its slowness, and SlownessAge the time since then;
+	// both are 0 if it never did.
+	Slowness    float64
+	SlownessAge time.Duration
+	Ejected     bool
+	Leaving     bool
 	// LeavingFor is the time since the target was first known to be leaving, and TurnedAwayFor the time
 	// for which it wants no requests of this entry.
 	LeavingFor    time.Duration
@@ -31,6 +35,9 @@
 				Ejected: t.isEjected(now), Leaving: t.isLeaving(now), Cold: t.isCold(now), Objects: len(t.objects),
 				TurnedAwayFor: max(0, t.turnedAwayUntil-now),
 			}
+			if t.statedSlowness > 0 {
+				n.Slowness, n.SlownessAge = t.statedSlowness, now-t.statedAt
+			}
 			if t.leavingSince > 0 {
 				n.LeavingFor = now - t.leavingSince
 			}
--- a/entry/balancer/model_test.go
+++ b/entry/balancer/model_test.go
@@ -27,6 +27,8 @@
 	targets map[string]*simulatedTarget
 	entries []*simulatedEntry
 	results []result
+	// statesSlowness is set if targets state their slowdown in responses.
+	statesSlowness bool
 }
 
 type simulatedEntry struct {
@@ -182,7 +184,7 @@
 			m.schedule(roundTrip/2, func() {
 				out := &forwarder.SendResult{
 					Result: dispatcher.Result{Latency: m.now - begun, Failed: failed || !ran}, Refused: !ran && !s.down, Unreachable: s.down,
-					Load: &forwarder.Load{Running: s.running, Waiting: len(s.queue), Slots: simulatedSlots},
+					Load: &forwarder.Load{Running: s.running, Waiting: len(s.queue), Slots: simulatedSlots, Slowness: m.statedSlowness(s)},
 				}
 				e.picker.Done(k, d, out, 0)
 				m.results = append(m.results, result{
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -106,6 +106,10 @@
 	// Load is the target's load and Wait the expected time in its queue, at the time of the pick.
 	Load float64
 	Wait time.Duration
+	// Slowness is what the target stated last about its slowness, and SlownessAge the time since then;
+	// both are 0 if it never did.
+	Slowness    float64
+	SlownessAge time.Duration
 	// Rank is the position of the target in the object's order.
 	Rank       int
 	state      *target
@@ -203,7 +207,7 @@
 			return Ejected
 		}
 	case s.Result.Latency > 0:
-		if p.recordResponse(now, k, d, s.Result.Latency) && change == NoChange {
+		if p.recordResponse(now, k, d, s) && change == NoChange {
 			return Readmitted
 		}
 	}
@@ -263,9 +267,12 @@
 	p.roundTrips[region] = old + time.Duration(roundTripWeight*float64(d-old))
 }
 
-func (p *Picker) recordResponse(now time.Duration, k *Pick, d PickRequest, took time.Duration) (readmitted bool) {
-	t, w := k.state, p.estimate(d)
+func (p *Picker) recordResponse(now time.Duration, k *Pick, d PickRequest, s *forwarder.SendResult) (readmitted bool) {
+	t, w, took := k.state, p.estimate(d), s.Result.Latency
 	processing := max(took-p.roundTrip(t.listed)-k.Wait, took/4)
+	if s.Load != nil && s.Load.Slowness > 0 {
+		processing = time.Duration(float64(processing) / t.statedSlowness)
+	}
 	readmitted = t.recordSuccess(now, w.ratio(processing, k.Warm))
 	if t.currentSlowness(now) < slowThreshold {
 		w.record(processing)
@@ -402,11 +409,14 @@
 	if t.isCold(now) {
 		processing *= coldSlowdown
 	}
-	processing *= t.currentSlowness(now)
+	processing *= t.expectedSlowness(now)
 	k := &Pick{Target: t.listed, Warm: warm, Load: t.load(now), Rank: rank, state: t, processing: time.Duration(processing)}
+	if t.statedSlowness > 0 {
+		k.Slowness, k.SlownessAge = t.statedSlowness, now-t.statedAt
+	}
 	slots := max(1, t.listed.Slots)
 	if queue := k.Load + 1 - float64(slots); queue > 0 {
-		k.Wait = time.Duration(queue / float64(slots) * float64(w.mean) * t.currentSlowness(now))
+		k.Wait = time.Duration(queue / float64(slots) * float64(w.mean) * t.expectedSlowness(now))
 	}
 	k.Cost = k.Wait + k.processing + p.roundTrip(t.listed)
 	switch {
--- a/entry/balancer/target.go
+++ b/entry/balancer/target.go
@@ -40,6 +40,12 @@
 	slownessWeight = 0.2
 	// slownessTimeConstant is the time constant with which slowness decays to 1 without responses.
 	slownessTimeConstant = 5 * time.Second
+	// statedTimeConstant is the time constant with which a stated slowness decays to its mean, and
+	// statedMeanTimeConstant the one with which that mean decays to 1.
+	statedTimeConstant     = 400 * time.Millisecond
+	statedMeanTimeConstant = 5 * time.Second
+	// statedMeanWeight is the weight of a new statement in the mean.
+	statedMeanWeight = 0.1
 	// minSlowness and maxSlowness bound the slowness of a target.
 	minSlowness = 0.5
 	maxSlowness = 20
@@ -86,9 +92,15 @@
 	replaced bool
 	tried    bool
 
-	// slowness is the ratio of the target's processing times to its service's; 1 means equal.
+	// slowness is the ratio of the target's processing times to its service's; 1 means equal. Where
+	// the target states its own slowness, that part is not counted here.
 	slowness          float64
 	slownessUpdatedAt time.Duration
+	// statedSlowness is what the target stated last about its slowness, at statedAt; 0 if it never did.
+	// meanStatedSlowness is its moving average.
+	statedSlowness     float64
+	meanStatedSlowness float64
+	statedAt           time.Duration
 	// objects holds the time of the last response for each object.
 	objects map[string]time.Duration
 
@@ -111,6 +123,22 @@
 	return 1 + (t.slowness-1)*decay(now-t.slownessUpdatedAt, slownessTimeConstant)
 }
 
+// currentStatedSlowness is the expected value now of the slowness that the target states; 1 if it
+// states none. An old statement tells nothing but its mean.
+func (t *target) currentStatedSlowness(now time.Duration) float64 {
+	if t.statedSlowness == 0 {
+		return 1
+	}
+	age := now - t.statedAt
+	mean := 1 + (t.meanStatedSlowness-1)*decay(age, statedMeanTimeConstant)
+	return mean + (t.statedSlowness-t.meanStatedSlowness)*decay(age, statedTimeConstant)
+}
+
+// expectedSlowness is by how much longer than usual work is expected to take that begins now.
+func (t *target) expectedSlowness(now time.Duration) float64 {
+	return t.currentSlowness(now) * t.currentStatedSlowness(now)
+}
+
 func decay(age, timeConstant time.Duration) float64 {
 	return math.Exp(-float64(max(0, age)) / float64(timeConstant))
 }
@@ -194,6 +222,20 @@
 	}
 	t.meanOthersLoad = t.meanOthersLoad*decay(now-t.reportedAt, meanTimeConstant) + meanLoadWeight*(t.othersLoad-t.meanOthersLoad*decay(now-t.reportedAt, meanTimeConstant))
 	t.reportedAt = now
+	t.recordStatedSlowness(now, l.Slowness)
+}
+
+// recordStatedSlowness records what a target stated about its slowness; 0 means nothing.
+func (t *target) recordStatedSlowness(now time.Duration, stated float64) {
+	if stated == 0 {
+		return
+	}
+	stated = min(maxSlowness, max(minSlowness, stated))
+	if t.statedSlowness == 0 {
+		t.meanStatedSlowness = 1
+	}
+	t.meanStatedSlowness += statedMeanWeight * (stated - t.meanStatedSlowness)
+	t.statedSlowness, t.statedAt = stated, now
 }
 
 // recordSuccess records a response that took ratio times the expected time. It reports whether
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -119,6 +119,10 @@
 	Load     float64
 	Wait     time.Duration
 	Expected time.Duration
+	// Slowness is what the target last stated about its slowness, and SlownessAge the time since then;
+	// both are 0 if it never did.
+	Slowness    float64
+	SlownessAge time.Duration
 	// Rank is the target's position in the object's preference order. Warm reports whether it
 	// answered for the object recently.
 	Rank     int
@@ -148,6 +152,9 @@
 	}
 	text := fmt.Sprintf("%s %s: load %.1f wait %v expected %v rank %d warm %t, %s after %v", v.Target, v.AvailabilityZone,
 		v.Load, v.Wait.Round(time.Millisecond), v.Expected.Round(time.Millisecond), v.Rank, v.Warm, v.Result, v.Duration.Round(time.Millisecond))
+	if v.Slowness > 0 {
+		text += fmt.Sprintf(" slowness %.2f since %v", v.Slowness, v.SlownessAge.Round(time.Millisecond))
+	}
 	if e := v.Evidence; e != nil {
 		text += fmt.Sprintf(" by status %d id %t earlier %d skipped %d", e.Status, e.HasID, e.Earlier, e.Skipped)
 	}
