Report the usage of each window to the platform, as a duty of one control member

Change: entries count the requests that targets began to run and hand the totals over with their polls. The leader holds the duty under a fence in the replicated log, commits the sums of a window before it first sends them, and confirms its place by a quorum round right before each call.

--- a/control/applier/apply.go
+++ b/control/applier/apply.go
@@ -54,6 +54,12 @@
 		out.Done = s.removeEntry(k.RemoveEntry)
 	case *wire.Command_AdvanceMove:
 		out.Done = s.advanceMove(k.AdvanceMove)
+	case *wire.Command_AcquireDuty:
+		out.Done = s.acquireDuty(k.AcquireDuty)
+	case *wire.Command_DecideReport:
+		out.Done = s.decideReport(k.DecideReport)
+	case *wire.Command_FinishReport:
+		out.Done = s.finishReport(k.FinishReport)
 	case *wire.Command_AssignRole:
 		out.Done = s.assignRole(k.AssignRole.GetRole())
 	}
--- a/control/applier/keys.go
+++ b/control/applier/keys.go
@@ -15,13 +15,15 @@
 	// of orders.
 	formPrefix  = "form/"
 	orderPrefix = "order/"
+	// dutyPrefix is for the holders of duties and what they have to send.
+	dutyPrefix = "duty/"
 	// HeadKey holds the RevisionRecord of the text in force.
 	HeadKey = "head"
 )
 
 // Distributed reports whether the record of a key is sent to entries.
 func Distributed(key string) bool {
-	for _, p := range []string{revisionPrefix, oncePrefix, formPrefix, orderPrefix, wire.SilentRecords} {
+	for _, p := range []string{revisionPrefix, oncePrefix, formPrefix, orderPrefix, dutyPrefix, wire.SilentRecords} {
 		if strings.HasPrefix(key, p) {
 			return false
 		}
--- a/control/applier/restored_test.go
+++ b/control/applier/restored_test.go
@@ -91,6 +91,11 @@
 		{Kind: &wire.Command_PutEntry{PutEntry: &wire.PutEntryCommand{Member: &wire.EntryMember{Name: name, Incarnation: n}}}},
 		{Kind: &wire.Command_RemoveEntry{RemoveEntry: &wire.RemoveEntryCommand{Name: name, Incarnation: n}}},
 		{Kind: &wire.Command_AssignRole{AssignRole: &wire.AssignRoleCommand{Role: &wire.Role{Name: name, Epoch: n, Vacant: flag}}}},
+		{Kind: &wire.Command_AcquireDuty{AcquireDuty: &wire.AcquireDutyCommand{Name: name, Holder: n, FirstDecided: n}}},
+		{Kind: &wire.Command_DecideReport{DecideReport: &wire.DecideReportCommand{
+			Duty: name, Fence: n, Window: &wire.UsageWindow{Number: n, Counts: map[string]uint64{"a": n, "b": 1}},
+		}}},
+		{Kind: &wire.Command_FinishReport{FinishReport: &wire.FinishReportCommand{Duty: name, Fence: n, Window: n}}},
 		{Kind: &wire.Command_Submit{Submit: &wire.SubmitCommand{Revision: n, Digest: fmt.Sprint(n), Sections: drawSections(t)}}},
 	}
 	return proto.CloneOf(rapid.SampledFrom(commands).Draw(t, "command"))
--- /dev/null
+++ b/control/collector/collector_test.go
@@ -0,0 +1,54 @@
+package collector
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/filberthoist/filberthoist/core/wire"
+)
+
+func poll(run, sequence, window, count uint64, at time.Time) *wire.PollRequest {
+	return &wire.PollRequest{
+		Member: &wire.EntryMember{Name: "e", Incarnation: run},
+		Usage: &wire.UsageReport{Sequence: sequence, UnixMilliseconds: at.UnixMilli(), Windows: []*wire.UsageWindow{
+			{Number: window, Counts: map[string]uint64{"a": count}},
+		}},
+	}
+}
+
+// TestAdd guards against counts that grow or shrink by reports that are repeated or overtaken.
+func TestAdd(t *testing.T) {
+	is := is.New(t)
+	c, at := NewCollector(), time.Unix(100, 0)
+	c.Add(1, poll(1, 1, 20, 5, at))
+	c.Add(1, poll(1, 3, 20, 7, at))
+	c.Add(1, poll(1, 2, 20, 6, at)) // late
+	c.Add(1, poll(1, 3, 20, 7, at)) // repeated
+	c.Add(1, poll(2, 1, 20, 1, at)) // the entry after a restart
+	is.Equal(c.Counts(20), map[string]uint64{"a": 8})
+	is.Equal(c.Add(1, &wire.PollRequest{}).GetDecided(), uint64(0))
+	c.Reset(1, 20)
+	c.Add(1, poll(1, 4, 20, 9, at))
+	is.Equal(c.Counts(20), map[string]uint64{}) // decided
+	is.Equal(c.Add(1, &wire.PollRequest{}).GetDecided(), uint64(20))
+	c.Add(2, poll(1, 5, 21, 3, at))
+	c.Add(1, poll(1, 6, 21, 4, at)) // to the leader before
+	is.Equal(c.Counts(21), map[string]uint64{"a": 3})
+}
+
+func TestIsComplete(t *testing.T) {
+	is := is.New(t)
+	c, at := NewCollector(), time.Unix(100, 0)
+	entries := map[string]*wire.EntryMember{"e": {Name: "e", Incarnation: 2}}
+	c.Add(1, poll(1, 1, 20, 5, at.Add(time.Second)))
+	is.True(!c.IsComplete(entries, at)) // of an earlier run
+	c.Add(1, poll(2, 1, 20, 5, at.Add(-time.Millisecond)))
+	is.True(!c.IsComplete(entries, at))
+	c.Add(1, poll(2, 2, 20, 5, at))
+	is.True(c.IsComplete(entries, at))
+	c.Reset(1, 20)
+	c.DropSilent(entries)
+	is.Equal(len(c.runs), 1) // the run that ended has nothing left to count
+}
--- a/control/control.go
+++ b/control/control.go
@@ -13,10 +13,12 @@
 	"connectrpc.com/connect"
 	"go.uber.org/fx"
 
+	"github.com/filberthoist/filberthoist/control/accountant"
 	"github.com/filberthoist/filberthoist/control/administrator"
 	"github.com/filberthoist/filberthoist/control/allocator"
 	"github.com/filberthoist/filberthoist/control/applier"
 	"github.com/filberthoist/filberthoist/control/apportioner"
+	"github.com/filberthoist/filberthoist/control/collector"
 	"github.com/filberthoist/filberthoist/control/coordinator"
 	"github.com/filberthoist/filberthoist/control/distributor"
 	"github.com/filberthoist/filberthoist/control/founder"
@@ -45,6 +47,9 @@
 	// ListTargets reads the platform's list of targets and counts the items that could not be used.
 	// nil means that the platform has no list.
 	ListTargets func(ctx context.Context) (targets []surveyor.Target, skipped int, err error)
+	// SendReport sends the report of one window to the platform and returns the status of the response.
+	// nil means that the platform takes no reports.
+	SendReport func(ctx context.Context, r accountant.Report) (status int, err error)
 	// ReadExtraSections reads the platform's own sections of the settings when the settings are
 	// reloaded, so that they are not reported as unknown.
 	ReadExtraSections func(starter.Source)
@@ -88,6 +93,8 @@
 			newLender,
 			newApportioner,
 			newAllocator,
+			newCollector,
+			newAccountant,
 			newDistributor,
 			newCoordinator,
 			newMover,
@@ -220,10 +227,10 @@
 }
 
 func newDistributor(c timekeeper.Clock, s *sequencer.Sequencer, t *applier.State, v *surveyor.Surveyor,
-	a *apportioner.Apportioner, o *allocator.Allocator, n *lender.Lender,
+	a *apportioner.Apportioner, o *allocator.Allocator, n *lender.Lender, u *collector.Collector,
 ) *distributor.Distributor {
 	return distributor.NewDistributor(distributor.Config{
-		Clock: c, Sequencer: s, State: t, Surveyor: v, Apportioner: a, Allocator: o, Lender: n,
+		Clock: c, Sequencer: s, State: t, Surveyor: v, Apportioner: a, Allocator: o, Lender: n, Collector: u,
 	})
 }
 
@@ -303,6 +310,7 @@
 	Registrar     *registrar.Registrar
 	Coordinator   *coordinator.Coordinator
 	Mover         *mover.Mover
+	Accountant    *accountant.Accountant
 	Administrator *administrator.Administrator
 	State         *applier.State
 	Surveyor      *surveyor.Surveyor
@@ -331,6 +339,9 @@
 			p.Group.Go("coordinator", p.Coordinator.Run)
 			p.Group.Go("mover", p.Mover.Run)
 			p.Group.Go("surveyor", p.Surveyor.Run)
+			if p.Accountant != nil {
+				p.Group.Go("accountant", p.Accountant.Run)
+			}
 			if len(p.Settings.Founders) > 0 {
 				p.Group.Go("founder", p.Founder.Run)
 			}
@@ -402,5 +413,8 @@
 		p.Reporter.Add("shares", p.Apportioner.Dump)
 		p.Reporter.Add("loans", p.Lender.Dump)
 	}
+	if p.Accountant != nil {
+		p.Reporter.Add("usage", p.Accountant.Dump)
+	}
 	p.Reporter.SetHealth(p.Sequencer.CheckHealth)
 }
--- a/control/distributor/distributor.go
+++ b/control/distributor/distributor.go
@@ -13,6 +13,7 @@
 	"github.com/filberthoist/filberthoist/control/allocator"
 	"github.com/filberthoist/filberthoist/control/applier"
 	"github.com/filberthoist/filberthoist/control/apportioner"
+	"github.com/filberthoist/filberthoist/control/collector"
 	"github.com/filberthoist/filberthoist/control/lender"
 	"github.com/filberthoist/filberthoist/control/replicator"
 	"github.com/filberthoist/filberthoist/control/sequencer"
@@ -51,6 +52,8 @@
 	Apportioner *apportioner.Apportioner
 	// Lender lends tokens of teams with small rates; nil means that none are lent.
 	Lender *lender.Lender
+	// Collector takes the usage that entries report; nil means that none is wanted.
+	Collector *collector.Collector
 }
 
 // Caller is the state of one incarnation of an entry or relay.
@@ -228,10 +231,19 @@
 	if d.config.Allocator != nil && v.Serving() {
 		out.Allocation = d.config.Allocator.Answer(v.Term, r)
 	}
+	out.Usage = d.collectUsage(v, r)
 	out.ControlAddresses = d.controlAddresses(v, r)
 	return out, nil
 }
 
+// collectUsage takes the usage of a poll and returns the receipt, or nil if none is wanted.
+func (d *Distributor) collectUsage(v *sequencer.View, r *wire.PollRequest) *wire.UsageReceipt {
+	if d.config.Collector == nil || !v.Serving() {
+		return nil
+	}
+	return d.config.Collector.Add(v.Term, r)
+}
+
 // targetsSince returns what changed in the list of targets since the caller's version, or nil.
 func (d *Distributor) targetsSince(r *wire.PollRequest) *wire.TargetChanges {
 	if d.config.Surveyor == nil {
@@ -265,8 +277,9 @@
 	return out
 }
 
-// recordPoll records the state of a caller and returns when it was last sent changes.
+// recordPoll records the state and the usage of a caller and returns when it was last sent changes.
 func (d *Distributor) recordPoll(r *wire.PollRequest) (answered time.Duration) {
+	d.collectUsage(d.config.Sequencer.View(), r)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.config.Clock.Now()
--- a/control/settings.go
+++ b/control/settings.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"github.com/filberthoist/filberthoist/control/accountant"
 	"github.com/filberthoist/filberthoist/control/administrator"
 	"github.com/filberthoist/filberthoist/control/sequencer"
 	"github.com/filberthoist/filberthoist/core/connector"
@@ -41,9 +42,11 @@
 	Roles bool
 	// ListInterval is the pause between two reads of the platform's list of targets.
 	ListInterval time.Duration
-	Operators    administrator.Operators
-	TLS          connector.Config
-	LogLevel     string
+	// Usage configures the reports of usage to the platform. The platform's build sets it.
+	Usage     accountant.Settings
+	Operators administrator.Operators
+	TLS       connector.Config
+	LogLevel  string
 }
 
 // Replication holds the timing and the redundancy of the replicated log.
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -12,7 +12,7 @@
 
 // The events of all processes. The hundreds of a number give the subject: 1xx process, 2xx
 // replication, 3xx configuration, 4xx entries and roles, 5xx requests, 6xx dispatch and moves,
-// 7xx limits, 9xx invariants.
+// 7xx limits, 8xx duties, 9xx invariants.
 var (
 	ProcessStarted     = Event{101, "processStarted", log.InfoLevel, "The process listens on all its addresses."}
 	ProcessStopping    = Event{102, "processStopping", log.InfoLevel, "The process was asked to stop and drains its connections."}
@@ -88,6 +88,11 @@
 	SharesOverdrawn    = Event{706, "sharesOverdrawn", log.WarnLevel, "The shares of a team's rate that entries may use add up to more than the whole rate."}
 	SharesCovered      = Event{707, "sharesCovered", log.InfoLevel, "The shares of a team's rate add up to at most the whole rate again."}
 	AllowanceBegun     = Event{708, "allowanceBegun", log.InfoLevel, "This entry begins to admit a team by a share of its rate; the fields show the tokens it starts with."}
+	DutyAcquired       = Event{801, "dutyAcquired", log.InfoLevel, "This control member holds a duty towards the platform under a new fence, and begins to act in it."}
+	ReportDecided      = Event{802, "reportDecided", log.InfoLevel, "The content of a report is committed; forced tells that an entry had not reported in time."}
+	ReportSent         = Event{803, "reportSent", log.InfoLevel, "The platform took a report."}
+	ReportFailed       = Event{804, "reportFailed", log.WarnLevel, "The platform did not take a report, or its response was lost; the report is sent again after a pause."}
+	ReportDropped      = Event{805, "reportDropped", log.ErrorLevel, "The platform repeatedly called a report invalid; it is not sent again."}
 	InvariantBroken    = Event{901, "invariantBroken", log.FatalLevel, "An invariant does not hold; the process stops."}
 )
 
@@ -107,5 +112,6 @@
 	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent, TargetsUnreachable, TargetsReachable, TargetTurnsAway,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
 	OwnerStarted, SharesInUse, TokensUnavailable, TokensAvailable, SharesAwaited, SharesOverdrawn, SharesCovered, AllowanceBegun,
+	DutyAcquired, ReportDecided, ReportSent, ReportFailed, ReportDropped,
 	InvariantBroken,
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,6 +43,7 @@
 	"github.com/filberthoist/filberthoist/entry/resolver"
 	"github.com/filberthoist/filberthoist/entry/shifter"
 	"github.com/filberthoist/filberthoist/entry/splitter"
+	"github.com/filberthoist/filberthoist/entry/tallier"
 )
 
 // LookupPath is the path at which callers look up which entries to use.
@@ -106,6 +107,7 @@
 			newShifter,
 			newShareLimiterRef,
 			newMeter,
+			newTallier,
 			newReceiver,
 			newOwner,
 			newGrantLimiter,
@@ -209,12 +211,12 @@
 }
 
 func newReceiver(s Settings, c timekeeper.Clock, l logger.Logger, a *asserter.Asserter, r *reporter.Reporter,
-	n *connector.Connector, self *wire.EntryMember, t *shifter.Shifter, d *shareLimiterRef, m *balancer.Meter, i *detectorRef, k *pickerRef,
+	n *connector.Connector, self *wire.EntryMember, t *shifter.Shifter, d *shareLimiterRef, m *balancer.Meter, i *detectorRef, k *pickerRef, u *tallier.Tallier,
 ) *receiver.Receiver {
 	return receiver.NewReceiver(receiver.Config{
 		Clock: c, Logger: l, Assert: a, Scope: r.Scope, Connector: n, Controls: s.Controls, Self: self,
 		Evidence: t.Evidence, RequestRates: d.requestRates, Demands: m.Demands, LeavingTargets: k.leavingTargets, Zones: s.Zones, Lenient: s.Lenient,
-		Isolated: i.isIsolated,
+		Isolated: i.isIsolated, Usage: u.Report, ConfirmUsage: u.Confirm,
 	})
 }
 
@@ -349,10 +351,10 @@
 }
 
 func newDispatcher(s Settings, c timekeeper.Clock, r *reporter.Reporter, t *dispatcher.Client, f *forwarder.Forwarder,
-	l *limiter.GrantLimiter,
+	l *limiter.GrantLimiter, u *tallier.Tallier,
 ) *dispatcher.Dispatcher {
 	return dispatcher.NewDispatcher(dispatcher.Config{
-		Clock: c, Scope: r.Scope, Region: s.Region, Client: t, Forward: f.Forward, ReserveLink: l.Reserve,
+		Clock: c, Scope: r.Scope, Region: s.Region, Client: t, Forward: countForwards(u, f.Forward), ReserveLink: l.Reserve,
 	})
 }
 
@@ -377,12 +379,12 @@
 }
 
 func newBalancer(s Settings, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, p *balancer.Picker,
-	f *forwarder.Forwarder, v *receiver.Receiver, m *balancer.Meter, g *delegator.Delegator, t *shifter.Shifter,
+	f *forwarder.Forwarder, v *receiver.Receiver, m *balancer.Meter, g *delegator.Delegator, t *shifter.Shifter, u *tallier.Tallier,
 ) *balancer.Balancer {
 	s.Repeats.Entries = func() int { return len(v.View().Entries) }
 	s.Repeats.Clock, s.Repeats.Logger = c, l
 	return balancer.NewBalancer(balancer.Config{
-		Clock: c, Logger: l, Scope: r.Scope, Picker: p, Send: f.Send, WriteResponse: f.WriteResponse, Delegate: g.DelegateUnreachable,
+		Clock: c, Logger: l, Scope: r.Scope, Picker: p, Send: countSends(u, f.Send), WriteResponse: f.WriteResponse, Delegate: g.DelegateUnreachable,
 		Reselect: t.Reselect, RetryBudget: balancer.NewBudget(s.Repeats), Meter: m,
 	})
 }
@@ -450,6 +452,7 @@
 	Detector     *detector.Detector
 	Resolver     *resolver.Resolver
 	Acceptor     *acceptor.Acceptor
+	Tallier      *tallier.Tallier
 	Extensions   Extensions
 	Lifecycle    fx.Lifecycle
 	Shutdowner   fx.Shutdowner
@@ -501,6 +504,7 @@
 			p.Logger.Log(logger.ProcessStopping)
 			leave(p)
 			err := callers.StopWithin(p.Settings.Drain)
+			handOverUsage(p.Tallier)
 			_ = peers.StopWithin(peerDrainTimeout) // other entries retry elsewhere
 			p.Group.Stop()
 			stopListeners(append(extra, reports), lastDrainTimeout)
@@ -607,5 +611,8 @@
 	p.Reporter.Add("loans", p.Borrower.Dump)
 	p.Reporter.Add("targets", p.Picker.Dump)
 	p.Reporter.Add("isolation", p.Detector.Dump)
+	if p.Tallier.Enabled() {
+		p.Reporter.Add("usage", p.Tallier.Dump)
+	}
 	p.Reporter.SetHealth(p.Receiver.CheckHealth)
 }
--- a/entry/receiver/receiver.go
+++ b/entry/receiver/receiver.go
@@ -62,6 +62,10 @@
 	// LeavingTargets returns the targets that stated to this entry that they are leaving while the
 	// list does not show it; nil means that none are reported.
 	LeavingTargets func() []string
+	// Usage returns the report of usage for the next poll, or nil if none is due, and ConfirmUsage takes
+	// the receipt for it; nil means that no usage is reported.
+	Usage        func() *wire.UsageReport
+	ConfirmUsage func(r *wire.UsageReport, receipt *wire.UsageReceipt)
 	// Zones maps availability zones to their regions, for listed targets.
 	Zones map[string]string
 	// Lenient serves keyed requests from the last known state while control is unreachable.
@@ -302,6 +306,9 @@
 	if changed := r.shares.Apply(response, start, reported, address); len(changed) > 0 {
 		r.config.Logger.Log(logger.SharesInUse, logger.F("number", response.GetSharesNumber()), logger.F("shares", changed))
 	}
+	if r.config.ConfirmUsage != nil {
+		r.config.ConfirmUsage(q.GetUsage(), response.GetUsage())
+	}
 	r.applyResponse(response, start)
 	r.applyTargets(response.GetTargets())
 	r.applyAllocation(response.GetAllocation())
@@ -350,6 +357,9 @@
 	if r.config.LeavingTargets != nil {
 		q.LeavingTargets = r.config.LeavingTargets()
 	}
+	if r.config.Usage != nil {
+		q.Usage = r.config.Usage()
+	}
 	q.SharesInUse = r.shares.InUse()
 	if n := len(v.Entries); n > 0 {
 		q.LeastEntries = uint32(r.shares.LeastEntries(now, n))
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -55,6 +55,9 @@
 	Repeats balancer.BudgetConfig
 	// Overdraft bounds what this entry may admit beyond teams' limits without roles.
 	Overdraft limiter.Overdraft
+	// UsageWindow is the length of the windows in which usage is counted and reported to control; 0 if it
+	// is not. The platform's build sets it.
+	UsageWindow time.Duration
 	// LogRequests is the fraction, from 0 to 1, of served requests that are logged. Refused,
 	// failed and late requests are always logged.
 	LogRequests float64
