Explain where a request would go now, without sending it

filberthoist explain ADDRESS PATH asks an entry on its report listener (GET /explain): route, lease, isolation, the team's limit, the sides of a move, and all targets of the service with their figures and ages, the rule that excludes a target, and the pick. The answer comes from the functions that decide: the picker runs on a copy of its state, so that no token, count or probe changes.

--- a/cli/commander/commander.go
+++ b/cli/commander/commander.go
@@ -113,6 +113,7 @@
 		c.movesCommand(),
 		c.membersCommand(),
 		c.dumpCommand(),
+		c.explainCommand(),
 		c.eventsCommand(),
 	)
 	return root
--- a/core/reporter/reporter.go
+++ b/core/reporter/reporter.go
@@ -34,6 +34,7 @@
 	mutex          sync.Mutex
 	dumps          map[string]Dump
 	health         func() error
+	handlers       map[string]http.Handler
 }
 
 // NewReporter returns a Reporter without dumps.
@@ -47,7 +48,7 @@
 		Separator:       tallyprometheus.DefaultSeparator,
 		SanitizeOptions: &tallyprometheus.DefaultSanitizerOpts,
 	}, flushInterval)
-	return &Reporter{Scope: scope, metricsHandler: p.HTTPHandler(), close: closer.Close, dumps: map[string]Dump{}}
+	return &Reporter{Scope: scope, metricsHandler: p.HTTPHandler(), close: closer.Close, dumps: map[string]Dump{}, handlers: map[string]http.Handler{}}
 }
 
 // Add registers the dump of a part of the process under a name.
@@ -64,13 +65,21 @@
 	r.health = check
 }
 
-// Handler serves /metrics, /health, /dump and /dump/{part}.
+// AddHandler registers the handler of GET requests for a further path. It must be called before Handler.
+func (r *Reporter) AddHandler(path string, h http.Handler) {
+	r.handlers[path] = h
+}
+
+// Handler serves /metrics, /health, /dump, /dump/{part} and the paths of AddHandler.
 func (r *Reporter) Handler() http.Handler {
 	m := mux.NewRouter()
 	m.Handle("/metrics", r.metricsHandler).Methods(http.MethodGet)
 	m.HandleFunc("/health", r.serveHealth).Methods(http.MethodGet)
 	m.HandleFunc("/dump", r.serveDump).Methods(http.MethodGet)
 	m.HandleFunc("/dump/{part}", r.serveDumpPart).Methods(http.MethodGet)
+	for path, h := range r.handlers {
+		m.Handle(path, h).Methods(http.MethodGet)
+	}
 	return m
 }
 
--- a/entry/balancer/explain.go
+++ b/entry/balancer/explain.go
@@ -41,9 +41,12 @@
 	Running   int           `json:"running"`
 	Reported  bool          `json:"reported"`
 	ReportAge time.Duration `json:"reportAge"`
-	// Slowness is the ratio of the target's processing times to those of its service, and FailureRate its recent fraction of
-	// failures.
-	Slowness    float64 `json:"slowness"`
+	// Slowness is the expected ratio of the target's processing times to those of its service. StatedSlowness is what the
+	// target stated last about it, and SlownessAge the time since then; both are 0 if it never did.
+	Slowness       float64       `json:"slowness"`
+	StatedSlowness float64       `json:"statedSlowness"`
+	SlownessAge    time.Duration `json:"slownessAge"`
+	// FailureRate is the recent fraction of failures.
 	FailureRate float64 `json:"failureRate"`
 	Cold        bool    `json:"cold"`
 	Warm        bool    `json:"warm"`
@@ -152,7 +155,10 @@
 	l := t.listed
 	x := TargetExplanation{
 		Name: l.Name, Region: l.Region, AvailabilityZone: l.AvailabilityZone, Version: l.Version, Slots: l.Slots,
-		Load: t.load(now), Running: t.running, Slowness: t.currentSlowness(now), FailureRate: t.failureRate, Cold: t.isCold(now), Rank: -1,
+		Load: t.load(now), Running: t.running, Slowness: t.expectedSlowness(now), FailureRate: t.failureRate, Cold: t.isCold(now), Rank: -1,
+	}
+	if t.statedSlowness > 0 {
+		x.StatedSlowness, x.SlownessAge = t.statedSlowness, now-t.statedAt
 	}
 	if t.reportedAt > 0 {
 		x.Reported, x.ReportAge = true, now-t.reportedAt
--- /dev/null
+++ b/entry/balancer/explain_test.go
@@ -0,0 +1,103 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/filberthoist/filberthoist/entry/forwarder"
+	"github.com/filberthoist/filberthoist/entry/handler"
+	"github.com/filberthoist/filberthoist/entry/receiver"
+)
+
+// TestExplanationIsThePick guards against an explanation that differs from what happens to the next request, or that
+// changes it: two entries get the same requests, and only one of them is asked.
+func TestExplanationIsThePick(t *testing.T) {
+	is := is.New(t)
+	asked, silent := newStatements(12), newStatements(12)
+	results := []*forwarder.SendResult{served(), served(), {Result: failure}, {Unreachable: true, Result: failure}, leaving()}
+	picked, refused := 0, 0
+	for i := range 2000 {
+		x := asked.entry.picker.Explain(asked.request())
+		asked.count--
+		result := results[0]
+		if i%7 == 0 {
+			result = results[i/7%len(results)]
+		}
+		name, delay := asked.send(result)
+		is.Equal(x.Pick, name)
+		is.Equal(x.Refusal == "", name != "")
+		is.Equal(x.Delay, delay)
+		same, _ := silent.send(result)
+		is.Equal(name, same)
+		if name == "" {
+			refused++
+		} else {
+			picked++
+		}
+		if i%500 == 400 { // new targets replace those that have left
+			asked.replaceTargets(i)
+			silent.replaceTargets(i)
+		}
+		asked.now += 20 * time.Millisecond
+		silent.now += 20 * time.Millisecond
+	}
+	is.True(picked > 1000)
+	t.Logf("%d picks, %d refusals", picked, refused)
+}
+
+func (s *statements) replaceTargets(generation int) {
+	var list []*receiver.ListedTarget
+	for i := range 12 {
+		l := copyOf(s.view.Targets["drafts"][i], false)
+		t := *l.Target
+		t.Name = fmt.Sprintf("south-%d-%d", generation, i)
+		l.Target, l.ColdUntil = &t, s.now+time.Second
+		list = append(list, l)
+	}
+	s.list(list...)
+}
+
+// TestExclusions checks the rule that an explanation names for a target that can't be picked.
+func TestExclusions(t *testing.T) {
+	cases := []struct {
+		rule   string
+		change func(s *statements, d *PickRequest, one *target)
+	}{
+		{"its availability zone is evacuated", func(s *statements, _ *PickRequest, _ *target) {
+			s.view.Evacuated = map[string]bool{"south1": true}
+		}},
+		{"its version takes no such requests", func(_ *statements, d *PickRequest, _ *target) {
+			d.Allows = handler.Selection{Version: "v2"}.Allows
+		}},
+		{"its region is not among the homes", func(_ *statements, d *PickRequest, _ *target) { d.Homes = []string{"north"} }},
+		{"another target answers at its address", func(_ *statements, _ *PickRequest, one *target) { one.replaced = true }},
+		{"it is leaving", func(_ *statements, _ *PickRequest, one *target) { one.leavingSince = time.Minute }},
+		{"it turns this entry away for another 2s", func(s *statements, _ *PickRequest, one *target) { one.turnedAwayUntil = s.now + 2*time.Second }},
+		{"it is cold, and its rate is used up", func(s *statements, d *PickRequest, one *target) {
+			d.ColdRate, one.coldTokens, one.coldRefilledAt = 1, 0, s.now
+			one.listed.ColdUntil = s.now + time.Second
+		}},
+		{"it is ejected after failures for another 3s", func(s *statements, _ *PickRequest, one *target) { one.ejectedUntil = s.now + 3*time.Second }},
+	}
+	for _, c := range cases {
+		t.Run(c.rule, func(t *testing.T) {
+			is := is.New(t)
+			s := newStatements(3)
+			s.send(served())
+			one, d := s.state("south-1"), s.request()
+			c.change(s, &d, one)
+			x := s.entry.picker.Explain(d)
+			is.Equal(len(x.Targets), 3)
+			for _, v := range x.Targets {
+				if v.Name == "south-1" {
+					is.Equal(v.Excluded, c.rule)
+				}
+				is.Equal(v.Excluded == "", v.Verdict != "") // each target is either ranked or excluded
+			}
+			is.Equal(x.Pick == "", x.Refusal != "")
+		})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,7 @@
 	"github.com/filberthoist/filberthoist/entry/delegator"
 	"github.com/filberthoist/filberthoist/entry/detector"
 	"github.com/filberthoist/filberthoist/entry/dispatcher"
+	"github.com/filberthoist/filberthoist/entry/explainer"
 	"github.com/filberthoist/filberthoist/entry/forwarder"
 	"github.com/filberthoist/filberthoist/entry/handler"
 	"github.com/filberthoist/filberthoist/entry/limiter"
@@ -128,6 +129,7 @@
 			newDeduplicator,
 			newProber,
 			newResolver,
+			newExplainer,
 			newHandler,
 		),
 		fx.Invoke(registerHooks),
@@ -430,6 +432,26 @@
 	return resolver.NewResolver(resolver.Config{View: v.View, Region: s.Region})
 }
 
+// explainerParams are the components that decide about a request.
+type explainerParams struct {
+	fx.In
+	Receiver     *receiver.Receiver
+	Resolver     *resolver.Resolver
+	Detector     *detector.Detector
+	ShareLimiter *limiter.ShareLimiter
+	Shifter      *shifter.Shifter
+	Balancer     *balancer.Balancer
+	AcceptorRef  *acceptorRef
+}
+
+func newExplainer(s Settings, x Extensions, c timekeeper.Clock, self *wire.EntryMember, p explainerParams) *explainer.Explainer {
+	return explainer.NewExplainer(explainer.Config{
+		Clock: c, Dialect: &x.Dialect, Self: self, Roles: s.Roles, View: p.Receiver.View, Fresh: p.Receiver.Fresh, Isolated: p.Detector.IsIsolated,
+		Refusing: p.AcceptorRef.isRefusing, Entries: p.Resolver.Entries, Classify: classifier.NewClassifier(classifier.Config{Clock: c}).Step().Handle,
+		Limit: p.ShareLimiter.Explain, Sides: p.Shifter.Sides, Choose: p.Balancer.Explain,
+	})
+}
+
 // lifecycleParams are the components that are started and stopped with the process.
 type lifecycleParams struct {
 	fx.In
@@ -451,6 +473,7 @@
 	Prober       *prober.Prober
 	Detector     *detector.Detector
 	Resolver     *resolver.Resolver
+	Explainer    *explainer.Explainer
 	Acceptor     *acceptor.Acceptor
 	Tallier      *tallier.Tallier
 	Extensions   Extensions
@@ -615,4 +638,5 @@
 		p.Reporter.Add("usage", p.Tallier.Dump)
 	}
 	p.Reporter.SetHealth(p.Receiver.CheckHealth)
+	p.Reporter.AddHandler(explainer.Path, p.Explainer)
 }
--- a/entry/explainer/explainer.go
+++ b/entry/explainer/explainer.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,9 @@
 	"github.com/filberthoist/filberthoist/entry/shifter"
 )
 
+// Path is the path of questions on the report listener.
+const Path = "/explain"
+
 // maxEntries is the number of entries that an answer names to a caller.
 const maxEntries = 8
 
@@ -29,7 +33,9 @@
 	Dialect *handler.Dialect
 	// Self describes this entry.
 	Self *wire.EntryMember
-	View func() *receiver.View
+	// Roles is set in the mode in which other entries may grant tokens and permits, of which this one knows too little.
+	Roles bool
+	View  func() *receiver.View
 	// Fresh reports whether keyed requests may be served from the current view, Isolated whether this entry reaches no
 	// target, and Refusing whether the process stops.
 	Fresh    func() bool
@@ -113,6 +119,10 @@
 		return nil, err
 	}
 	x.addSteps(a, e)
+	if x.config.Roles {
+		a.addHolders(e)
+		return a, nil
+	}
 	x.addChoices(a, e)
 	a.Result = a.sumUp()
 	return a, nil
@@ -181,6 +191,9 @@
 	if homes := e.AllowedRegions(); len(homes) > 0 {
 		a.add("homes", true, fmt.Sprintf("only regions %v may serve it", homes))
 	}
+	if x.config.Roles {
+		return
+	}
 	s := x.config.Limit(e.Team, e.Deadline-e.Start)
 	detail := s.Reason
 	if e.Team != nil && !e.Team.Unlimited {
@@ -189,6 +202,25 @@
 	a.add("limiter", s.Admitted || s.Borrows, detail)
 }
 
+// addHolders names the entries that decide about the request where roles are assigned.
+func (a *Answer) addHolders(e *handler.Exchange) {
+	names := []string{}
+	if e.Team != nil {
+		names = append(names, wire.TeamRole(e.Team.Name))
+	}
+	for name, r := range e.View.Roles {
+		if p, ok := wire.ParsePool(name); ok && p.Service == e.Service.Name && r != nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		r := e.View.Roles[name]
+		a.add(name, r.GetHolder() != "" && !r.GetVacant(), "decided by entry "+r.GetHolder()+"; see its dumps buckets and pools")
+	}
+	a.Result = "decided by the holders of roles"
+}
+
 // addChoices adds the choices for each service of the route and each side of its move.
 func (x *Explainer) addChoices(a *Answer, e *handler.Exchange) {
 	services := e.Route.WeightedServices
