--- a/entry/entry.go
+++ b/entry/entry.go
@@ -432,26 +432,6 @@
 	return resolver.NewResolver(resolver.Config{View: v.View, Region: s.Region})
 }
 
-// explainerParams are the components that decide about a request.
-type explainerParams struct {
-	fx.In
-	Receiver     *receiver.Receiver
-	Resolver     *resolver.Resolver
-	Detector     *detector.Detector
-	ShareLimiter *limiter.ShareLimiter
-	Shifter      *shifter.Shifter
-	Balancer     *balancer.Balancer
-	AcceptorRef  *acceptorRef
-}
-
-func newExplainer(s Settings, x Extensions, c timekeeper.Clock, self *wire.EntryMember, p explainerParams) *explainer.Explainer {
-	return explainer.NewExplainer(explainer.Config{
-		Clock: c, Dialect: &x.Dialect, Self: self, Roles: s.Roles, View: p.Receiver.View, Fresh: p.Receiver.Fresh, Isolated: p.Detector.IsIsolated,
-		Refusing: p.AcceptorRef.isRefusing, Entries: p.Resolver.Entries, Classify: classifier.NewClassifier(classifier.Config{Clock: c}).Step().Handle,
-		Limit: p.ShareLimiter.Explain, Sides: p.Shifter.Sides, Choose: p.Balancer.Explain,
-	})
-}
-
 // lifecycleParams are the components that are started and stopped with the process.
 type lifecycleParams struct {
 	fx.In
