Bound the memory and the connections that a process holds for its clients

Cause: a body was read with io.ReadAll, whose buffer grows by copying, and its length was reserved once more for the head sent to the target; nothing bounded the bodies, large heads, buffered responses and connections held at once, in entries as in control members. Heads of lookups and of operators' calls could have 1 MiB.

A body too large is refused from its announced length; one without room gets 503, and one that stalls loses its place to others (408). Responses that wait hold back further pipelined requests of their connection. Past the limit of connections an idle one is closed for a new one; connections to targets go before those of clients. New settings: listen memoryMegabytes, descriptors (control too), by default those of the system.

--- a/control/control.go
+++ b/control/control.go
@@ -33,6 +33,7 @@
 	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/reporter"
+	"github.com/filberthoist/filberthoist/core/reserver"
 	"github.com/filberthoist/filberthoist/core/starter"
 	"github.com/filberthoist/filberthoist/core/supervisor"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
@@ -49,7 +50,7 @@
 	// reloaded, so that they are not reported as unknown.
 	ReadExtraSections func(starter.Source)
 	// Listeners returns the configurations of additional listeners for operators.
-	Listeners func(a *administrator.Administrator, l logger.Logger) []listener.Config
+	Listeners func(a *administrator.Administrator, l logger.Logger, r *reserver.Reserver) []listener.Config
 }
 
 const (
@@ -70,11 +71,13 @@
 		fx.Populate(&l, &f),
 		fx.NopLogger,
 		fx.StopTimeout(stopTimeout),
-		fx.Supply(s, x),
+		fx.Supply(s, x, s.Limits),
 		fx.Provide(
 			starter.NewQueue,
 			newLogger,
 			newReporter,
+			starter.NewReserver,
+			starter.NewSeats,
 			starter.NewGroup,
 			timekeeper.NewClock,
 			asserter.NewAsserter,
@@ -310,6 +313,8 @@
 	Lender        *lender.Lender
 	Founder       *founder.Founder
 	Drainer       *drainer
+	Reserver      *reserver.Reserver
+	Seats         *reserver.Seats
 	Extensions    Extensions
 	Lifecycle     fx.Lifecycle
 	Shutdowner    fx.Shutdowner
@@ -361,11 +366,12 @@
 	configs := []listener.Config{
 		{Name: "peer", Address: p.Settings.PeerAddress, Server: p.Connector.Server(peer)},
 		{Name: "administration", Address: p.Settings.AdministrationAddress,
-			Server: p.Connector.Server(p.Drainer.wrap(administrator.Authenticate(p.Settings.Operators, operators)))},
-		{Name: "report", Address: p.Settings.ReportAddress, Server: p.Connector.Server(p.Reporter.Handler())},
+			Server: p.Connector.Server(p.Drainer.wrap(administrator.Authenticate(p.Settings.Operators, operators))), Seats: p.Seats},
+		{Name: "report", Address: p.Settings.ReportAddress, Server: p.Connector.Server(p.Reporter.Handler()), Seats: p.Seats},
 	}
 	if p.Extensions.Listeners != nil {
-		for _, c := range p.Extensions.Listeners(p.Administrator, p.Logger) {
+		for _, c := range p.Extensions.Listeners(p.Administrator, p.Logger, p.Reserver) {
+			c.Seats = p.Seats
 			c.Server.Handler = p.Drainer.wrap(c.Server.Handler)
 			configs = append(configs, c)
 		}
--- a/control/settings.go
+++ b/control/settings.go
@@ -8,6 +8,7 @@
 	"github.com/filberthoist/filberthoist/control/sequencer"
 	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/loader"
+	"github.com/filberthoist/filberthoist/core/reserver"
 	"github.com/filberthoist/filberthoist/core/starter"
 )
 
@@ -22,6 +23,8 @@
 	AdministrationAddress string
 	// ReportAddress is the address that serves metrics, health and dumps.
 	ReportAddress string
+	// Limits are the memory and the file descriptors that the process may use.
+	Limits reserver.Limits
 	// Folder is the data folder of the replicated log.
 	Folder string
 	// Peers are the peer addresses of the other initial members.
@@ -138,5 +141,6 @@
 	}
 	t.AdministrationAddress = r.Address("administration")
 	t.ReportAddress = r.Address("report")
+	t.Limits = reserver.ReadLimits(r)
 	r.Finish()
 }
--- a/core/digester/digester.go
+++ b/core/digester/digester.go
@@ -21,7 +21,12 @@
 
 // Text returns the SHA-256 digest of a text in hexadecimal.
 func Text(text string) string {
-	d := sha256.Sum256([]byte(text))
+	return Bytes([]byte(text))
+}
+
+// Bytes returns the SHA-256 digest of bytes in hexadecimal.
+func Bytes(b []byte) string {
+	d := sha256.Sum256(b)
 	return hex.EncodeToString(d[:])
 }
 
--- a/core/listener/listener.go
+++ b/core/listener/listener.go
@@ -11,6 +11,7 @@
 
 	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/reserver"
 )
 
 // Config configures a Listener.
@@ -21,6 +22,8 @@
 	// Serve and Shutdown are used instead of the methods of Server if they are set.
 	Serve    func(net.Listener) error
 	Shutdown func(context.Context) error
+	// Seats bound the connections of Server; nil means no bound.
+	Seats *reserver.Seats
 	// Connector adds TLS; nil serves plain HTTP.
 	Connector *connector.Connector
 	Logger    logger.Logger
@@ -41,6 +44,10 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "opening the %s listener", c.Name)
 	}
+	if c.Seats != nil && c.Server != nil {
+		l = seatedSocket{l, c.Seats}
+		c.Server.ConnContext, c.Server.Handler = withSeat, seatedHandler{c.Server.Handler}
+	}
 	return &Listener{config: c, socket: l, done: make(chan struct{})}, nil
 }
 
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -66,6 +66,9 @@
 	IdleClosed         = Event{508, "idleClosed", log.InfoLevel, "A shutdown closed a connection on which no request had been read; one that was under way gets no response."}
 	InputBehindEnd     = Event{509, "inputBehindEnd", log.InfoLevel, "Input behind a response that announced the end of its connection was discarded; its caller sends it again."}
 	ResponseSkipped    = Event{510, "responseSkipped", log.WarnLevel, "A target's response does not count for the request that waited on its connection; the fields show its status, its ID, and how many requests the connection had carried."}
+	MemoryRefused      = Event{530, "memoryRefused", log.WarnLevel, "A request was refused for lack of memory; at most one line in a second, the fields show the totals."}
+	MemoryEvicted      = Event{531, "memoryEvicted", log.WarnLevel, "A client that sent or took bytes too slowly lost its place for others; at most one line in a second, the fields show the totals."}
+	ConnectionsFull    = Event{532, "connectionsFull", log.WarnLevel, "All connections for clients are taken; an idle one, or else the new one, was closed; at most one line in a second, the fields show the totals."}
 	TargetEjected      = Event{601, "targetEjected", log.WarnLevel, "A target failed repeatedly and gets only probes."}
 	TargetReadmitted   = Event{602, "targetReadmitted", log.InfoLevel, "A probe succeeded; the target gets requests again."}
 	TargetLeaving      = Event{603, "targetLeaving", log.InfoLevel, "A target is leaving and gets no new requests."}
@@ -104,6 +107,7 @@
 	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed, OrderOutdated,
 	EntryJoined, EntryRemoved, RoleAssigned, EntryStateChanged,
 	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed, InputDiscarded, ResponseLost, IdleClosed, InputBehindEnd, ResponseSkipped,
+	MemoryRefused, MemoryEvicted, ConnectionsFull,
 	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent, TargetsUnreachable, TargetsReachable, TargetTurnsAway,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
 	OwnerStarted, SharesInUse, TokensUnavailable, TokensAvailable, SharesAwaited, SharesOverdrawn, SharesCovered, AllowanceBegun,
--- a/entry/acceptor/acceptor.go
+++ b/entry/acceptor/acceptor.go
@@ -16,12 +16,16 @@
 
 	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/peeker"
+	"github.com/filberthoist/filberthoist/core/reserver"
 )
 
 // Limits and timeouts of connections.
 const (
 	// maxPipelined is the number of requests of one connection that run at once.
 	maxPipelined = 32
+	// maxUnwrittenBytes is the size of the unsent responses of one connection beyond which no further request of it
+	// is started.
+	maxUnwrittenBytes = 256 << 10
 	// acceptRetryDelay is the pause after a failed accept, such as for lack of file descriptors.
 	acceptRetryDelay = 10 * time.Millisecond
 	// acceptDrainTime is how long pending connections are still accepted before the listener closes, and
@@ -73,6 +77,10 @@
 	SoftMaxConnections int
 	// RequestHeader is the header with a request's ID, for the log; empty if there is none.
 	RequestHeader string
+	// Reserver has room for heads and responses that callers take slowly; nil means that nothing bounds them.
+	Reserver *reserver.Reserver
+	// Seats bound the connections; nil means no bound.
+	Seats *reserver.Seats
 	// Scope counts discarded input and idle connections that this side closes; nil counts nothing.
 	Scope tally.Scope
 }
@@ -127,7 +135,14 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		a.add(newConnection(a, n))
+		c := newConnection(a, n)
+		seat, ok := a.config.Seats.Take(c.loseSeat)
+		if !ok {
+			_ = n.Close() // nothing was read
+			continue
+		}
+		c.seat = seat
+		a.add(c)
 	}
 }
 
@@ -270,5 +285,7 @@
 	delete(a.openConnections, c)
 	a.mutex.Unlock()
 	a.connectionCount.Add(-1)
+	c.seat.Leave()
+	c.place.Close()
 	a.connectionsDone.Done()
 }
--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -8,9 +8,11 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/filberthoist/filberthoist/core/peeker"
+	"github.com/filberthoist/filberthoist/core/reserver"
 )
 
 // input reads from a caller. A read whose deadline has passed still returns what has arrived: the
@@ -39,7 +41,9 @@
 	context  context.Context
 	cancel   context.CancelFunc
 	// requests is the context of the requests, which ends with context at the latest.
-	requests     context.Context
+	requests context.Context
+	// seat is the connection's seat; nil means that connections are without bound.
+	seat         *reserver.Seat
 	stopRequests context.CancelCauseFunc
 
 	mutex sync.Mutex
@@ -63,6 +67,13 @@
 	pipelineSlots chan struct{}
 	lastExchange  *exchange
 	exchangesDone sync.WaitGroup
+	// place is the memory reserved for responses that are buffered, and unwritten their size.
+	place     *reserver.Place
+	unwritten int
+	// written is signalled when unwritten shrinks or the connection breaks.
+	written *sync.Cond
+	// lossCause is the end cause of a connection that lost its seat or its place; nil if it has both.
+	lossCause atomic.Pointer[endCause]
 }
 
 func newConnection(a *Acceptor, n net.Conn) *connection {
@@ -70,6 +81,8 @@
 		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2}) // best effort
 	}
 	c := &connection{acceptor: a, socket: n, reader: bufio.NewReader(input{n}), pipelineSlots: make(chan struct{}, maxPipelined)}
+	c.written = sync.NewCond(&c.mutex)
+	c.place = a.config.Reserver.Open(c.losePlace)
 	c.context, c.cancel = context.WithCancel(a.context)
 	c.requests, c.stopRequests = context.WithCancelCause(c.context)
 	return c
@@ -91,14 +104,18 @@
 	}
 	limits := c.acceptor.config.Limits()
 	_ = c.socket.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // fails only when closed
-	r, status := readHead(c.reader, limits.HeaderBytes)
+	h := headReader{source: c.reader, maxBytes: limits.HeaderBytes, openPlace: c.openHeadPlace}
+	r, status := h.read()
 	if status == statusDisconnected {
+		h.place.Close()
 		return false
 	}
 	e := c.startExchange()
 	if e == nil {
+		h.place.Close()
 		return false
 	}
+	e.headPlace = h.place
 	_ = c.socket.SetReadDeadline(time.Time{}) // the request has started, so that no idle timeout is set any more
 	if status != 0 {
 		e.reject(status)
@@ -145,6 +162,9 @@
 	e := &exchange{connection: c, begun: time.Now(), done: make(chan struct{})}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	for c.unwritten > maxUnwrittenBytes && !c.broken {
+		c.written.Wait()
+	}
 	if c.ending {
 		<-c.pipelineSlots
 		return nil
@@ -259,6 +279,9 @@
 func (c *connection) recordEnd(e endCause) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if lost := c.lossCause.Load(); lost != nil {
+		e = *lost
+	}
 	if c.endCause == "" {
 		c.endCause = e
 	}
@@ -275,6 +298,7 @@
 	c.recordEnd(e)
 	c.mutex.Lock()
 	c.broken, c.ending, c.closing = true, true, true
+	c.written.Broadcast()
 	c.mutex.Unlock()
 	c.cancel()
 	_ = c.socket.Close() // the socket may be closed already
@@ -344,8 +368,52 @@
 	}
 }
 
+// loseSeat closes the connection, whose seat another one gets.
+func (c *connection) loseSeat() {
+	c.lose(seatLost)
+}
+
+// losePlace closes the connection, whose memory others get.
+func (c *connection) losePlace() {
+	c.lose(memoryLost)
+}
+
+// lose closes the connection without a lock, so that it can be called at any point.
+func (c *connection) lose(e endCause) {
+	c.lossCause.Store(&e)
+	_ = c.socket.Close() // the socket may be closed already
+}
+
+// openHeadPlace returns a place for a large head. The connection is closed if it is lost.
+func (c *connection) openHeadPlace() *reserver.Place {
+	return c.acceptor.config.Reserver.Open(c.losePlace)
+}
+
+// reserve changes the size of the buffered responses, and reports whether there is memory for them.
+func (c *connection) reserve(bytes int) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.place.Reserve(copiesHeld*(c.unwritten+bytes)) && bytes > 0 {
+		return false
+	}
+	c.unwritten += bytes
+	c.written.Broadcast()
+	return true
+}
+
+// holdsResponses reports whether memory is reserved for buffered responses.
+func (c *connection) holdsResponses() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.unwritten > 0
+}
+
 // write sends a part of the response whose turn it is. A failure aborts the connection.
 func (c *connection) write(parts ...[]byte) error {
+	if c.holdsResponses() {
+		c.place.Begin()
+		defer c.place.End()
+	}
 	_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only when closed
 	buffers := net.Buffers(parts)
 	_, err := buffers.WriteTo(c.socket)
--- a/entry/acceptor/ending.go
+++ b/entry/acceptor/ending.go
@@ -16,6 +16,10 @@
 	// writeFailed means that the caller did not take the response within writeTimeout, or that the
 	// connection failed.
 	writeFailed endCause = "writeFailed"
+	// seatLost means that the connection was closed for another one.
+	seatLost endCause = "seatLost"
+	// memoryLost means that the caller took its response too slowly while others needed the memory.
+	memoryLost endCause = "memoryLost"
 	// handlerAborted means that the handler ended a response partway.
 	handlerAborted endCause = "handlerAborted"
 	// shutdownEnded means that the time of the shutdown was over.
--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -11,11 +11,19 @@
 	"time"
 
 	"github.com/filberthoist/filberthoist/core/logger"
+	"github.com/filberthoist/filberthoist/core/reserver"
 )
 
 // maxBufferedBytes is the size up to which a response body is buffered and sent with its length.
 const maxBufferedBytes = 256 << 10
 
+const (
+	// unreservedBytes is the size up to which a response needs no reservation.
+	unreservedBytes = 4 << 10
+	// copiesHeld is how many copies of a response there are while it is buffered: the handler has one.
+	copiesHeld = 2
+)
+
 // exchange is one request with its response. It is the handler's http.ResponseWriter.
 type exchange struct {
 	connection *connection
@@ -38,6 +46,10 @@
 	// streaming means that the head was sent and that the body is sent as the handler writes it.
 	streaming bool
 	chunked   bool
+	// headPlace is the memory reserved for the head of the request.
+	headPlace *reserver.Place
+	// reserved is the size that the connection reserves for buffer.
+	reserved int
 }
 
 // prepare sets up the request and its body.
@@ -59,9 +71,10 @@
 		source = &lengthReader{source: c.reader, remaining: r.ContentLength}
 	default:
 		e.request.Body = http.NoBody
+		c.seat.Begin()
 		return
 	}
-	e.body = &requestBody{Reader: source, result: make(chan bool, 1)}
+	e.body = &requestBody{Reader: source, result: make(chan bool, 1), seat: c.seat}
 	if r.Header.Get("Expect") != "" {
 		e.body.sendContinue = e.sendContinue
 	}
@@ -79,6 +92,7 @@
 func (e *exchange) run() {
 	defer e.connection.exchangesDone.Done()
 	defer e.connection.endExchange()
+	defer e.release()
 	defer close(e.done)
 	completed := e.handle()
 	if e.body != nil {
@@ -113,7 +127,11 @@
 func (e *exchange) reject(status int) {
 	defer e.connection.endExchange()
 	defer close(e.done)
+	defer e.headPlace.Close()
 	e.header, e.status, e.closeAfter = http.Header{}, status, true
+	if status == http.StatusServiceUnavailable {
+		e.header.Set("Retry-After", "1")
+	}
 	if e.waitForTurn() {
 		e.finishResponse()
 	}
@@ -144,9 +162,8 @@
 	if e.streaming {
 		return len(b), e.writeBody(b)
 	}
-	e.buffer.Write(b)
-	if e.buffer.Len() <= maxBufferedBytes {
-		return len(b), nil
+	if e.buffer.Len()+len(b) <= maxBufferedBytes && e.reserve(e.buffer.Len()+len(b)) {
+		return e.buffer.Write(b)
 	}
 	if !e.waitForTurn() {
 		return 0, io.ErrClosedPipe
@@ -156,14 +173,41 @@
 	if err := e.connection.write(e.encodeHead()); err != nil {
 		return 0, err
 	}
-	err := e.writeBody(e.buffer.Bytes())
-	e.buffer.Reset()
-	return len(b), err
+	for _, part := range [][]byte{e.buffer.Bytes(), b} {
+		if err := e.writeBody(part); err != nil {
+			return 0, err
+		}
+	}
+	e.buffer = bytes.Buffer{}
+	return len(b), nil
+}
+
+// reserve reports whether there is memory for a buffered response of the given size.
+func (e *exchange) reserve(size int) bool {
+	if size <= unreservedBytes {
+		return true
+	}
+	if !e.connection.reserve(size - e.reserved) {
+		return false
+	}
+	e.reserved = size
+	return true
+}
+
+// release gives up what the exchange holds in memory and on its connection, once the response is written.
+func (e *exchange) release() {
+	if e.body == nil || e.body.complete {
+		e.connection.seat.End()
+	}
+	e.headPlace.Close()
+	if e.reserved > 0 {
+		e.connection.reserve(-e.reserved)
+	}
 }
 
 // SetReadDeadline bounds the reading of the body, for http.ResponseController.
 func (e *exchange) SetReadDeadline(t time.Time) error {
-	if e.body == nil || e.body.reported {
+	if e.body == nil || e.body.reported.Load() {
 		return nil // the connection already waits for the next request
 	}
 	return e.connection.socket.SetReadDeadline(t)
@@ -171,6 +215,9 @@
 
 // writeBody sends a part of a streamed body, as a chunk if the response is chunked.
 func (e *exchange) writeBody(b []byte) error {
+	if len(b) == 0 {
+		return nil // an empty chunk would end the body
+	}
 	if !e.chunked {
 		return e.connection.write(b)
 	}
--- a/entry/acceptor/head.go
+++ b/entry/acceptor/head.go
@@ -8,14 +8,34 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
+
+	"github.com/filberthoist/filberthoist/core/reserver"
 )
 
 // statusDisconnected means that the caller has disconnected, so that there is no response.
 const statusDisconnected = -1
 
-// readHead reads the head of a request, of at most maxBytes. A status other than 0 rejects it.
-func readHead(b *bufio.Reader, maxBytes int) (*http.Request, int) {
-	head, status := readLines(b, maxBytes)
+// unreservedHeadBytes is the size up to which a head needs no reservation, and headCopies the copies of a head that
+// there are while its request runs.
+const (
+	unreservedHeadBytes = 4 << 10
+	headCopies          = 2
+)
+
+// headReader reads the head of one request.
+type headReader struct {
+	source   *bufio.Reader
+	maxBytes int
+	// openPlace opens place, the memory reserved for a large head; a nil place needs none.
+	openPlace func() *reserver.Place
+	place     *reserver.Place
+}
+
+// read reads a head of at most maxBytes. A status other than 0 rejects the request.
+func (h *headReader) read() (*http.Request, int) {
+	head, status := h.readLines()
+	h.place.End()
 	if status != 0 {
 		return nil, status
 	}
@@ -32,15 +52,29 @@
 	return r, 0
 }
 
+// reserve reports whether there is memory for a head of the given size.
+func (h *headReader) reserve(size int) bool {
+	if size <= unreservedHeadBytes {
+		return true
+	}
+	if h.place == nil {
+		h.place = h.openPlace()
+		h.place.Begin()
+	}
+	return h.place.Reserve(headCopies * size)
+}
+
 // readLines reads up to the empty line that ends a head.
-func readLines(b *bufio.Reader, maxBytes int) ([]byte, int) {
+func (h *headReader) readLines() ([]byte, int) {
 	var head []byte
 	for {
-		line, err := b.ReadSlice('\n')
+		line, err := h.source.ReadSlice('\n')
 		head = append(head, line...)
 		switch {
-		case len(head) > maxBytes:
+		case len(head) > h.maxBytes:
 			return nil, http.StatusRequestHeaderFieldsTooLarge
+		case !h.reserve(len(head)):
+			return nil, http.StatusServiceUnavailable
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, os.ErrDeadlineExceeded):
@@ -96,9 +130,11 @@
 	io.Reader
 	// result receives one value: whether the body was read to its end.
 	result   chan bool
-	reported bool
+	reported atomic.Bool
 	// complete means that the body was read to its end.
 	complete bool
+	// seat is told once the body has arrived.
+	seat *reserver.Seat
 	// sendContinue is called before the first read if the caller expects it.
 	sendContinue func()
 }
@@ -123,8 +159,11 @@
 }
 
 func (d *requestBody) report(complete bool) {
-	if !d.reported {
-		d.reported, d.complete = true, complete
+	if !d.reported.Swap(true) {
+		d.complete = complete
+		if complete {
+			d.seat.Begin()
+		}
 		d.result <- complete // has capacity for one value
 	}
 }
--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/filberthoist/filberthoist/core/peeker"
+	"github.com/filberthoist/filberthoist/core/reserver"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 )
 
@@ -55,6 +56,8 @@
 	// target may respond before it has read the whole body.
 	concurrentBodyBytes = 2 << 10
 	maxIdlePerTarget    = 32
+	// headBytes is the first size of the buffer for a head.
+	headBytes = 512
 	// maxCarried is the number of requests after which a connection is closed, since it remembers their
 	// IDs.
 	maxCarried = 1024
@@ -82,6 +85,8 @@
 	// IsRefusal reports from the head of a response whether it states that the request has not run; nil
 	// means that none does.
 	IsRefusal func(status int, h http.Header) bool
+	// Seats count the connections; nil counts nothing.
+	Seats *reserver.Seats
 	// Skipped is called for each response that was read and does not count; nil means never.
 	Skipped func(address string, r *Request, a *Response)
 }
@@ -274,7 +279,8 @@
 		return nil, 0, err
 	}
 	limit := &io.LimitedReader{R: s, N: math.MaxInt64}
-	n := &connection{address: address, socket: s, headLimit: limit, reader: bufio.NewReader(limit), idleTimeout: defaultIdleTimeout}
+	c.config.Seats.AddTarget()
+	n := &connection{address: address, seats: c.config.Seats, socket: s, headLimit: limit, reader: bufio.NewReader(limit), idleTimeout: defaultIdleTimeout}
 	return n, c.config.Clock.Now() - begun, nil
 }
 
@@ -304,6 +310,9 @@
 type connection struct {
 	address string
 	socket  net.Conn
+	seats   *reserver.Seats
+	// once counts the end of the connection.
+	once sync.Once
 	// headLimit bounds the bytes read for a head.
 	headLimit *io.LimitedReader
 	reader    *bufio.Reader
@@ -324,6 +333,7 @@
 }
 
 func (n *connection) close() {
+	n.once.Do(n.seats.RemoveTarget)
 	_ = n.socket.Close() // the socket may be closed already
 }
 
@@ -485,7 +495,11 @@
 // head returns the request line and the header.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	size := headBytes
+	if len(r.Body) < concurrentBodyBytes {
+		size += len(r.Body) // the body is appended
+	}
+	b.Grow(size)
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
--- a/entry/classifier/classifier.go
+++ b/entry/classifier/classifier.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/reserver"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/entry/handler"
 )
@@ -20,6 +20,8 @@
 // Config configures a Classifier.
 type Config struct {
 	Clock timekeeper.Clock
+	// Reserver has room for bodies; nil means that nothing bounds them.
+	Reserver *reserver.Reserver
 	// Stopping reports whether the process is stopping and refuses requests; nil means never.
 	Stopping func() bool
 }
@@ -121,7 +123,8 @@
 	l := e.View.Configuration.Limits
 	control := http.NewResponseController(e.Writer)
 	_ = control.SetReadDeadline(time.Now().Add(l.BodyTimeout)) // only the writers of tests lack support for it
-	body, err := io.ReadAll(http.MaxBytesReader(e.Writer, e.Request.Body, int64(l.BodyBytes)))
+	e.BodyPlace = c.config.Reserver.Open(func() { _ = control.SetReadDeadline(time.Now()) })
+	body, err := e.BodyPlace.ReadBody(e.Request.Body, e.Request.ContentLength, l.BodyBytes)
 	if err != nil {
 		// Otherwise the server would wait for the rest of the body before it responds.
 		e.Writer.Header().Set("Connection", "close")
@@ -141,13 +144,14 @@
 
 // refusalOf returns the refusal for an error in reading the body.
 func refusalOf(ctx context.Context, err error) handler.Outcome {
-	var tooLarge *http.MaxBytesError
 	switch {
 	case handler.IsStopped(ctx):
 		return handler.Abandoned(ctx, http.StatusServiceUnavailable)
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, reserver.ErrTooLarge):
 		return handler.Refuse(http.StatusRequestEntityTooLarge, handler.ReasonTooLarge)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, reserver.ErrNoRoom):
+		return handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoMemory)
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, reserver.ErrLost):
 		return handler.Refuse(http.StatusRequestTimeout, handler.ReasonSlowSender)
 	}
 	return handler.Refuse(http.StatusBadRequest, handler.ReasonBadRequest)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/reporter"
+	"github.com/filberthoist/filberthoist/core/reserver"
 	"github.com/filberthoist/filberthoist/core/starter"
 	"github.com/filberthoist/filberthoist/core/supervisor"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
@@ -93,11 +94,13 @@
 		fx.Populate(&l, &v),
 		fx.NopLogger,
 		fx.StopTimeout(s.Drain+stopMargin),
-		fx.Supply(s, x),
+		fx.Supply(s, x, s.Limits),
 		fx.Provide(
 			starter.NewQueue,
 			newLogger,
 			newReporter,
+			starter.NewReserver,
+			starter.NewSeats,
 			starter.NewGroup,
 			timekeeper.NewClock,
 			asserter.NewAsserter,
@@ -156,11 +159,12 @@
 	Balancer     *balancer.Balancer
 	Delegator    *delegator.Delegator
 	AcceptorRef  *acceptorRef
+	Reserver     *reserver.Reserver
 }
 
 // newHandler composes the pipeline: the steps that each request runs through, in this order.
 func newHandler(s Settings, x Extensions, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, p stepParams) *handler.Handler {
-	n := classifier.NewClassifier(classifier.Config{Clock: c, Stopping: p.AcceptorRef.isRefusing})
+	n := classifier.NewClassifier(classifier.Config{Clock: c, Reserver: p.Reserver, Stopping: p.AcceptorRef.isRefusing})
 	a := authenticator.NewAuthenticator(authenticator.Config{Fresh: v.Fresh})
 	limit, send := p.ShareLimiter.Step(), p.Balancer.Step()
 	if s.Roles {
@@ -342,8 +346,8 @@
 	})
 }
 
-func newForwarder(x Extensions, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, n *detector.Detector, h fx.Lifecycle) *forwarder.Forwarder {
-	f := forwarder.NewForwarder(forwarder.Config{Clock: c, Fresh: v.Fresh, Dialect: &x.Dialect, Record: n.Record, Logger: l, Scope: r.Scope})
+func newForwarder(x Extensions, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, n *detector.Detector, h fx.Lifecycle, t *reserver.Seats) *forwarder.Forwarder {
+	f := forwarder.NewForwarder(forwarder.Config{Clock: c, Fresh: v.Fresh, Dialect: &x.Dialect, Record: n.Record, Logger: l, Scope: r.Scope, Seats: t})
 	h.Append(fx.StopHook(f.Close))
 	return f
 }
@@ -401,11 +405,11 @@
 	return &acceptorRef{}
 }
 
-func newAcceptor(s Settings, x Extensions, l logger.Logger, r *reporter.Reporter, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver, a *acceptorRef) *acceptor.Acceptor {
+func newAcceptor(s Settings, x Extensions, l logger.Logger, r *reporter.Reporter, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver, a *acceptorRef, m *reserver.Reserver, t *reserver.Seats) *acceptor.Acceptor {
 	a.value = acceptor.NewAcceptor(acceptor.Config{
 		Handler: newCallerHandler(x, h, n), Refuse: http.HandlerFunc(h.Refuse), StopCause: handler.ErrStopping,
 		Logger: l, Scope: r.Scope, RequestHeader: x.Dialect.RequestID,
-		SoftMaxConnections: int(callerConnectionFraction * float64(s.Descriptors)),
+		SoftMaxConnections: int(callerConnectionFraction * float64(s.Limits.Descriptors)), Reserver: m, Seats: t,
 		Limits: func() acceptor.Limits {
 			if c := v.View().Configuration; c != nil {
 				return acceptor.Limits{HeaderBytes: c.Limits.HeaderBytes, HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout}
@@ -450,6 +454,7 @@
 	Detector     *detector.Detector
 	Resolver     *resolver.Resolver
 	Acceptor     *acceptor.Acceptor
+	Seats        *reserver.Seats
 	Extensions   Extensions
 	Lifecycle    fx.Lifecycle
 	Shutdowner   fx.Shutdowner
@@ -470,11 +475,11 @@
 	if err != nil {
 		return err
 	}
-	peers, err := openListener(p, "peer", p.Settings.PeerAddress, p.Connector.Server(newPeerHandler(p)), p.Connector)
+	peers, err := openListener(p, "peer", p.Settings.PeerAddress, p.Connector.Server(newPeerHandler(p)), p.Connector, nil)
 	if err != nil {
 		return err
 	}
-	reports, err := openListener(p, "report", p.Settings.ReportAddress, p.Connector.Server(p.Reporter.Handler()), p.Connector)
+	reports, err := openListener(p, "report", p.Settings.ReportAddress, p.Connector.Server(p.Reporter.Handler()), p.Connector, p.Seats)
 	if err != nil {
 		return err
 	}
@@ -573,7 +578,7 @@
 	}
 	var out []*listener.Listener
 	for _, c := range p.Extensions.Listeners(Queries{Entries: p.Resolver.Entries, Ready: p.Receiver.Ready}) {
-		c.Logger, c.Failed = p.Logger, func(error) { _ = p.Shutdowner.Shutdown(fx.ExitCode(1)) }
+		c.Seats, c.Logger, c.Failed = p.Seats, p.Logger, func(error) { _ = p.Shutdowner.Shutdown(fx.ExitCode(1)) }
 		l, err := listener.NewListener(c)
 		if err != nil {
 			return nil, err
@@ -590,9 +595,9 @@
 	return m
 }
 
-func openListener(p lifecycleParams, name, address string, s *http.Server, c *connector.Connector) (*listener.Listener, error) {
+func openListener(p lifecycleParams, name, address string, s *http.Server, c *connector.Connector, t *reserver.Seats) (*listener.Listener, error) {
 	return listener.NewListener(listener.Config{
-		Name: name, Address: address, Server: s, Connector: c, Logger: p.Logger,
+		Name: name, Address: address, Server: s, Connector: c, Seats: t, Logger: p.Logger,
 		Failed: func(error) { _ = p.Shutdowner.Shutdown(fx.ExitCode(1)) },
 	})
 }
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 
 	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/reserver"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
 	"github.com/filberthoist/filberthoist/entry/carrier"
 	"github.com/filberthoist/filberthoist/entry/dispatcher"
@@ -36,6 +37,8 @@
 	// exchange does not show it; nil means never.
 	Record func(t *parser.Target, reached bool)
 	Logger logger.Logger
+	// Seats count the connections to targets; nil counts nothing.
+	Seats *reserver.Seats
 	// Scope counts responses that don't count; nil counts nothing.
 	Scope tally.Scope
 }
@@ -104,7 +107,7 @@
 	f := &Forwarder{config: c, skipped: c.Scope.Counter("responsesSkipped")}
 	f.carrier = carrier.NewCarrier(carrier.Config{
 		Clock: c.Clock, RequestHeader: c.Dialect.RequestID, IsOwnResponse: f.isOwnResponse, IsRefusal: c.Dialect.Refused,
-		Skipped: f.recordSkipped,
+		Skipped: f.recordSkipped, Seats: c.Seats,
 	})
 	return f
 }
@@ -318,6 +321,7 @@
 	response := s.Response
 	e.Writer.WriteHeader(response.Status)
 	e.ResponseStarted = true
+	e.ReleaseBody() // no other target is tried any more
 	if response.Remainder != nil {
 		defer response.Remainder.Close()
 	}
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/reserver"
 	"github.com/filberthoist/filberthoist/entry/receiver"
 )
 
@@ -72,6 +73,8 @@
 	Delegated bool
 	// Body is the whole body of the request, read before the request is forwarded.
 	Body []byte
+	// BodyPlace is the memory reserved for Body; nil means none.
+	BodyPlace *reserver.Place
 	// OnFinish is called with the outcome at the end of the request; steps may set it.
 	OnFinish func(Outcome)
 	// RetryAfter is the value of the Retry-After header of a refusal; 0 means the default.
@@ -84,6 +87,12 @@
 	ResponseStarted bool
 }
 
+// ReleaseBody gives up the body, once nobody needs it any more.
+func (e *Exchange) ReleaseBody() {
+	e.Body = nil
+	e.BodyPlace.Close()
+}
+
 // Selection restricts the targets that may serve a request.
 type Selection struct {
 	// Version is the only version that may serve; empty means all that are not excluded.
--- a/entry/handler/handler.go
+++ b/entry/handler/handler.go
@@ -59,6 +59,7 @@
 		Writer: w, Request: r, View: h.config.View(), CurrentView: h.config.View, Dialect: h.config.Dialect,
 		ID: h.requestID(r), Delegated: r.Header.Get(h.config.Dialect.Delegated) != "", Start: h.config.Clock.Now(),
 	}
+	defer e.ReleaseBody()
 	o, step := h.runSteps(r.Context(), e)
 	if e.OnFinish != nil {
 		e.OnFinish(o)
--- a/entry/handler/outcome.go
+++ b/entry/handler/outcome.go
@@ -44,6 +44,8 @@
 	ReasonUnmatched    Reason = "unmatchedAnswer"
 	ReasonNotAvailable Reason = "notAvailable"
 	ReasonStopping     Reason = "stopping"
+	// ReasonNoMemory means that there is no memory for the body of the request.
+	ReasonNoMemory Reason = "noMemory"
 	// ReasonIsolated means that this entry reaches no target and no other entry took the request.
 	ReasonIsolated Reason = "isolated"
 	// ReasonDelegate means that the entry to which the request was delegated refused or failed it.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/loader"
+	"github.com/filberthoist/filberthoist/core/reserver"
 	"github.com/filberthoist/filberthoist/core/starter"
 	"github.com/filberthoist/filberthoist/entry/balancer"
 	"github.com/filberthoist/filberthoist/entry/limiter"
@@ -13,9 +14,6 @@
 // defaultDrain bounds the wait for running requests at shutdown.
 const defaultDrain = 30 * time.Second
 
-// maxDescriptors bounds the setting for the number of descriptors.
-const maxDescriptors = 1 << 24
-
 // Defaults of the retry budget.
 const (
 	defaultRetryShare   = 0.1
@@ -31,9 +29,8 @@
 	PeerAddress string
 	// ReportAddress is the address that serves metrics, health and dumps.
 	ReportAddress string
-	// Descriptors is the number of file descriptors that the process may open; 0 if not
-	// specified.
-	Descriptors int
+	// Limits are the memory and the file descriptors that the process may use.
+	Limits reserver.Limits
 	// Controls are the peer addresses of the control members.
 	Controls []string
 	// Platform is the address of the platform's list of VMs; empty if there is none.
@@ -102,6 +99,6 @@
 	t.CallerAddress = r.Address("callers")
 	t.PeerAddress = r.Address("peer")
 	t.ReportAddress = r.Address("report")
-	t.Descriptors = r.Int("descriptors", 0, 0, maxDescriptors)
+	t.Limits = reserver.ReadLimits(r)
 	r.Finish()
 }
