Free the last response of an idle connection

Cause: a connection holds its last exchange, and with it the response that was buffered, for as long as it stays open.

Change: the buffer and the request are given up once the response is written; metrics show the reserved bytes.

--- a/core/reserver/reserver.go
+++ b/core/reserver/reserver.go
@@ -57,7 +57,7 @@
 	collecting bool
 	refusals   tally.Counter
 	evictions  tally.Counter
-	reservedIn tally.Gauge
+	reservedBytes tally.Gauge
 }
 
 // part is one part of a budget, with the sum of its reservations.
@@ -79,7 +79,7 @@
 	}
 	r := &Reserver{
 		config: c, places: map[*Place]struct{}{}, lastLog: -logInterval,
-		refusals: c.Scope.Counter("reservationsRefused"), evictions: c.Scope.Counter("reservationsEvicted"), reservedIn: c.Scope.Gauge("reservedBytes"),
+		refusals: c.Scope.Counter("reservationsRefused"), evictions: c.Scope.Counter("reservationsEvicted"), reservedBytes: c.Scope.Gauge("reservedBytes"),
 	}
 	r.parts[smallPart].bytes = int(smallFraction * float64(c.Bytes))
 	r.parts[largePart].bytes = c.Bytes - r.parts[smallPart].bytes
@@ -175,6 +175,7 @@
 	r.parts[p.part].reserved -= p.bytes
 	r.parts[part].reserved += bytes
 	p.part, p.bytes = part, bytes
+	r.reservedBytes.Update(float64(r.parts[smallPart].reserved + r.parts[largePart].reserved))
 	if bytes == 0 {
 		delete(r.places, p)
 		return
--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -200,6 +200,7 @@
 		e.connection.seat.End()
 	}
 	e.headPlace.Close()
+	e.request, e.buffer = nil, bytes.Buffer{} // the connection holds its last exchange
 	if e.reserved > 0 {
 		e.connection.reserve(-e.reserved)
 	}
