Learn how often an object's second target is warm

Where targets state their slowness, requests leave a slow or full first target so often that the second one keeps their objects warm. A fixed probability of 0.3 made it look cold, so that requests stayed. It is learnt from responses there, between 0.3 and that of the first target.

--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -13,14 +13,6 @@
 
 // Parameters of the choice of a target.
 const (
-	// firstWarmProbability, secondWarmProbability and otherWarmProbability are the assumed
-	// probabilities that an object is warm on the first, second and any further target of its
-	// order, if the target has not answered for the object recently.
-	firstWarmProbability  = 0.9
-	secondWarmProbability = 0.3
-	otherWarmProbability  = 0.05
-	// knownWarmProbability is the probability on a target that recently answered for the object.
-	knownWarmProbability = 0.95
 	// crossZonePenalty and crossRegionPenalty are added to the expected time of a target in another
 	// zone or region, since traffic there is expensive and its targets are needed there.
 	crossZonePenalty   = 5 * time.Millisecond
@@ -277,6 +269,9 @@
 	processing := max(took-p.roundTrip(t.listed)-k.Wait, took/4)
 	if s.Load != nil && s.Load.Slowness > 0 {
 		processing = time.Duration(float64(processing) / t.statedSlowness)
+		if k.Rank == 1 && !k.Warm {
+			w.recordSecond(processing)
+		}
 	}
 	readmitted = t.recordSuccess(now, w.ratio(processing, k.Warm))
 	if t.currentSlowness(now) < slowThreshold {
@@ -405,7 +400,7 @@
 // evaluate returns the Pick of a candidate, with its expected cost.
 func (p *Picker) evaluate(now time.Duration, t *target, rank int, d PickRequest) *Pick {
 	w := p.estimate(d)
-	probability := warmProbability(rank)
+	probability := w.warmProbability(rank)
 	warm := t.isWarm(now, d.Object)
 	if warm {
 		probability = knownWarmProbability
@@ -433,16 +428,6 @@
 	return k
 }
 
-func warmProbability(rank int) float64 {
-	switch rank {
-	case 0:
-		return firstWarmProbability
-	case 1:
-		return secondWarmProbability
-	}
-	return otherWarmProbability
-}
-
 func (p *Picker) roundTrip(l *receiver.ListedTarget) time.Duration {
 	if d, ok := p.roundTrips[l.Region]; ok {
 		return d
--- a/entry/balancer/work.go
+++ b/entry/balancer/work.go
@@ -14,6 +14,17 @@
 	initialWarmFactor = 0.45
 	initialColdFactor = 1.5
 	sampleWeight      = 0.1
+	// firstWarmProbability, secondWarmProbability and otherWarmProbability are the assumed
+	// probabilities that an object is warm on the first, second and any further target of its
+	// order, if the target has not answered for the object recently. Where the second one is
+	// learnt, it stays between the first two.
+	firstWarmProbability  = 0.9
+	secondWarmProbability = 0.3
+	otherWarmProbability  = 0.05
+	// knownWarmProbability is the probability on a target that recently answered for the object.
+	knownWarmProbability = 0.95
+	// secondWarmWeight is the weight of a response in the learnt probability.
+	secondWarmWeight = 0.05
 	// minColdWarmRatio is the least ratio of the cold to the warm time.
 	minColdWarmRatio = 1.3
 )
@@ -24,13 +35,15 @@
 type workEstimate struct {
 	warm, cold time.Duration
 	mean       time.Duration
+	// secondWarm is the probability that an object is warm on the second target of its order.
+	secondWarm float64
 }
 
 func newWorkEstimate(aim time.Duration) *workEstimate {
 	if aim <= 0 {
 		aim = defaultAim
 	}
-	w := &workEstimate{warm: time.Duration(initialWarmFactor * float64(aim)), cold: time.Duration(initialColdFactor * float64(aim))}
+	w := &workEstimate{warm: time.Duration(initialWarmFactor * float64(aim)), cold: time.Duration(initialColdFactor * float64(aim)), secondWarm: secondWarmProbability}
 	w.mean = w.warm
 	return w
 }
@@ -59,6 +72,28 @@
 	w.cold = max(w.cold, time.Duration(minColdWarmRatio*float64(w.warm)))
 }
 
+// recordSecond records the time at the second target of an object's order. Where requests often go
+// there, since the first target is busy or slow, they find most objects warm.
+func (w *workEstimate) recordSecond(took time.Duration) {
+	warm := 0.0
+	if w.nearestMean(took) == &w.warm {
+		warm = 1
+	}
+	w.secondWarm = min(firstWarmProbability, max(secondWarmProbability, w.secondWarm+secondWarmWeight*(warm-w.secondWarm)))
+}
+
+// warmProbability returns the probability that an object is warm on a target of its order that has not
+// answered for it recently.
+func (w *workEstimate) warmProbability(rank int) float64 {
+	switch rank {
+	case 0:
+		return firstWarmProbability
+	case 1:
+		return w.secondWarm
+	}
+	return otherWarmProbability
+}
+
 func (w *workEstimate) nearestMean(took time.Duration) *time.Duration {
 	if float64(took) > math.Sqrt(float64(w.warm)*float64(w.cold)) {
 		return &w.cold
