Add admission while the room of a service is short

Cause: an entry let each request wait at a target for a fixed fraction of its aim, whoever asked and whatever it needed, and refused the others without regard to what their callers lose.

Change: entry/admitter decides from the forecast of the target that the picker would take, the request's aim, deadline and priority, and how its route and team fared lately: begin, hold for a small part of the aim, or refuse with a Retry-After at which there is room. It is off by default ([admission] enabled) and applies to routes with an aim; refused requests log their cause, events 520 and 521 tell when room is short.

--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -66,6 +66,8 @@
 	IdleClosed         = Event{508, "idleClosed", log.InfoLevel, "A shutdown closed a connection on which no request had been read; one that was under way gets no response."}
 	InputBehindEnd     = Event{509, "inputBehindEnd", log.InfoLevel, "Input behind a response that announced the end of its connection was discarded; its caller sends it again."}
 	ResponseSkipped    = Event{510, "responseSkipped", log.WarnLevel, "A target's response does not count for the request that waited on its connection; the fields show its status, its ID, and how many requests the connection had carried."}
+	RoomShort          = Event{520, "roomShort", log.WarnLevel, "The targets of a service have too little room; less urgent requests are delayed or refused."}
+	RoomEnough         = Event{521, "roomEnough", log.InfoLevel, "The targets of a service have enough room again."}
 	TargetEjected      = Event{601, "targetEjected", log.WarnLevel, "A target failed repeatedly and gets only probes."}
 	TargetReadmitted   = Event{602, "targetReadmitted", log.InfoLevel, "A probe succeeded; the target gets requests again."}
 	TargetLeaving      = Event{603, "targetLeaving", log.InfoLevel, "A target is leaving and gets no new requests."}
@@ -103,7 +105,7 @@
 	OrderAccepted, OrderRefused, OrderUnknown, AllocationInUse, EvacuationsInForce,
 	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed, OrderOutdated,
 	EntryJoined, EntryRemoved, RoleAssigned, EntryStateChanged,
-	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed, InputDiscarded, ResponseLost, IdleClosed, InputBehindEnd, ResponseSkipped,
+	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed, InputDiscarded, ResponseLost, IdleClosed, InputBehindEnd, ResponseSkipped, RoomShort, RoomEnough,
 	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent, TargetsUnreachable, TargetsReachable, TargetTurnsAway,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
 	OwnerStarted, SharesInUse, TokensUnavailable, TokensAvailable, SharesAwaited, SharesOverdrawn, SharesCovered, AllowanceBegun,
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -15,6 +15,7 @@
 	"github.com/filberthoist/filberthoist/core/logger"
 	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/entry/admitter"
 	"github.com/filberthoist/filberthoist/entry/dispatcher"
 	"github.com/filberthoist/filberthoist/entry/forwarder"
 	"github.com/filberthoist/filberthoist/entry/handler"
@@ -57,6 +58,9 @@
 	// RetryBudget bounds retries on further targets.
 	RetryBudget *Budget
 	Meter       *Meter
+	// Admitter decides on requests of routes with an aim; nil means that a request waits at a target as
+	// long as its route's aim and priority allow.
+	Admitter *admitter.Admitter
 }
 
 // Balancer is the pipeline step that picks a target and sends the request to it.
@@ -65,13 +69,14 @@
 	retries           tally.Counter
 	suppressedRetries tally.Counter
 	refused           tally.Counter
+	admission         *admission
 }
 
 // NewBalancer returns a Balancer.
 func NewBalancer(c Config) *Balancer {
 	return &Balancer{
 		config: c, retries: c.Scope.Counter("retries"), suppressedRetries: c.Scope.Counter("retriesSpared"),
-		refused: c.Scope.Counter("noRoom"),
+		refused: c.Scope.Counter("noRoom"), admission: newAdmission(c),
 	}
 }
 
@@ -110,7 +115,10 @@
 		if w.sent > 0 && b.config.Reselect != nil {
 			b.config.Reselect(e)
 		}
-		pick, delay := b.pick(e, w)
+		pick, delay, o := b.pick(ctx, e, w)
+		if o.IsFinal() {
+			return o
+		}
 		if pick == nil {
 			if o, ok := b.delegate(ctx, e, w, 1); ok {
 				return o
@@ -132,16 +140,25 @@
 	return w.lastOutcome
 }
 
-// pick picks a target of the selection, or else of the fallback.
-func (b *Balancer) pick(e *handler.Exchange, w *retryState) (k *Pick, delay time.Duration) {
+// pick picks a target for an attempt. The first attempt may need admission, whose refusal is final.
+func (b *Balancer) pick(ctx context.Context, e *handler.Exchange, w *retryState) (*Pick, time.Duration, handler.Outcome) {
+	if b.admission != nil && w.sent == 0 && e.Route.Aim > 0 {
+		return b.admission.pick(ctx, e, w)
+	}
+	k, delay := pickSelected(e, w, b.config.Picker.Pick)
+	return k, delay, handler.Outcome{}
+}
+
+// pickSelected picks a target of the selection, or else of the fallback.
+func pickSelected(e *handler.Exchange, w *retryState, pick func(PickRequest) (*Pick, time.Duration)) (k *Pick, delay time.Duration) {
 	w.request.Allows = e.Selection.Allows
-	k, delay = b.config.Picker.Pick(w.request)
+	k, delay = pick(w.request)
 	if k != nil || e.Fallback == nil {
 		return k, delay
 	}
 	e.Selection, e.Fallback = *e.Fallback, nil
 	w.request.Allows = e.Selection.Allows
-	return b.config.Picker.Pick(w.request)
+	return pick(w.request)
 }
 
 // delegate hands a request to another entry once it found a number of targets unreachable and reached
@@ -171,19 +188,24 @@
 // maxQueueWait returns how long a request may wait in a target's queue. Longer queues would make
 // every response late, so refusing some requests is better; the most urgent ones may wait longest.
 func maxQueueWait(e *handler.Exchange) time.Duration {
-	aim, priority := e.Route.Aim, e.Route.Priority
+	aim := e.Route.Aim
 	if aim == 0 {
 		aim = e.Route.Timeout
 	}
-	if e.Team != nil && e.Team.Priority != nil {
-		priority = *e.Team.Priority
-	}
-	if priority == 0 {
+	if priority(e) == 0 {
 		return aim
 	}
 	return time.Duration(ordinaryWaitFraction * float64(aim))
 }
 
+// priority returns the rank of a request: its team's, or else its route's.
+func priority(e *handler.Exchange) int {
+	if e.Team != nil && e.Team.Priority != nil {
+		return *e.Team.Priority
+	}
+	return e.Route.Priority
+}
+
 // mayRetry reports whether a request may be sent to another target.
 func (b *Balancer) mayRetry(ctx context.Context, e *handler.Exchange, w *retryState) bool {
 	attempts := e.Route.Attempts
@@ -217,6 +239,9 @@
 	s := &forwarder.SendResult{Result: dispatcher.Result{Failed: true}} // stands if Send panics
 	defer func() {
 		b.logChange(k, s, b.config.Picker.Done(k, w.request, s, s.DialTime))
+		if b.admission != nil {
+			b.admission.queue.Wake(w.request.Service)
+		}
 	}()
 	begun := b.config.Clock.Now()
 	s = b.config.Send(ctx, e, k.Target.Target)
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -78,6 +78,8 @@
 	services   map[string]*service
 	roundTrips map[string]time.Duration
 	estimates  map[string]*workEstimate
+	// busySlots holds the busy slots by service and homes.
+	busySlots map[string]busySlots
 }
 
 // service holds the targets of a service by their names.
@@ -127,7 +129,7 @@
 
 // NewPicker returns a Picker without targets.
 func NewPicker(c PickerConfig) *Picker {
-	return &Picker{config: c, services: map[string]*service{}, roundTrips: map[string]time.Duration{}, estimates: map[string]*workEstimate{}}
+	return &Picker{config: c, services: map[string]*service{}, roundTrips: map[string]time.Duration{}, estimates: map[string]*workEstimate{}, busySlots: map[string]busySlots{}}
 }
 
 // Pick picks a target and counts the request as running there until Done. It returns nil if no
@@ -148,15 +150,20 @@
 	case best.Wait > d.MaxQueueWait:
 		return nil, min(maxRetryAfter, best.Wait)
 	}
-	if best.state.isCold(now) {
-		best.state.coldTokens--
+	best.take(now)
+	return best, 0
+}
+
+// take counts the request as running at the target.
+func (k *Pick) take(now time.Duration) {
+	if k.state.isCold(now) {
+		k.state.coldTokens--
 	}
-	best.state.running++
-	best.state.tried = true
-	if best.state.ejectedUntil > 0 || best.state.turnedAwayUntil > 0 {
-		best.state.probing = true
+	k.state.running++
+	k.state.tried = true
+	if k.state.ejectedUntil > 0 || k.state.turnedAwayUntil > 0 {
+		k.state.probing = true
 	}
-	return best, 0
 }
 
 // ExpectedWork returns the processing time of a request whose object is warm.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/filberthoist/filberthoist/core/wire"
 	"github.com/filberthoist/filberthoist/core/wire/wireconnect"
 	"github.com/filberthoist/filberthoist/entry/acceptor"
+	"github.com/filberthoist/filberthoist/entry/admitter"
 	"github.com/filberthoist/filberthoist/entry/authenticator"
 	"github.com/filberthoist/filberthoist/entry/balancer"
 	"github.com/filberthoist/filberthoist/entry/classifier"
@@ -381,10 +382,14 @@
 ) *balancer.Balancer {
 	s.Repeats.Entries = func() int { return len(v.View().Entries) }
 	s.Repeats.Clock, s.Repeats.Logger = c, l
-	return balancer.NewBalancer(balancer.Config{
+	n := balancer.Config{
 		Clock: c, Logger: l, Scope: r.Scope, Picker: p, Send: f.Send, WriteResponse: f.WriteResponse, Delegate: g.DelegateUnreachable,
 		Reselect: t.Reselect, RetryBudget: balancer.NewBudget(s.Repeats), Meter: m,
-	})
+	}
+	if s.Admits {
+		n.Admitter = admitter.NewAdmitter(s.Admission)
+	}
+	return balancer.NewBalancer(n)
 }
 
 // acceptorRef breaks the dependency cycle between the pipeline, which refuses requests while the process
@@ -446,6 +451,7 @@
 	Dispatcher   *dispatcher.Dispatcher
 	Shifter      *shifter.Shifter
 	Picker       *balancer.Picker
+	Balancer     *balancer.Balancer
 	Prober       *prober.Prober
 	Detector     *detector.Detector
 	Resolver     *resolver.Resolver
@@ -606,6 +612,7 @@
 	p.Reporter.Add("allowances", p.ShareLimiter.Dump)
 	p.Reporter.Add("loans", p.Borrower.Dump)
 	p.Reporter.Add("targets", p.Picker.Dump)
+	p.Reporter.Add("admission", p.Balancer.DumpAdmission)
 	p.Reporter.Add("isolation", p.Detector.Dump)
 	p.Reporter.SetHealth(p.Receiver.CheckHealth)
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -6,6 +6,7 @@
 	"github.com/filberthoist/filberthoist/core/connector"
 	"github.com/filberthoist/filberthoist/core/loader"
 	"github.com/filberthoist/filberthoist/core/starter"
+	"github.com/filberthoist/filberthoist/entry/admitter"
 	"github.com/filberthoist/filberthoist/entry/balancer"
 	"github.com/filberthoist/filberthoist/entry/limiter"
 )
@@ -22,6 +23,14 @@
 	defaultRetryReserve = 10
 )
 
+// Defaults of admission, and the bound of the fraction of its aim for which a request may be held.
+const (
+	defaultShort      = 0.85
+	defaultLeastShare = 0.5
+	defaultHoldShare  = 0.1
+	maxHoldShare      = 0.125
+)
+
 // Settings are the settings of one entry process. Their names are the keys of the settings dump.
 type Settings struct {
 	starter.Place
@@ -53,6 +62,9 @@
 	Lenient bool
 	// Repeats configures the retry budget, which bounds retries on further targets.
 	Repeats balancer.BudgetConfig
+	// Admits turns on admission, which decides on requests without roles while room is short.
+	Admits    bool
+	Admission admitter.Config
 	// Overdraft bounds what this entry may admit beyond teams' limits without roles.
 	Overdraft limiter.Overdraft
 	// LogRequests is the fraction, from 0 to 1, of served requests that are logged. Refused,
@@ -78,6 +90,7 @@
 	out.Repeats.Share = r.Float("share", defaultRetryShare, 0, 1)
 	out.Repeats.Reserve = r.Float("reserve", defaultRetryReserve, 0, 1000)
 	r.Finish()
+	out.readAdmission(s)
 	r = s.Section("requests")
 	out.LogRequests = r.Float("logged", 0, 0, 1)
 	r.Finish()
@@ -105,3 +118,12 @@
 	t.Descriptors = r.Int("descriptors", 0, 0, maxDescriptors)
 	r.Finish()
 }
+
+func (t *Settings) readAdmission(s *loader.Settings) {
+	r := s.Section("admission")
+	t.Admits = r.Bool("enabled", false)
+	t.Admission.Short = r.Float("short", defaultShort, 0, 1)
+	t.Admission.LeastShare = r.Float("leastShare", defaultLeastShare, 0, 1)
+	t.Admission.HoldShare = r.Float("hold", defaultHoldShare, 0, maxHoldShare)
+	r.Finish()
+}
