--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -12,7 +12,7 @@
 
 // The events of all processes. The hundreds of a number give the subject: 1xx process, 2xx
 // replication, 3xx configuration, 4xx entries and roles, 5xx requests, 6xx dispatch and moves,
-// 7xx limits, 9xx invariants.
+// 7xx limits, 8xx duties, 9xx invariants.
 var (
 	ProcessStarted     = Event{101, "processStarted", log.InfoLevel, "The process listens on all its addresses."}
 	ProcessStopping    = Event{102, "processStopping", log.InfoLevel, "The process was asked to stop and drains its connections."}
@@ -68,6 +68,7 @@
 	ResponseSkipped    = Event{510, "responseSkipped", log.WarnLevel, "A target's response does not count for the request that waited on its connection; the fields show its status, its ID, and how many requests the connection had carried."}
 	RoomShort          = Event{520, "roomShort", log.WarnLevel, "The targets of a service have too little room; less urgent requests are delayed or refused."}
 	RoomEnough         = Event{521, "roomEnough", log.InfoLevel, "The targets of a service have enough room again."}
+	ResponseInvalid    = Event{540, "responseInvalid", log.WarnLevel, "A response has a head that HTTP does not allow, such as the status 000; nothing in it counts, and its connection was closed. The fields show who sent it, the head, and how many requests the connection had carried."}
 	TargetEjected      = Event{601, "targetEjected", log.WarnLevel, "A target failed repeatedly and gets only probes."}
 	TargetReadmitted   = Event{602, "targetReadmitted", log.InfoLevel, "A probe succeeded; the target gets requests again."}
 	TargetLeaving      = Event{603, "targetLeaving", log.InfoLevel, "A target is leaving and gets no new requests."}
@@ -90,6 +91,11 @@
 	SharesOverdrawn    = Event{706, "sharesOverdrawn", log.WarnLevel, "The shares of a team's rate that entries may use add up to more than the whole rate."}
 	SharesCovered      = Event{707, "sharesCovered", log.InfoLevel, "The shares of a team's rate add up to at most the whole rate again."}
 	AllowanceBegun     = Event{708, "allowanceBegun", log.InfoLevel, "This entry begins to admit a team by a share of its rate; the fields show the tokens it starts with."}
+	DutyAcquired       = Event{801, "dutyAcquired", log.InfoLevel, "This control member holds a duty towards the platform under a new fence, and begins to act in it."}
+	ReportDecided      = Event{802, "reportDecided", log.InfoLevel, "The content of a report is committed; forced tells that an entry had not reported in time."}
+	ReportSent         = Event{803, "reportSent", log.InfoLevel, "The platform took a report."}
+	ReportFailed       = Event{804, "reportFailed", log.WarnLevel, "The platform did not take a report, or its response was lost; the report is sent again after a pause."}
+	ReportDropped      = Event{805, "reportDropped", log.ErrorLevel, "The platform repeatedly called a report invalid; it is not sent again."}
 	InvariantBroken    = Event{901, "invariantBroken", log.FatalLevel, "An invariant does not hold; the process stops."}
 )
 
@@ -105,9 +111,10 @@
 	OrderAccepted, OrderRefused, OrderUnknown, AllocationInUse, EvacuationsInForce,
 	ListReachable, ListUnreachable, ListEntriesSkipped, TargetListed, OrderOutdated,
 	EntryJoined, EntryRemoved, RoleAssigned, EntryStateChanged,
-	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed, InputDiscarded, ResponseLost, IdleClosed, InputBehindEnd, ResponseSkipped, RoomShort, RoomEnough,
+	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed, InputDiscarded, ResponseLost, IdleClosed, InputBehindEnd, ResponseSkipped, RoomShort, RoomEnough, ResponseInvalid,
 	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent, TargetsUnreachable, TargetsReachable, TargetTurnsAway,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
 	OwnerStarted, SharesInUse, TokensUnavailable, TokensAvailable, SharesAwaited, SharesOverdrawn, SharesCovered, AllowanceBegun,
+	DutyAcquired, ReportDecided, ReportSent, ReportFailed, ReportDropped,
 	InvariantBroken,
 }
