Plan when callers come back whose requests the targets refused

Change: with admission on, such a refusal gets a Retry-After from the same plan as other refusals, and a short one while the service's room isn't short. The log line tells whether this entry had refused the caller before.

--- a/entry/admitter/admitter.go
+++ b/entry/admitter/admitter.go
@@ -68,9 +68,25 @@
 func (a *Admitter) RecordRefused(now time.Duration, r Request, d Decision) time.Duration {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.service(r.Service).record(now, r, false)
+	return a.planReturn(now, r, d.Room)
+}
+
+// PlanReturn returns the Retry-After of a request that was admitted and that its targets refused, at a
+// fraction of the service's slots in use.
+func (a *Admitter) PlanReturn(now time.Duration, r Request, busy float64) time.Duration {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if !a.IsShort(busy) {
+		a.recurrence.record(now, r, minRetryAfter)
+		return minRetryAfter // other targets have room now
+	}
+	return a.planReturn(now, r, 0)
+}
+
+func (a *Admitter) planReturn(now time.Duration, r Request, room time.Duration) time.Duration {
 	s := a.service(r.Service)
-	s.record(now, r, false)
-	retryAfter := s.returns.place(now, r, d.Room, s.all.admitted.At(now))
+	retryAfter := s.returns.place(now, r, room, s.all.admitted.At(now))
 	a.recurrence.record(now, r, retryAfter)
 	return retryAfter
 }
--- a/entry/admitter/load_test.go
+++ b/entry/admitter/load_test.go
@@ -215,3 +215,16 @@
 	is.Equal(q.Len(), 0)
 	is.Equal(len(left.Woken), 0)
 }
+
+// TestRefusingTargets lets targets refuse requests that were admitted, as faulty ones do at random: while the
+// service has room, callers come back soon, and else spread.
+func TestRefusingTargets(t *testing.T) {
+	is := is.New(t)
+	a := NewAdmitter(testConfig())
+	for range 20 {
+		is.Equal(a.PlanReturn(time.Hour, seats(), enough), minRetryAfter)
+	}
+	first, second := a.PlanReturn(time.Hour, seats(), short), a.PlanReturn(time.Hour, seats(), short)
+	is.Equal(first, minRetryAfter)
+	is.True(second > first)
+}
--- a/entry/admitter/returns.go
+++ b/entry/admitter/returns.go
@@ -5,7 +5,7 @@
 // Parameters of when refused callers may come back.
 const (
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a refusal.
-	minRetryAfter = 50 * time.Millisecond
+	minRetryAfter = 25 * time.Millisecond
 	maxRetryAfter = 4 * time.Second
 	// returningShare is the rate of callers that come back, as a share of the rate of admitted requests.
 	returningShare = 0.25
--- a/entry/balancer/admission.go
+++ b/entry/balancer/admission.go
@@ -75,6 +75,7 @@
 		case !f.Found:
 			return nil, delay, handler.Outcome{}
 		case k != nil:
+			w.admitted, w.busy = r, f.Busy
 			a.config.Admitter.RecordAdmitted(now, r, f.Processing)
 			a.count("admitted", r.Priority, "")
 			return k, 0, handler.Outcome{}
@@ -96,6 +97,7 @@
 		Remaining: e.Deadline - e.Start, OrdinaryWait: w.request.MaxQueueWait,
 	}
 	a.config.Admitter.Recognize(e.Start, &r)
+	e.Trace.Returned = r.Returned
 	r.Age += a.config.Clock.Now() - e.Start
 	return r
 }
@@ -125,6 +127,14 @@
 	return handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoCapacity)
 }
 
+// planReturn sets the Retry-After of a request that began but that its targets refused.
+func (a *admission) planReturn(e *handler.Exchange, w *retryState) {
+	now, r := a.config.Clock.Now(), w.admitted
+	r.Age += r.Remaining - (e.Deadline - now)
+	r.Remaining = e.Deadline - now
+	e.RetryAfter = a.config.Admitter.PlanReturn(now, r, w.busy).Round(time.Millisecond)
+}
+
 func (a *admission) count(name string, priority int, cause admitter.Cause) {
 	n := counterKey{name, min(priority, maxPriorityTag), cause}
 	a.mutex.Lock()
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -101,6 +101,10 @@
 	// better one.
 	failedResponse *forwarder.SendResult
 	lastOutcome    handler.Outcome
+	// admitted is the request as it was admitted, and busy the fraction of its service's slots in use
+	// then; both are set with admission only.
+	admitted admitter.Request
+	busy     float64
 }
 
 func (b *Balancer) balance(ctx context.Context, e *handler.Exchange) handler.Outcome {
@@ -137,6 +141,9 @@
 		o, _ := b.config.WriteResponse(ctx, e, w.failedResponse)
 		return o
 	}
+	if b.admission != nil && w.admitted.Aim > 0 && w.lastOutcome.Run == handler.NotRun && e.RetryAfter == 0 {
+		b.admission.planReturn(e, w)
+	}
 	return w.lastOutcome
 }
 
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -105,6 +105,8 @@
 	// Share is the fraction of the team's rate that this entry may admit, set if the request was
 	// refused because of it.
 	Share float64
+	// Returned is set if the caller is known to have been refused before.
+	Returned bool
 	// Cause is why admission refused the request; empty if it did not.
 	Cause string
 	// Loan is the result of borrowing a token, in the mode where control lends tokens.
--- a/entry/tracer.go
+++ b/entry/tracer.go
@@ -47,6 +47,9 @@
 	if o.Reason == handler.ReasonLimit {
 		fields = append(fields, logger.F("share", e.Trace.Share))
 	}
+	if e.Trace.Returned {
+		fields = append(fields, logger.F("returned", true))
+	}
 	if e.Trace.Cause != "" {
 		fields = append(fields, logger.F("cause", e.Trace.Cause))
 	}
