Recognize callers that come back to another entry, and let the most urgent route wait

And the most urgent route of a service was held to its aim as strictly as the routes that are to give way to it.

Change: a caller that states a much shorter timeout than others of its route counts as returned, in its favour only. Where a service has less urgent routes, the most urgent one keeps the ordinary bound of its wait.

--- a/entry/admitter/admitter.go
+++ b/entry/admitter/admitter.go
@@ -26,18 +26,28 @@
 	services map[string]*service
 	// recurrence recognizes refused callers.
 	recurrence recurrence
+	// timeouts holds the usual timeouts by kind.
+	timeouts map[string]*usualTimeout
 }
 
 // NewAdmitter returns an Admitter that has not seen any request.
 func NewAdmitter(c Config) *Admitter {
-	return &Admitter{config: c, services: map[string]*service{}, recurrence: recurrence{}}
+	return &Admitter{config: c, services: map[string]*service{}, recurrence: recurrence{}, timeouts: map[string]*usualTimeout{}}
 }
 
-// Recognize completes a request that arrives at a time, with Caller and Remaining set: it sets Age, Returned
-// and Early if this Admitter refused the caller before.
+// Recognize completes a request that arrives at a time, with Caller, Remaining and Timeout set: it sets Age,
+// Returned and Early if this Admitter refused the caller before. It sets only Returned if the caller's timeout
+// suggests that another one did.
 func (a *Admitter) Recognize(now time.Duration, r *Request) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	u := a.timeouts[r.Kind]
+	if u == nil {
+		u = &usualTimeout{}
+		a.timeouts[r.Kind] = u
+	}
+	r.Returned = u.isShort(r.Timeout)
+	u.record(r.Timeout)
 	if f, ok := a.recurrence.find(r.Caller, now+r.Remaining); ok {
 		r.Age, r.Returned, r.Early = now-f.first, true, now < f.backAt
 	}
--- a/entry/admitter/decision.go
+++ b/entry/admitter/decision.go
@@ -36,8 +36,10 @@
 	Held      time.Duration
 	// OrdinaryWait is the longest wait at a target while room is not short.
 	OrdinaryWait time.Duration
-	// Returned is set if the caller was refused before, and Early if it came back sooner than any
-	// refusal asks for.
+	// Timeout is what the caller stated as its timeout; 0 if it did not.
+	Timeout time.Duration
+	// Returned is set if the caller seems to have been refused before, and Early if it came back sooner than
+	// it was asked to.
 	Returned bool
 	Early    bool
 }
@@ -65,8 +67,9 @@
 	ServiceAdmitted float64
 	TeamAdmitted    float64
 	// HasUrgent is set if more urgent kinds ask for the service, and UrgentAdmitted is the least
-	// fraction of their requests that were admitted.
+	// fraction of their requests that were admitted. HasLessUrgent is set if less urgent kinds ask for it.
 	HasUrgent      bool
+	HasLessUrgent  bool
 	UrgentAdmitted float64
 	// Surge is the ratio of the team's share of the service's requests to its usual share.
 	Surge float64
@@ -129,21 +132,18 @@
 		return decideByWait(c, r, f, r.OrdinaryWait, Aim)
 	}
 	starved := s.Admitted < c.LeastShare*s.ServiceAdmitted || s.TeamAdmitted < c.LeastShare*s.ServiceAdmitted
+	waited := r.Returned && s.Returned < returnedShare
 	switch {
 	case starved:
 		return Decision{MaxWait: r.Remaining}
 	case r.Early, s.Surge >= surgeRatio:
 		return Decision{Verdict: Refuse, Cause: Share, Room: max(f.Wait, f.Processing)}
+	case waited, s.HasLessUrgent && !s.HasUrgent:
+		return decideByWait(c, r, f, r.OrdinaryWait, Aim)
 	case s.HasUrgent && s.Admitted > s.UrgentAdmitted+priorityMargin:
 		return Decision{Verdict: Refuse, Cause: Priority, Room: max(f.Wait, f.Processing)}
 	}
-	slack := r.Aim - r.Age - f.Processing - f.RoundTrip
-	if slack < 0 {
-		if r.Returned && s.Returned < returnedShare {
-			return decideByWait(c, r, f, r.OrdinaryWait, Aim)
-		}
-		return decideByWait(c, r, f, 0, Aim)
-	}
+	slack := max(0, r.Aim-r.Age-f.Processing-f.RoundTrip)
 	if s.HasUrgent {
 		slack = time.Duration(ordinaryPatience * float64(slack))
 	}
--- a/entry/admitter/decision_test.go
+++ b/entry/admitter/decision_test.go
@@ -55,6 +55,8 @@
 	starved.Admitted, starved.ServiceAdmitted, starved.HasUrgent, starved.UrgentAdmitted = 0.2, 0.6, true, 0.1
 	heavy.RelativeWork = 2
 	returnedOften.Returned = 0.5
+	urgent := calm()
+	urgent.HasLessUrgent = true
 	cases := []struct {
 		name     string
 		standing Standing
@@ -80,6 +82,7 @@
 		{"hot team, enough room", surge, seats(), forecast(enough, 0), Admit, None},
 		{"two priorities, the more urgent is refused more often", inverted, seats(), forecast(short, 0), Refuse, Priority},
 		{"two priorities, the less urgent is starved", starved, seats(), forecast(short, 100*ms), Admit, None},
+		{"two priorities, the more urgent is late", urgent, late, forecast(short, 100*ms), Admit, None},
 		{"two kinds, the one with more work", heavy, seats(), forecast(short, 80*ms), Refuse, Work},
 	}
 	for _, c := range cases {
--- a/entry/admitter/load_test.go
+++ b/entry/admitter/load_test.go
@@ -177,6 +177,22 @@
 	}
 }
 
+// TestTimeouts checks that a caller whom another entry refused is recognized by the rest of its timeout, whatever
+// share of the requests such callers have.
+func TestTimeouts(t *testing.T) {
+	is := is.New(t)
+	a := NewAdmitter(testConfig())
+	for i := range 300 {
+		first, back := seats(), seats()
+		first.Timeout, back.Timeout = 1300*ms+time.Duration(i%200)*ms, 800*ms
+		a.Recognize(time.Hour, &back)
+		a.Recognize(time.Hour, &first)
+		is.True(!first.Returned)
+		is.True(i < 100 || back.Returned)
+		is.Equal(back.Age, time.Duration(0)) // not known
+	}
+}
+
 // TestReturns refuses many callers of two priorities at once: the urgent ones come back first, and no two
 // of one priority together as long as their deadlines allow.
 func TestReturns(t *testing.T) {
--- a/entry/admitter/standing.go
+++ b/entry/admitter/standing.go
@@ -139,8 +139,12 @@
 		UrgentAdmitted: 1, Surge: s.surge(now, t), RelativeWork: 1,
 	}
 	for _, o := range s.kinds {
-		if o.priority < r.Priority && o.asked.At(now) >= minRate {
+		switch {
+		case o.priority == r.Priority, o.asked.At(now) < minRate:
+		case o.priority < r.Priority:
 			out.HasUrgent, out.UrgentAdmitted = true, min(out.UrgentAdmitted, o.admittedFraction(now))
+		default:
+			out.HasLessUrgent = true
 		}
 	}
 	if s.work > 0 && k.work > 0 {
--- a/entry/balancer/admission.go
+++ b/entry/balancer/admission.go
@@ -60,7 +60,7 @@
 	age := r.Age
 	for {
 		now := a.config.Clock.Now()
-		r.Held, r.Age, r.Remaining = now-start, age+now-start, e.Deadline-now
+		r.Age, r.Remaining = age+now-start, e.Deadline-now
 		w.request.Remaining = r.Remaining
 		var f admitter.Forecast
 		var d admitter.Decision
@@ -82,10 +82,13 @@
 		case d.Verdict == admitter.Refuse:
 			return nil, 0, a.refuse(now, e, r, d)
 		}
-		a.count("held", r.Priority, d.Cause)
+		if r.Held == 0 {
+			a.count("held", r.Priority, d.Cause)
+		}
 		if !a.hold(ctx, r, d.Hold) {
 			return nil, 0, handler.Abandoned(ctx, http.StatusServiceUnavailable)
 		}
+		r.Held = max(1, a.config.Clock.Now()-start)
 	}
 }
 
@@ -96,6 +99,9 @@
 		Service: e.Service.Name, Priority: priority(e), Aim: e.Route.Aim,
 		Remaining: e.Deadline - e.Start, OrdinaryWait: w.request.MaxQueueWait,
 	}
+	if !e.Delegated { // the delegating entry states what is left of the caller's timeout
+		r.Timeout = e.CallerTimeout
+	}
 	a.config.Admitter.Recognize(e.Start, &r)
 	e.Trace.Returned = r.Returned
 	r.Age += a.config.Clock.Now() - e.Start
