--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/filberthoist/filberthoist/core/wire"
 	"github.com/filberthoist/filberthoist/core/wire/wireconnect"
 	"github.com/filberthoist/filberthoist/entry/acceptor"
+	"github.com/filberthoist/filberthoist/entry/admitter"
 	"github.com/filberthoist/filberthoist/entry/authenticator"
 	"github.com/filberthoist/filberthoist/entry/balancer"
 	"github.com/filberthoist/filberthoist/entry/classifier"
@@ -106,11 +107,11 @@
 			starter.NewSeats,
 			starter.NewGroup,
 			timekeeper.NewClock,
+			newRefs,
 			asserter.NewAsserter,
 			newConnector,
 			newSelf,
 			newShifter,
-			newShareLimiterRef,
 			newMeter,
 			newTallier,
 			newReceiver,
@@ -123,13 +124,10 @@
 			newForwarder,
 			newDispatcher,
 			newPicker,
-			newDetectorRef,
-			newPickerRef,
 			newDetector,
 			newDelegator,
 			newInquirer,
 			newBalancer,
-			newAcceptorRef,
 			newAcceptor,
 			newDeduplicator,
 			newProber,
@@ -228,54 +226,6 @@
 	})
 }
 
-// shareLimiterRef breaks the dependency cycle between the receiver, which reports the limiter's
-// rates, and the limiter, which reads the receiver's shares.
-type shareLimiterRef struct {
-	value *limiter.ShareLimiter
-}
-
-func (d *shareLimiterRef) requestRates() map[string]float64 {
-	if d.value == nil {
-		return nil
-	}
-	return d.value.RequestRates()
-}
-
-func newShareLimiterRef() *shareLimiterRef {
-	return &shareLimiterRef{}
-}
-
-// detectorRef breaks the dependency cycle between the receiver, which reports whether this entry is
-// isolated, and the detector, which probes the receiver's targets.
-type detectorRef struct {
-	value *detector.Detector
-}
-
-func (d *detectorRef) isIsolated() bool {
-	return d.value != nil && d.value.IsIsolated()
-}
-
-func newDetectorRef() *detectorRef {
-	return &detectorRef{}
-}
-
-// pickerRef breaks the dependency cycle between the receiver, which reports leaving targets, and the
-// picker, which depends on the receiver.
-type pickerRef struct {
-	value *balancer.Picker
-}
-
-func (p *pickerRef) leavingTargets() []string {
-	if p.value == nil {
-		return nil
-	}
-	return p.value.LeavingTargets()
-}
-
-func newPickerRef() *pickerRef {
-	return &pickerRef{}
-}
-
 func newDetector(x Extensions, c timekeeper.Clock, l logger.Logger, r *reporter.Reporter, v *receiver.Receiver, p *balancer.Picker, d *detectorRef) *detector.Detector {
 	d.value = detector.NewDetector(detector.Config{
 		Clock: c, Logger: l, Scope: r.Scope, ExpectedTarget: x.Dialect.ExpectedTarget,
@@ -397,24 +347,14 @@
 ) *balancer.Balancer {
 	s.Repeats.Entries = func() int { return len(v.View().Entries) }
 	s.Repeats.Clock, s.Repeats.Logger = c, l
-	return balancer.NewBalancer(balancer.Config{
+	n := balancer.Config{
 		Clock: c, Logger: l, Scope: r.Scope, Picker: p, Send: countSends(u, f.Send), WriteResponse: f.WriteResponse, Delegate: g.DelegateUnreachable,
 		Reselect: t.Reselect, RetryBudget: balancer.NewBudget(s.Repeats), Meter: m, Ask: i.Ask,
-	})
-}
-
-// acceptorRef breaks the dependency cycle between the pipeline, which refuses requests while the process
-// stops, and the acceptor, which runs the pipeline.
-type acceptorRef struct {
-	value *acceptor.Acceptor
-}
-
-func (a *acceptorRef) isRefusing() bool {
-	return a.value != nil && a.value.IsRefusing()
-}
-
-func newAcceptorRef() *acceptorRef {
-	return &acceptorRef{}
+	}
+	if s.Admits {
+		n.Admitter = admitter.NewAdmitter(s.Admission)
+	}
+	return balancer.NewBalancer(n)
 }
 
 func newAcceptor(s Settings, x Extensions, l logger.Logger, r *reporter.Reporter, h *handler.Handler, n *resolver.Resolver, v *receiver.Receiver, a *acceptorRef, m *reserver.Reserver, t *reserver.Seats) *acceptor.Acceptor {
@@ -462,6 +402,7 @@
 	Dispatcher   *dispatcher.Dispatcher
 	Shifter      *shifter.Shifter
 	Picker       *balancer.Picker
+	Balancer     *balancer.Balancer
 	Prober       *prober.Prober
 	Detector     *detector.Detector
 	Resolver     *resolver.Resolver
@@ -626,6 +567,7 @@
 	p.Reporter.Add("allowances", p.ShareLimiter.Dump)
 	p.Reporter.Add("loans", p.Borrower.Dump)
 	p.Reporter.Add("targets", p.Picker.Dump)
+	p.Reporter.Add("admission", p.Balancer.DumpAdmission)
 	p.Reporter.Add("isolation", p.Detector.Dump)
 	if p.Tallier.Enabled() {
 		p.Reporter.Add("usage", p.Tallier.Dump)
