--- a/entry/balancer/explain.go
+++ b/entry/balancer/explain.go
@@ -139,7 +139,8 @@
 
 // copyFor returns a copy of a service whose targets know one object only.
 func (s *service) copyFor(object string) *service {
-	out := &service{targets: make(map[string]*target, len(s.list)), list: make([]*target, len(s.list))}
+	out := *s
+	out.targets, out.list = make(map[string]*target, len(s.list)), make([]*target, len(s.list))
 	for i, t := range s.list {
 		c := *t
 		c.objects = map[string]time.Duration{}
@@ -148,7 +149,7 @@
 		}
 		out.list[i], out.targets[c.listed.Name] = &c, &c
 	}
-	return out
+	return &out
 }
 
 func (p *Picker) describe(now time.Duration, t *target) TargetExplanation {
--- a/entry/balancer/explain_test.go
+++ b/entry/balancer/explain_test.go
@@ -17,7 +17,9 @@
 func TestExplanationIsThePick(t *testing.T) {
 	is := is.New(t)
 	asked, silent := newStatements(12), newStatements(12)
-	results := []*forwarder.SendResult{served(), served(), {Result: failure}, {Unreachable: true, Result: failure}, leaving()}
+	slow := served()
+	slow.Load = &forwarder.Load{Running: 3, Slots: 6, Slowness: 3}
+	results := []*forwarder.SendResult{served(), slow, {Result: failure}, {Unreachable: true, Result: failure}, leaving()}
 	picked, refused := 0, 0
 	for i := range 2000 {
 		x := asked.entry.picker.Explain(asked.request())
