Wait for entries that fell silent, trust the entries' time of day, and hand over within the stop's time

Cause: a window was decided without an entry that fell silent in it and could be back in time; a leader whose time of day is behind decided late; an entry that used up its drain waited up to 1 s longer for the last receipt.

Change: the collector knows which silent entries to wait for, a complete window needs no look at the leader's clock, and the wait at a stop ends with the time for it.

--- a/control/accountant/accountant.go
+++ b/control/accountant/accountant.go
@@ -76,8 +76,10 @@
 	// Serving returns the term of this member if it is the leader with a complete state.
 	Serving func() (term uint64, ok bool)
 	Record  func() *wire.Duty
-	Entries func() map[string]*wire.EntryMember
-	Propose func(ctx context.Context, c *wire.Command) (applier.Result, error)
+	// Entries returns the entries, and SilentEntries those that were removed since they fell silent.
+	Entries       func() map[string]*wire.EntryMember
+	SilentEntries func() map[string]*wire.EntryMember
+	Propose       func(ctx context.Context, c *wire.Command) (applier.Result, error)
 	// Send sends a report and returns the status of the response.
 	Send func(ctx context.Context, r Report) (status int, err error)
 	// Now returns the time of day.
@@ -191,15 +193,14 @@
 	a.config.Logger.Log(logger.ReportDecided, logger.F("window", n), logger.F("teams", len(w.GetCounts())), logger.F("forced", forced))
 }
 
-// isDecidable reports whether a window may be decided now, and whether that is without all reports.
+// isDecidable reports whether a window may be decided now, and whether that is without all reports. As
+// long as there are entries, their time of day tells that the window is over.
 func (a *Accountant) isDecidable(n uint64) (due, forced bool) {
 	end := wire.WindowEnd(n, a.config.Window)
 	settled := end.Add(time.Duration(settleFraction * float64(a.config.Window)))
-	if a.config.Now().Before(settled) {
-		return false, false
-	}
-	if a.config.Collector.IsComplete(a.config.Entries(), settled) {
-		return true, false
+	entries := a.config.Entries()
+	if a.config.Collector.IsComplete(entries, a.config.SilentEntries(), end.Add(-a.config.Window), settled) {
+		return len(entries) > 0 || !a.config.Now().Before(settled), false
 	}
 	limit := end.Add(time.Duration(forcedFraction * float64(a.config.Due)))
 	return !a.config.Now().Before(limit), true
--- a/control/accountant/accountant_test.go
+++ b/control/accountant/accountant_test.go
@@ -29,6 +29,7 @@
 	state   *applier.State
 	usage   *collector.Collector
 	entries map[string]*wire.EntryMember
+	silent  map[string]*wire.EntryMember
 	status  int
 	err     error
 	sent    []string
@@ -63,7 +64,7 @@
 		Settings: Settings{Window: window, Due: 10 * time.Second, Lease: 3 * time.Second, Rate: 50},
 		Scope:    tally.NoopScope, Collector: o.usage, Holder: h, Record: record, Clock: clock, Propose: o.propose,
 		Serving: func() (uint64, bool) { return 1, true }, Now: func() time.Time { return time.Unix(0, int64(o.now)) },
-		Entries: func() map[string]*wire.EntryMember { return o.entries },
+		Entries: func() map[string]*wire.EntryMember { return o.entries }, SilentEntries: func() map[string]*wire.EntryMember { return o.silent },
 		Send: func(_ context.Context, r Report) (int, error) {
 			o.sent = append(o.sent, fmt.Sprint(r.Window, r.Counts))
 			return o.status, o.err
@@ -112,6 +113,22 @@
 			o.report(1, 3)
 			o.wait(window + 2*time.Second)
 		}, "[100 map[a:3]]"},
+		{"an entry that fell silent in the window may be back in time", func(o *office) {
+			o.entries["e"] = &wire.EntryMember{Name: "e"}
+			o.report(1, 3)
+			o.entries, o.silent = nil, o.entries
+			o.wait(5 * time.Second) // the silence outlasts the window
+			is.New(t).Equal(len(o.sent), 0)
+			o.wait(2 * time.Second)
+		}, "[100 map[a:3] 101 map[]]"},
+		{"the entries' time of day counts if the leader's is behind", func(o *office) {
+			o.entries["e"] = &wire.EntryMember{Name: "e"}
+			o.report(1, 3)
+			o.now += window
+			o.report(2, 0)
+			o.now -= window
+			o.wait(time.Second)
+		}, "[100 map[a:3]]"},
 		{"an uncertain report is repeated as it was", func(o *office) {
 			o.err = errors.New("timeout")
 			o.report(1, 3)
--- a/control/collector/collector.go
+++ b/control/collector/collector.go
@@ -75,13 +75,20 @@
 	}
 }
 
-// IsComplete reports whether the latest report of each entry was sent at a time of day or later.
-func (c *Collector) IsComplete(entries map[string]*wire.EntryMember, through time.Time) bool {
+// IsComplete reports whether the latest report of each entry was sent at the time of day end or later.
+// Silent entries may be back soon if they fell silent between begin and end.
+func (c *Collector) IsComplete(entries, silent map[string]*wire.EntryMember, begin, end time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, m := range entries {
 		r := c.runs[wire.EntryRunOf(m)]
-		if r == nil || r.through.Before(through) {
+		if r == nil || r.through.Before(end) {
+			return false
+		}
+	}
+	for _, m := range silent {
+		r := c.runs[wire.EntryRunOf(m)]
+		if r != nil && !r.through.Before(begin) && r.through.Before(end) {
 			return false
 		}
 	}
--- a/control/duties.go
+++ b/control/duties.go
@@ -37,7 +37,7 @@
 			v := q.View()
 			return v.Term, v.Serving()
 		},
-		Record: func() *wire.Duty { return t.Duty(accountant.Duty) }, Entries: t.Entries, Propose: q.Propose, Send: x.SendReport,
+		Record: func() *wire.Duty { return t.Duty(accountant.Duty) }, Entries: t.Entries, SilentEntries: t.SilentEntries, Propose: q.Propose, Send: x.SendReport,
 	})
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -502,9 +502,11 @@
 		},
 		OnStop: func(context.Context) error {
 			p.Logger.Log(logger.ProcessStopping)
+			end := time.Now().Add(p.Settings.Leave + p.Settings.Drain)
 			leave(p)
+			p.Tallier.Flush()
 			err := callers.StopWithin(p.Settings.Drain)
-			handOverUsage(p.Tallier)
+			handOverUsage(p.Tallier, end)
 			_ = peers.StopWithin(peerDrainTimeout) // other entries retry elsewhere
 			p.Group.Stop()
 			stopListeners(append(extra, reports), lastDrainTimeout)
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -64,10 +64,10 @@
 	}
 }
 
-// handOverUsage waits until control has the counts of this entry, for at most handOverTimeout.
-func handOverUsage(u *tallier.Tallier) {
-	u.Flush()
-	for end := time.Now().Add(handOverTimeout); !u.HandedOver() && time.Now().Before(end); {
+// handOverUsage waits until control has the counts of this entry, for at most handOverTimeout and not
+// past end.
+func handOverUsage(u *tallier.Tallier, end time.Time) {
+	for limit := time.Now().Add(handOverTimeout); !u.HandedOver() && time.Now().Before(limit) && time.Now().Before(end); {
 		time.Sleep(handOverInterval)
 	}
 }
