Let a new leader collect reports of usage before it decides overdue windows

Cause: found by reading. A member that led again under its fence after a long absence would have decided overdue windows at once, from a collector that had just begun anew, and so without counts.

Change: windows are forced only a fifth of the due time after the member came to lead, and decided in the term that the reports belong to. New case in control/accountant TestReports, which fails without it.

--- a/control/accountant/accountant.go
+++ b/control/accountant/accountant.go
@@ -37,6 +37,9 @@
 	// forcedFraction is the fraction of Settings.Due after which a window is decided without the reports
 	// of silent entries.
 	forcedFraction = 0.5
+	// collectFraction is the fraction of Settings.Due for which a new leader waits for the reports of
+	// entries before it decides without some of them.
+	collectFraction = 0.2
 )
 
 // Settings are what the platform asks for.
@@ -73,13 +76,15 @@
 	Scope     tally.Scope
 	Collector *collector.Collector
 	Holder    *holder.Holder
-	// Serving returns the term of this member if it is the leader with a complete state.
-	Serving func() (term uint64, ok bool)
+	// Serving returns the term of this member, and since when it leads on the Clock, if it is the leader
+	// with a complete state.
+	Serving func() (term uint64, since time.Duration, ok bool)
 	Record  func() *wire.Duty
 	// Entries returns the entries, and SilentEntries those that were removed since they fell silent.
 	Entries       func() map[string]*wire.EntryMember
 	SilentEntries func() map[string]*wire.EntryMember
-	Propose       func(ctx context.Context, c *wire.Command) (applier.Result, error)
+	// Propose proposes a command if this member leads in a term.
+	Propose func(ctx context.Context, term uint64, c *wire.Command) (applier.Result, error)
 	// Send sends a report and returns the status of the response.
 	Send func(ctx context.Context, r Report) (status int, err error)
 	// Now returns the time of day.
@@ -151,7 +156,7 @@
 
 // step decides the windows that are complete and sends the oldest report that waits.
 func (a *Accountant) step(ctx context.Context) {
-	term, ok := a.config.Serving()
+	term, since, ok := a.config.Serving()
 	if !ok {
 		a.publish(nil)
 		return
@@ -166,23 +171,29 @@
 		a.acquired = d.GetFence()
 		a.config.Logger.Log(logger.DutyAcquired, logger.F("duty", Duty), logger.F("fence", d.GetFence()), logger.F("pending", len(d.GetPending())))
 	}
-	a.decide(ctx, d)
-	d = a.config.Record()
+	a.decide(ctx, d, term, since)
+	fence := d.GetFence()
+	if d = a.config.Record(); d.GetFence() != fence {
+		return // another member has become the holder
+	}
 	a.publish(d)
 	a.config.Collector.Reset(term, d.GetDecided())
-	a.send(ctx, d)
+	a.send(ctx, d, term)
 }
 
 // decide decides the oldest undecided window if the reports of entries are complete, or if it can't
-// wait for them any longer.
-func (a *Accountant) decide(ctx context.Context, d *wire.Duty) {
+// wait for them any longer. The command is proposed in the term of the reports alone, since the collector
+// begins anew with each term.
+func (a *Accountant) decide(ctx context.Context, d *wire.Duty, term uint64, since time.Duration) {
 	n := d.GetDecided() + 1
-	due, forced := a.isDecidable(n)
+	due, forced := a.isDecidable(n, since)
 	if !due || len(d.GetPending()) >= applier.MaxPendingReports {
 		return
 	}
 	w := &wire.UsageWindow{Number: n, Counts: a.config.Collector.Counts(n)}
-	r, err := a.propose(ctx, &wire.Command{Kind: &wire.Command_DecideReport{DecideReport: &wire.DecideReportCommand{Duty: Duty, Fence: d.GetFence(), Window: w}}})
+	r, err := a.propose(ctx, term, &wire.Command{Kind: &wire.Command_DecideReport{DecideReport: &wire.DecideReportCommand{
+		Duty: Duty, Fence: d.GetFence(), Window: w,
+	}}})
 	if err != nil || !r.Done {
 		return // the next step begins from the state at that time
 	}
@@ -195,7 +206,7 @@
 
 // isDecidable reports whether a window may be decided now, and whether that is without all reports. As
 // long as there are entries, their time of day tells that the window is over.
-func (a *Accountant) isDecidable(n uint64) (due, forced bool) {
+func (a *Accountant) isDecidable(n uint64, since time.Duration) (due, forced bool) {
 	end := wire.WindowEnd(n, a.config.Window)
 	settled := end.Add(time.Duration(settleFraction * float64(a.config.Window)))
 	entries := a.config.Entries()
@@ -203,11 +214,12 @@
 		return len(entries) > 0 || !a.config.Now().Before(settled), false
 	}
 	limit := end.Add(time.Duration(forcedFraction * float64(a.config.Due)))
-	return !a.config.Now().Before(limit), true
+	collected := a.config.Clock.Now() >= since+time.Duration(collectFraction*float64(a.config.Due))
+	return collected && !a.config.Now().Before(limit), true
 }
 
 // send sends the oldest report that waits, unless the platform needs a pause.
-func (a *Accountant) send(ctx context.Context, d *wire.Duty) {
+func (a *Accountant) send(ctx context.Context, d *wire.Duty, term uint64) {
 	if len(d.GetPending()) == 0 || a.config.Clock.Now() < a.nextSend {
 		return
 	}
@@ -226,7 +238,7 @@
 		return
 	}
 	// If this fails, the same report is sent again.
-	_, _ = a.propose(ctx, &wire.Command{Kind: &wire.Command_FinishReport{FinishReport: &wire.FinishReportCommand{
+	_, _ = a.propose(ctx, term, &wire.Command{Kind: &wire.Command_FinishReport{FinishReport: &wire.FinishReportCommand{
 		Duty: Duty, Fence: d.GetFence(), Window: w.GetNumber(),
 	}}})
 }
@@ -236,6 +248,7 @@
 	a.retryDelay = minRetryDelay
 	a.nextSend = a.config.Clock.Now() + time.Duration(float64(time.Second)/a.config.Rate)
 	a.sent.Inc(1)
+	a.setError("")
 	a.config.Logger.Log(logger.ReportSent, logger.F("window", window), logger.F("fence", d.GetFence()), logger.F("pending", len(d.GetPending())-1))
 }
 
@@ -257,18 +270,23 @@
 	a.nextSend = a.config.Clock.Now() + a.retryDelay
 	a.config.Logger.Log(logger.ReportFailed, logger.F("window", window), logger.F("status", status), logger.F("error", err), logger.F("pause", a.retryDelay))
 	a.retryDelay = min(2*a.retryDelay, maxRetryDelay)
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.status.LastError = http.StatusText(status)
 	if err != nil {
-		a.status.LastError = err.Error()
+		a.setError(err.Error())
+		return
 	}
+	a.setError(http.StatusText(status))
+}
+
+func (a *Accountant) setError(text string) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.status.LastError = text
 }
 
-func (a *Accountant) propose(ctx context.Context, c *wire.Command) (applier.Result, error) {
+func (a *Accountant) propose(ctx context.Context, term uint64, c *wire.Command) (applier.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	return a.config.Propose(ctx, c)
+	return a.config.Propose(ctx, term, c)
 }
 
 // publish sets the Status from the record under which this member acts; nil means that it does not.
--- a/control/accountant/accountant_test.go
+++ b/control/accountant/accountant_test.go
@@ -26,6 +26,8 @@
 	t       *testing.T
 	now     time.Duration
 	index   uint64
+	term    uint64
+	since   time.Duration
 	state   *applier.State
 	usage   *collector.Collector
 	entries map[string]*wire.EntryMember
@@ -38,7 +40,7 @@
 
 // newOffice returns an office that has just begun to act.
 func newOffice(t *testing.T) *office {
-	o := &office{t: t, status: 200, state: applier.NewState(asserter.NewPanicking()), usage: collector.NewCollector(), now: 100 * window, entries: map[string]*wire.EntryMember{}}
+	o := &office{t: t, term: 1, status: 200, state: applier.NewState(asserter.NewPanicking()), usage: collector.NewCollector(), now: 100 * window, entries: map[string]*wire.EntryMember{}}
 	o.restart()
 	o.step(t.Context())
 	o.wait(4 * time.Second)
@@ -54,7 +56,7 @@
 		Clock: clock, Duty: Duty, Self: 7, Lease: 3 * time.Second, Record: record,
 		Serving: func() bool { return true }, Confirm: func(context.Context) error { return nil },
 		Acquire: func(ctx context.Context) error {
-			_, err := o.propose(ctx, &wire.Command{Kind: &wire.Command_AcquireDuty{AcquireDuty: &wire.AcquireDutyCommand{
+			_, err := o.propose(ctx, o.term, &wire.Command{Kind: &wire.Command_AcquireDuty{AcquireDuty: &wire.AcquireDutyCommand{
 				Name: Duty, Holder: 7, HolderName: "control1", FirstDecided: uint64(o.now/window) - 1,
 			}}})
 			return err
@@ -63,7 +65,7 @@
 	o.Accountant = NewAccountant(Config{
 		Settings: Settings{Window: window, Due: 10 * time.Second, Lease: 3 * time.Second, Rate: 50},
 		Scope:    tally.NoopScope, Collector: o.usage, Holder: h, Record: record, Clock: clock, Propose: o.propose,
-		Serving: func() (uint64, bool) { return 1, true }, Now: func() time.Time { return time.Unix(0, int64(o.now)) },
+		Serving: func() (uint64, time.Duration, bool) { return o.term, o.since, true }, Now: func() time.Time { return time.Unix(0, int64(o.now)) },
 		Entries: func() map[string]*wire.EntryMember { return o.entries }, SilentEntries: func() map[string]*wire.EntryMember { return o.silent },
 		Send: func(_ context.Context, r Report) (int, error) {
 			o.sent = append(o.sent, fmt.Sprint(r.Window, r.Counts))
@@ -72,7 +74,7 @@
 	})
 }
 
-func (o *office) propose(_ context.Context, c *wire.Command) (applier.Result, error) {
+func (o *office) propose(_ context.Context, _ uint64, c *wire.Command) (applier.Result, error) {
 	b, err := proto.Marshal(c)
 	o.index++
 	return o.state.Apply(o.index, b), err
@@ -87,7 +89,7 @@
 
 // report adds the report of an entry that counted n requests of team a in the window under way.
 func (o *office) report(sequence, n uint64) {
-	o.usage.Add(1, &wire.PollRequest{Member: o.entries["e"], Usage: &wire.UsageReport{
+	o.usage.Add(o.term, &wire.PollRequest{Member: o.entries["e"], Usage: &wire.UsageReport{
 		Sequence: sequence, UnixMilliseconds: o.now.Milliseconds(),
 		Windows: []*wire.UsageWindow{{Number: uint64(o.now / window), Counts: map[string]uint64{"a": n}}},
 	}})
@@ -129,6 +131,17 @@
 			o.now -= window
 			o.wait(time.Second)
 		}, "[100 map[a:3]]"},
+		{"a leader that was away waits for reports of overdue windows", func(o *office) {
+			o.entries["e"] = &wire.EntryMember{Name: "e"}
+			o.now += 2 * window
+			o.term, o.since = 2, o.now
+			o.wait(time.Second)
+			is.New(t).Equal(len(o.sent), 0)
+			o.now -= 3 * window
+			o.report(1, 3) // counted in the first window
+			o.now += 3 * window
+			o.wait(1500 * time.Millisecond)
+		}, "[100 map[a:3] 101 map[]]"},
 		{"an uncertain report is repeated as it was", func(o *office) {
 			o.err = errors.New("timeout")
 			o.report(1, 3)
--- a/control/duties.go
+++ b/control/duties.go
@@ -33,11 +33,11 @@
 	h := newUsageHolder(s, c, q, t)
 	return accountant.NewAccountant(accountant.Config{
 		Settings: s.Usage, Logger: l, Scope: r.Scope, Collector: o, Holder: h, Clock: c, Now: time.Now,
-		Serving: func() (uint64, bool) {
+		Serving: func() (uint64, time.Duration, bool) {
 			v := q.View()
-			return v.Term, v.Serving()
+			return v.Term, v.LeaderSince, v.Serving()
 		},
-		Record: func() *wire.Duty { return t.Duty(accountant.Duty) }, Entries: t.Entries, SilentEntries: t.SilentEntries, Propose: q.Propose, Send: x.SendReport,
+		Record: func() *wire.Duty { return t.Duty(accountant.Duty) }, Entries: t.Entries, SilentEntries: t.SilentEntries, Propose: q.ProposeIn, Send: x.SendReport,
 	})
 }
 
