--- a/control/accountant/accountant.go
+++ b/control/accountant/accountant.go
@@ -200,17 +200,18 @@
 	if forced {
 		a.forced.Inc(1)
 	}
-	a.config.Collector.DropSilent(a.config.Entries())
+	a.config.Collector.DropEnded(a.config.Entries(), a.config.SilentEntries())
 	a.config.Logger.Log(logger.ReportDecided, logger.F("window", n), logger.F("teams", len(w.GetCounts())), logger.F("forced", forced))
 }
 
 // isDecidable reports whether a window may be decided now, and whether that is without all reports. As
-// long as there are entries, their time of day tells that the window is over.
+// long as there are entries, their time of day tells that the window is over. Entries that fell silent
+// within Settings.Due before the window go on serving if only control is out of their reach.
 func (a *Accountant) isDecidable(n uint64, since time.Duration) (due, forced bool) {
 	end := wire.WindowEnd(n, a.config.Window)
 	settled := end.Add(time.Duration(settleFraction * float64(a.config.Window)))
 	entries := a.config.Entries()
-	if a.config.Collector.IsComplete(entries, a.config.SilentEntries(), end.Add(-a.config.Window), settled) {
+	if a.config.Collector.IsComplete(entries, a.config.SilentEntries(), end.Add(-a.config.Window-a.config.Due), settled) {
 		return len(entries) > 0 || !a.config.Now().Before(settled), false
 	}
 	limit := end.Add(time.Duration(forcedFraction * float64(a.config.Due)))
--- a/control/accountant/accountant_test.go
+++ b/control/accountant/accountant_test.go
@@ -115,14 +115,22 @@
 			o.report(1, 3)
 			o.wait(window + 2*time.Second)
 		}, "[100 map[a:3]]"},
-		{"an entry that fell silent in the window may be back in time", func(o *office) {
+		{"a silent entry may be back in time", func(o *office) {
 			o.entries["e"] = &wire.EntryMember{Name: "e"}
 			o.report(1, 3)
 			o.entries, o.silent = nil, o.entries
-			o.wait(5 * time.Second) // the silence outlasts the window
-			is.New(t).Equal(len(o.sent), 0)
-			o.wait(2 * time.Second)
+			o.wait(2 * window)
+			is.New(t).Equal(o.sent, []string{"100 map[a:3]"}) // late, and still within its time
+			o.entries, o.silent = o.silent, nil
+			o.report(2, 4) // counts window 102, and is the first since window 100
+			o.wait(time.Second)
 		}, "[100 map[a:3] 101 map[]]"},
+		{"an entry that stopped as planned is not waited for", func(o *office) {
+			o.entries["e"] = &wire.EntryMember{Name: "e", State: wire.EntryState_ENTRY_STATE_LEAVING}
+			o.report(1, 3)
+			o.entries, o.silent = nil, o.entries
+			o.wait(2 * time.Second)
+		}, "[100 map[a:3]]"},
 		{"the entries' time of day counts if the leader's is behind", func(o *office) {
 			o.entries["e"] = &wire.EntryMember{Name: "e"}
 			o.report(1, 3)
--- a/control/collector/collector.go
+++ b/control/collector/collector.go
@@ -26,7 +26,9 @@
 	// sequence is the number of its latest report, and through the time of day at the entry then.
 	sequence uint64
 	through  time.Time
-	windows  map[uint64]windowReport
+	// leaving is set once the entry stops as planned; it will not be back.
+	leaving bool
+	windows map[uint64]windowReport
 }
 
 // windowReport holds the counts of one window as of a report.
@@ -52,7 +54,7 @@
 	defer c.mutex.Unlock()
 	c.reset(term)
 	if u := q.GetUsage(); u != nil && term == c.term {
-		c.addReport(wire.EntryRunOf(q.GetMember()), u)
+		c.addReport(q.GetMember(), u)
 	}
 	return &wire.UsageReceipt{Term: term, Decided: c.decided}
 }
@@ -76,8 +78,8 @@
 }
 
 // IsComplete reports whether the latest report of each entry was sent at the time of day end or later.
-// Silent entries may be back soon if they fell silent between begin and end.
-func (c *Collector) IsComplete(entries, silent map[string]*wire.EntryMember, begin, end time.Time) bool {
+// Silent entries may be back soon, unless they were leaving or their latest report was sent before since.
+func (c *Collector) IsComplete(entries, silent map[string]*wire.EntryMember, since, end time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, m := range entries {
@@ -88,7 +90,7 @@
 	}
 	for _, m := range silent {
 		r := c.runs[wire.EntryRunOf(m)]
-		if r != nil && !r.through.Before(begin) && r.through.Before(end) {
+		if r != nil && !r.leaving && !r.through.Before(since) && r.through.Before(end) {
 			return false
 		}
 	}
@@ -108,18 +110,22 @@
 	return out
 }
 
-// DropSilent drops the runs that have nothing to count any more and do not belong to an entry.
-func (c *Collector) DropSilent(entries map[string]*wire.EntryMember) {
+// DropEnded drops the runs that have nothing to count any more and belong neither to an entry nor to a
+// silent one.
+func (c *Collector) DropEnded(entries, silent map[string]*wire.EntryMember) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for n, r := range c.runs {
-		m := entries[n.Name]
-		if len(r.windows) == 0 && (m == nil || wire.EntryRunOf(m) != n) {
+		if len(r.windows) == 0 && !isRunOf(n, entries[n.Name]) && !isRunOf(n, silent[n.Name]) {
 			delete(c.runs, n)
 		}
 	}
 }
 
+func isRunOf(n wire.EntryRun, m *wire.EntryMember) bool {
+	return m != nil && wire.EntryRunOf(m) == n
+}
+
 // reset drops all reports if the term is newer than theirs.
 func (c *Collector) reset(term uint64) {
 	if term > c.term {
@@ -128,12 +134,13 @@
 }
 
 // addReport replaces the windows of an entry that are newer in the report.
-func (c *Collector) addReport(n wire.EntryRun, u *wire.UsageReport) {
-	r := c.runs[n]
+func (c *Collector) addReport(m *wire.EntryMember, u *wire.UsageReport) {
+	r := c.runs[wire.EntryRunOf(m)]
 	if r == nil {
 		r = &run{windows: map[uint64]windowReport{}}
-		c.runs[n] = r
+		c.runs[wire.EntryRunOf(m)] = r
 	}
+	r.leaving = r.leaving || m.GetState() == wire.EntryState_ENTRY_STATE_LEAVING
 	if u.GetSequence() > r.sequence {
 		r.sequence, r.through = u.GetSequence(), time.UnixMilli(u.GetUnixMilliseconds())
 	}
--- a/control/collector/collector_test.go
+++ b/control/collector/collector_test.go
@@ -51,14 +51,14 @@
 	is.True(!c.IsComplete(entries, nil, at.Add(-time.Second), at))
 	c.Add(1, poll(2, 2, 20, 5, at))
 	is.True(c.IsComplete(entries, nil, at.Add(-time.Second), at))
-	silent := map[string]*wire.EntryMember{"f": {Name: "e", Incarnation: 3}}
+	silent := map[string]*wire.EntryMember{"e": {Name: "e", Incarnation: 3}}
 	c.Add(1, poll(3, 1, 20, 5, at.Add(-2*time.Second)))
 	is.True(c.IsComplete(entries, silent, at.Add(-time.Second), at)) // silent since before
 	c.Add(1, poll(3, 2, 20, 5, at.Add(-time.Second)))
 	is.True(!c.IsComplete(entries, silent, at.Add(-time.Second), at))
 	c.Reset(1, 20)
-	c.DropSilent(entries)
-	is.Equal(len(c.runs), 1) // the run that ended has nothing left to count
+	c.DropEnded(entries, silent)
+	is.Equal(len(c.runs), 2) // the first run ended and has nothing left to count
 }
 
 // BenchmarkReports measures what the reports of many entries on one window cost the leader, with 82 teams.
