Explain what admission decides about a request

The explanation hands the forecast of the picker's copy to Admitter.Explain, as the balancer does, and its verdict replaces the pick's own limits on routes that admission decides on. The condition for that is one function, decides, for both.

--- a/entry/balancer/admission.go
+++ b/entry/balancer/admission.go
@@ -92,6 +92,11 @@
 	}
 }
 
+// decides reports whether admission decides on a request.
+func (a *admission) decides(e *handler.Exchange) bool {
+	return a != nil && e.Route.Aim > 0
+}
+
 func (a *admission) request(e *handler.Exchange, w *retryState) admitter.Request {
 	host, _, _ := net.SplitHostPort(e.Request.RemoteAddr) // empty if the caller has no address
 	r := admitter.Request{
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -154,7 +154,7 @@
 func (b *Balancer) pick(ctx context.Context, e *handler.Exchange, w *retryState) (*Pick, time.Duration, handler.Outcome) {
 	w.request.Allows = e.Selection.Allows
 	b.inform(ctx, e, w.request)
-	if b.admission != nil && w.sent == 0 && e.Route.Aim > 0 {
+	if w.sent == 0 && b.admission.decides(e) {
 		return b.admission.pick(ctx, e, w)
 	}
 	k, delay := pickSelected(e, w, b.config.Picker.Pick)
--- a/entry/balancer/explain.go
+++ b/entry/balancer/explain.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/filberthoist/filberthoist/entry/admitter"
 	"github.com/filberthoist/filberthoist/entry/handler"
 	"github.com/filberthoist/filberthoist/entry/receiver"
 )
@@ -23,11 +24,35 @@
 	// Remaining and MaxQueueWait are the longest time until the response and in a target's queue.
 	Remaining    time.Duration `json:"remaining"`
 	MaxQueueWait time.Duration `json:"maxQueueWait"`
+	// Admission is the decision of admission; nil if it does not decide on the request.
+	Admission *AdmissionExplanation `json:"admission,omitempty"`
 	// Targets are all of the service: first those that may serve the request, in the object's order, then those that a
 	// rule excludes.
 	Targets []TargetExplanation `json:"targets"`
+	// best is the name of the target with the least cost.
+	best string
 }
 
+// AdmissionExplanation tells how admission decides on a request, and on which figures.
+type AdmissionExplanation struct {
+	// Verdict is admit, hold or refuse, and Cause what limited the request.
+	Verdict string         `json:"verdict"`
+	Cause   admitter.Cause `json:"cause,omitempty"`
+	// Short is set if the service's room is short, and Busy the fraction of its slots in use.
+	Short bool    `json:"short"`
+	Busy  float64 `json:"busy"`
+	// MaxWait is the longest wait at a target with which the request is admitted, Hold how long it is held at most, and
+	// Room the time after which it would be admitted.
+	MaxWait time.Duration `json:"maxWait"`
+	Hold    time.Duration `json:"hold"`
+	Room    time.Duration `json:"room"`
+	// Standing is how the request's kind and team fared lately.
+	Standing admitter.Standing `json:"standing"`
+}
+
+// verdictNames are the names of admission's verdicts.
+var verdictNames = map[admitter.Verdict]string{admitter.Admit: "admit", admitter.Hold: "hold", admitter.Refuse: "refuse"}
+
 // TargetExplanation describes a target for one request.
 type TargetExplanation struct {
 	Name             string `json:"name"`
@@ -77,11 +102,45 @@
 	d := b.pickRequest(e)
 	d.Allows = c.Allows
 	d.Remaining = e.Deadline - b.config.Clock.Now()
-	return b.config.Picker.Explain(d)
+	x, f := b.config.Picker.explain(d)
+	if b.admission.decides(e) {
+		b.admission.explain(x, e, d, f)
+	}
+	return x
+}
+
+// explain sets the decision of admission, which replaces the rules of Pick.
+func (a *admission) explain(x *Explanation, e *handler.Exchange, d PickRequest, f admitter.Forecast) {
+	if !f.Found {
+		return
+	}
+	now, r := a.config.Clock.Now(), a.request(e, &retryState{request: d})
+	r.Remaining = d.Remaining
+	s, n := a.config.Admitter.Explain(now, r, f)
+	x.Admission = &AdmissionExplanation{
+		Verdict: verdictNames[n.Verdict], Cause: n.Cause, Short: a.config.Admitter.IsShort(f.Busy), Busy: f.Busy,
+		MaxWait: n.MaxWait, Hold: n.Hold, Room: n.Room, Standing: s,
+	}
+	x.Pick, x.Refusal, x.Delay = "", "", n.Room
+	switch n.Verdict {
+	case admitter.Admit:
+		x.Pick, x.Delay = x.best, 0
+	case admitter.Hold:
+		x.Refusal = fmt.Sprintf("admission holds it for at most %v because of the %s", n.Hold, n.Cause)
+	case admitter.Refuse:
+		x.Refusal = fmt.Sprintf("admission refuses it because of the %s", n.Cause)
+	}
+	x.setVerdicts()
 }
 
 // Explain tells which target Pick would return now.
 func (p *Picker) Explain(d PickRequest) *Explanation {
+	x, _ := p.explain(d)
+	return x
+}
+
+// explain returns the explanation and the forecast for a request.
+func (p *Picker) explain(d PickRequest) (*Explanation, admitter.Forecast) {
 	q, v := p.snapshot(d)
 	q.updateView(v)
 	out := &Explanation{Object: d.Object, Remaining: d.Remaining, MaxQueueWait: d.MaxQueueWait}
@@ -104,7 +163,11 @@
 			}
 		}
 	}
+	f := q.forecast(now, v, d, best)
 	pick, delay := q.Pick(d) // of the snapshot
+	if best != nil {
+		out.best = best.Target.Name
+	}
 	switch {
 	case pick != nil:
 		out.Pick = pick.Target.Name
@@ -115,8 +178,8 @@
 	default:
 		out.Refusal, out.Delay = fmt.Sprintf("the best target has a queue of %v, which is more than requests of this kind wait", best.Wait), delay
 	}
-	out.setVerdicts(best)
-	return out
+	out.setVerdicts()
+	return out, f
 }
 
 // snapshot returns a Picker with a copy of the state on which the pick for a request depends, and the latest view.
@@ -126,7 +189,7 @@
 	v := p.config.View()
 	q := NewPicker(p.config)
 	q.config.View = func() *receiver.View { return v }
-	q.view, q.roundTrips = p.view, maps.Clone(p.roundTrips)
+	q.view, q.roundTrips, q.busySlots = p.view, maps.Clone(p.roundTrips), maps.Clone(p.busySlots)
 	if w := p.estimates[d.WorkKind]; w != nil {
 		c := *w
 		q.estimates[d.WorkKind] = &c
@@ -184,15 +247,16 @@
 }
 
 // setVerdicts sets the verdict on the best target.
-func (x *Explanation) setVerdicts(best *Pick) {
+func (x *Explanation) setVerdicts() {
 	for i := range x.Targets {
 		t := &x.Targets[i]
 		switch {
 		case t.Excluded != "":
-		case t.Name == x.Pick:
-			t.Verdict = verdictPicked
-		case best != nil && x.Pick == "" && t.Name == best.Target.Name:
+		case t.Name != x.best:
+		case x.Pick == "":
 			t.Verdict = verdictBest
+		default:
+			t.Verdict = verdictPicked
 		}
 	}
 }
--- a/entry/balancer/explain_test.go
+++ b/entry/balancer/explain_test.go
@@ -1,12 +1,15 @@
 package balancer
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/entry/admitter"
 	"github.com/filberthoist/filberthoist/entry/forwarder"
 	"github.com/filberthoist/filberthoist/entry/handler"
 	"github.com/filberthoist/filberthoist/entry/receiver"
@@ -50,6 +53,36 @@
 	t.Logf("%d picks, %d refusals", picked, refused)
 }
 
+// TestExplainedAdmission guards against an explanation that names another decision of admission than the next request
+// meets.
+func TestExplainedAdmission(t *testing.T) {
+	for name, running := range map[string]int{"room": 0, "short": 6, "a queue": 9, "a long queue": 60} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b, view, sent := newBalancer(0, []func() *forwarder.SendResult{answers})
+			b.config.Admitter = admitter.NewAdmitter(admitter.Config{Short: 0.9, LeastShare: 0.5, HoldShare: 0.01})
+			b.admission = newAdmission(b.config)
+			warm := newExchange(b, view, parser.ClassAtMostOnce)
+			b.config.Picker.Pick(b.pickRequest(warm)) // lists the targets
+			for _, s := range b.config.Picker.services["drafts"].list {
+				s.running, s.tried = running, true
+			}
+			e := newExchange(b, view, parser.ClassAtMostOnce)
+			e.Route.Aim = 300 * time.Millisecond
+			x := b.Explain(e, e.Selection)
+			o := b.balance(context.Background(), e)
+			is.True(x.Admission != nil)
+			is.Equal(x.Pick != "", o.Run == handler.Done)
+			is.Equal(x.Admission.Verdict == "admit", o.Run == handler.Done)
+			if x.Pick != "" {
+				is.Equal((*sent)[len(*sent)-1], x.Pick)
+			} else {
+				is.Equal(e.Trace.Cause, string(x.Admission.Cause))
+			}
+		})
+	}
+}
+
 func (s *statements) replaceTargets(generation int) {
 	var list []*receiver.ListedTarget
 	for i := range 12 {
--- a/entry/explainer/text.go
+++ b/entry/explainer/text.go
@@ -61,6 +61,10 @@
 	}
 	fmt.Fprintf(b, "\nservice %s, version %s, %.1f %% of such requests (%s)\n", c.Service, version, 100*c.Share, c.Reason)
 	fmt.Fprintf(b, "time left %v, longest wait in a queue %v\n", round(c.Remaining), round(c.MaxQueueWait))
+	if n := c.Admission; n != nil {
+		fmt.Fprintf(b, "admission: %s %s, %.0f %% of the slots in use, longest wait %v; admitted lately: %.0f %% of such requests, %.0f %% of the service\n",
+			n.Verdict, n.Cause, 100*n.Busy, round(n.MaxWait), 100*n.Standing.Admitted, 100*n.Standing.ServiceAdmitted)
+	}
 	if c.Refusal != "" {
 		fmt.Fprintf(b, "refused: %s; room in %v\n", c.Refusal, round(c.Delay))
 	}
