--- a/control/control.go
+++ b/control/control.go
@@ -56,6 +56,8 @@
 const (
 	// stopTimeout limits a graceful stop.
 	stopTimeout = 10 * time.Second
+	// maxCallBytes bounds an operator's call.
+	maxCallBytes = 32 << 20
 	// drainTimeout limits the wait for calls in progress. It exceeds timekeeper.PollHold, for which
 	// entries ask control to hold a poll.
 	drainTimeout = 2 * time.Second
@@ -361,7 +363,7 @@
 	peer.Handle(wireconnect.NewReplicationServiceHandler(p.Messenger))
 	peer.Handle("/", p.Drainer.wrap(newMux(p)))
 	operators := http.NewServeMux()
-	operators.Handle(wireconnect.NewAdministrationServiceHandler(administrator.NewOperatorHandler(p.Administrator)))
+	operators.Handle(wireconnect.NewAdministrationServiceHandler(administrator.NewOperatorHandler(p.Administrator), connect.WithReadMaxBytes(maxCallBytes)))
 	var out []*listener.Listener
 	configs := []listener.Config{
 		{Name: "peer", Address: p.Settings.PeerAddress, Server: p.Connector.Server(peer)},
--- a/core/reserver/reserver.go
+++ b/core/reserver/reserver.go
@@ -53,10 +53,10 @@
 	evicted int
 	lastLog time.Duration
 	// released is the size of the large reservations that were given back since the garbage was collected.
-	released   int
-	collecting bool
-	refusals   tally.Counter
-	evictions  tally.Counter
+	released      int
+	collecting    bool
+	refusals      tally.Counter
+	evictions     tally.Counter
 	reservedBytes tally.Gauge
 }
 
