Give clients three quarters of the descriptors that are free for connections

Cause: 55 % of all descriptors is near what callers may hold before responses ask them to close (40 %), so that a storm within the limits could meet it.

--- a/core/reserver/limits.go
+++ b/core/reserver/limits.go
@@ -17,8 +17,8 @@
 	// heapFraction that from which the garbage collector works harder.
 	budgetFraction = 0.46
 	heapFraction   = 0.75
-	// seatFraction is the fraction of a process's descriptors that connections of clients may take.
-	seatFraction = 0.55
+	// seatFraction is the fraction of Total that connections of clients may take.
+	seatFraction = 0.75
 	// ownDescriptors are kept for files, listeners and connections between processes, but at most ownFraction of all.
 	ownDescriptors = 264
 	ownFraction    = 0.4
@@ -61,7 +61,7 @@
 
 // Connections returns the number of connections of clients that may be open at once.
 func (l Limits) Connections() int {
-	return int(seatFraction * float64(l.Descriptors))
+	return int(seatFraction * float64(l.Total()))
 }
 
 // Total returns the number of connections of clients and to targets that may be open at once.
--- a/core/reserver/reserver.go
+++ b/core/reserver/reserver.go
@@ -3,7 +3,6 @@
 package reserver
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -98,9 +97,6 @@
 
 // MaxBytes returns the size of the largest reservation that there can be room for.
 func (r *Reserver) MaxBytes() int {
-	if r == nil {
-		return math.MaxInt
-	}
 	return r.parts[largePart].bytes
 }
 
