Let regions take requests back while another one is just at its limit

A region that shed down to its limit stayed over it by up to the dead band, which counted as strained and kept all others from taking their requests back. What is over by less than the dead band no longer counts. The peak of demand decays within five minutes, longer than demand takes to come again.

--- a/control/allocator/allocator.go
+++ b/control/allocator/allocator.go
@@ -26,7 +26,7 @@
 	maxHomeLoad = 1.15
 	// maxStep is the largest change of a fraction in one step: 4 % a second.
 	maxStep = 0.02
-	// maxReturnStep is maxStep while a region takes its own requests back. Demand comes and goes faster.
+	// maxReturnStep is maxStep while a region takes its own requests back. Nothing is strained then.
 	maxReturnStep = 0.005
 	// deadBand is the difference from the balanced fraction below which nothing changes.
 	deadBand = 0.04
@@ -70,7 +70,7 @@
 	fractions map[string]map[string]float64
 	// demandedSince is when entries began to report demand; 0 while there is none.
 	demandedSince time.Duration
-	// peak is the highest demand of the last minutes.
+	// peak is the decaying maximum of demand.
 	peak demand
 	// settled is set once the demand was known in this term.
 	settled bool
@@ -272,15 +272,15 @@
 	return out
 }
 
-// advance moves a row towards the balanced one by at most the given step, and reports whether it changed.
-func advance(fractions map[string]map[string]float64, region string, balanced map[string]float64, most float64) bool {
+// advance moves a row towards the wanted one by at most the given step, and reports whether it changed.
+func advance(fractions map[string]map[string]float64, region string, wanted map[string]float64, most float64) bool {
 	row := fractions[region]
 	if row == nil {
-		fractions[region] = maps.Clone(balanced)
+		fractions[region] = maps.Clone(wanted)
 		return true
 	}
 	distance := 0.0
-	for other, b := range balanced {
+	for other, b := range wanted {
 		distance = max(distance, math.Abs(b-row[other]))
 	}
 	if distance < deadBand {
@@ -288,7 +288,7 @@
 	}
 	share := min(1, most/distance)
 	next := map[string]float64{}
-	for other, b := range balanced {
+	for other, b := range wanted {
 		next[other] = row[other] + share*(b-row[other])
 	}
 	fractions[region] = next
--- a/control/allocator/relief.go
+++ b/control/allocator/relief.go
@@ -12,7 +12,7 @@
 	// minStrainedLoad is the fraction of busy slots up to which a region is never strained.
 	minStrainedLoad = 0.3
 	// peakTimeConstant is the time constant with which the peak of demand decays.
-	peakTimeConstant = time.Minute
+	peakTimeConstant = 5 * time.Minute
 	// maxReturnLoad is the load up to which a region takes its own requests back, as a fraction of the
 	// one above which it is strained.
 	maxReturnLoad = 0.9
@@ -94,11 +94,12 @@
 	r.served[region] += back
 }
 
-// shed takes demand from a region's targets down to its limit, the same fraction from all callers.
+// shed takes demand from a region's targets down to its limit, the same fraction from all callers. What
+// exceeds the limit by less than the dead band stays, so that it doesn't keep others from taking demand back.
 func (r *relief) shed(region string) {
 	free := r.served[region] - r.demand.bound[region]
 	over := min(free, r.served[region]-r.limits[region])
-	if over <= 0 {
+	if over <= deadBand*free {
 		return
 	}
 	for from, row := range r.parts {
