Report usage only while control gives receipts for it

Cause: found by reading. Against a leader of the previous landing, which sends no receipt, an entry repeated up to 64 windows with every poll.

Change: a receipt says that reports are wanted; without one an entry keeps its counts and sends nothing.

Measured: TestUpgrade and TestUsage passed on this tree, once each.

--- a/entry/tallier/tallier.go
+++ b/entry/tallier/tallier.go
@@ -38,6 +38,8 @@
 	// term is the term of the leader that confirmed the last report.
 	term     uint64
 	reported time.Time
+	// wanted is set if the last answer had a receipt. Control of an earlier release sends none.
+	wanted bool
 	// flushing is set once each change is to be reported at once.
 	flushing bool
 }
@@ -86,7 +88,7 @@
 	}
 }
 
-// Report returns the report for the next poll, or nil if none is due. It holds the windows that the
+// Report returns the report for the next poll, or nil if none is due or wanted. It holds the windows that the
 // leader does not have as they stand.
 func (t *Tallier) Report() *wire.UsageReport {
 	if !t.Enabled() {
@@ -94,6 +96,9 @@
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if !t.wanted {
+		return nil
+	}
 	now := t.config.Now()
 	age := now.Sub(t.reported)
 	if t.pending == nil && !t.flushing && age >= 0 && age < t.config.Window/reportsPerWindow {
@@ -117,13 +122,15 @@
 }
 
 // Confirm notes the answer to the poll that carried the report r, which may be nil. It drops the
-// windows that are decided. A leader of another term needs all windows again.
+// windows that are decided. A leader of another term needs all windows again. An answer without a receipt
+// means that reports are not wanted now.
 func (t *Tallier) Confirm(r *wire.UsageReport, receipt *wire.UsageReceipt) {
-	if receipt == nil {
-		return
-	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.wanted = receipt != nil
+	if !t.wanted {
+		return
+	}
 	if receipt.GetTerm() != t.term {
 		t.term = receipt.GetTerm()
 		for _, w := range t.windows {
--- a/entry/usage_test.go
+++ b/entry/usage_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/filberthoist/filberthoist/core/parser"
+	"github.com/filberthoist/filberthoist/core/wire"
 	"github.com/filberthoist/filberthoist/entry/carrier"
 	"github.com/filberthoist/filberthoist/entry/dispatcher"
 	"github.com/filberthoist/filberthoist/entry/forwarder"
@@ -54,6 +55,7 @@
 
 func checkCount(t *testing.T, u *tallier.Tallier, want uint64) {
 	t.Helper()
+	u.Confirm(nil, &wire.UsageReceipt{Term: 1})
 	n := uint64(0)
 	for _, w := range u.Report().GetWindows() {
 		n += w.GetCounts()["a"]
