--- a/entry/admitter/decision.go
+++ b/entry/admitter/decision.go
@@ -138,9 +138,7 @@
 		return Decision{MaxWait: r.Remaining}
 	case r.Early, s.Surge >= surgeRatio:
 		return Decision{Verdict: Refuse, Cause: Share, Room: max(f.Wait, f.Processing)}
-	case waited, s.HasLessUrgent && !s.HasUrgent:
-		return decideByWait(c, r, f, r.OrdinaryWait, Aim)
-	case s.HasUrgent && s.Admitted > s.UrgentAdmitted+priorityMargin:
+	case s.HasUrgent && s.Admitted > s.UrgentAdmitted+priorityMargin && !waited:
 		return Decision{Verdict: Refuse, Cause: Priority, Room: max(f.Wait, f.Processing)}
 	}
 	slack := max(0, r.Aim-r.Age-f.Processing-f.RoundTrip)
@@ -151,6 +149,9 @@
 	if s.RelativeWork > 1 {
 		bound = time.Duration(max(leastWorkFactor, 1/s.RelativeWork) * float64(slack))
 	}
+	if waited || (s.HasLessUrgent && !s.HasUrgent) {
+		bound = max(bound, r.OrdinaryWait)
+	}
 	if f.Wait > bound && f.Wait <= slack {
 		cause = Work
 	}
--- a/entry/admitter/decision_test.go
+++ b/entry/admitter/decision_test.go
@@ -55,7 +55,7 @@
 	starved.Admitted, starved.ServiceAdmitted, starved.HasUrgent, starved.UrgentAdmitted = 0.2, 0.6, true, 0.1
 	heavy.RelativeWork = 2
 	returnedOften.Returned = 0.5
-	urgent := calm()
+	urgent, patient := calm(), orders()
 	urgent.HasLessUrgent = true
 	cases := []struct {
 		name     string
@@ -83,6 +83,7 @@
 		{"two priorities, the more urgent is refused more often", inverted, seats(), forecast(short, 0), Refuse, Priority},
 		{"two priorities, the less urgent is starved", starved, seats(), forecast(short, 100*ms), Admit, None},
 		{"two priorities, the more urgent is late", urgent, late, forecast(short, 100*ms), Admit, None},
+		{"two priorities, the more urgent in aim behind a long queue", urgent, patient, forecast(short, 200*ms), Admit, None},
 		{"two kinds, the one with more work", heavy, seats(), forecast(short, 80*ms), Refuse, Work},
 	}
 	for _, c := range cases {
