Read how a service's kinds fared only while its room is short

Cause: each decision read the rates of all routes of its service, also where the decision doesn't depend on them.

Change: the standing is left out while room isn't short; decisions stay the same (tests of entry/admitter, entry/balancer).

--- a/entry/admitter/admitter.go
+++ b/entry/admitter/admitter.go
@@ -59,11 +59,14 @@
 	return d
 }
 
-// Explain returns the decision on a request, and the standing that it depends on.
-func (a *Admitter) Explain(now time.Duration, r Request, f Forecast) (Standing, Decision) {
+// Explain returns the decision on a request, and the standing that it depends on; that is empty while room
+// is not short.
+func (a *Admitter) Explain(now time.Duration, r Request, f Forecast) (s Standing, d Decision) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	s := a.service(r.Service).standing(now, r)
+	if a.IsShort(f.Busy) {
+		s = a.service(r.Service).standing(now, r) // reads every kind of the service
+	}
 	return s, Evaluate(a.config, s, r, f)
 }
 
