Bound what admission keeps of kinds of requests

Cause: routes that come and go with the configuration stayed in the state of a service for good. Change: kinds are bounded as teams are. Measured: tests of entry/admitter and entry/balancer pass.

--- a/entry/admitter/admitter.go
+++ b/entry/admitter/admitter.go
@@ -43,6 +43,9 @@
 	defer a.mutex.Unlock()
 	u := a.timeouts[r.Kind]
 	if u == nil {
+		if len(a.timeouts) >= maxTracked {
+			clear(a.timeouts)
+		}
 		u = &usualTimeout{}
 		a.timeouts[r.Kind] = u
 	}
--- a/entry/admitter/standing.go
+++ b/entry/admitter/standing.go
@@ -15,8 +15,8 @@
 	minTeamShare = 0.05
 	// minRate is the rate, in requests per second, below which a fraction is not known.
 	minRate = 2
-	// maxTeams bounds the number of teams that are kept per service.
-	maxTeams = 4096
+	// maxTracked bounds the number of kinds and of teams that are kept per service.
+	maxTracked = 4096
 	// workWeight is the weight of a new request in the mean work.
 	workWeight = 0.05
 )
@@ -88,6 +88,9 @@
 	n := kindKey{r.Kind, r.Priority}
 	k := s.kinds[n]
 	if k == nil {
+		if len(s.kinds) >= maxTracked {
+			clear(s.kinds)
+		}
 		k = &kind{tally: newTally(), priority: r.Priority}
 		s.kinds[n] = k
 	}
@@ -97,7 +100,7 @@
 func (s *service) team(name string) *team {
 	t := s.teams[name]
 	if t == nil {
-		if len(s.teams) >= maxTeams {
+		if len(s.teams) >= maxTracked {
 			clear(s.teams)
 		}
 		t = &team{tally: newTally(), usual: timekeeper.DecayingRate{TimeConstant: usualTime}}
