Keep the allocation of regions as it was

Cause: moving only the excess of strained regions acts on every deployment, and no configuration asks for it. Measured: tests of control/allocator pass.

--- a/control/allocator/allocator.go
+++ b/control/allocator/allocator.go
@@ -1,8 +1,7 @@
 // Package allocator decides which regions serve the requests that arrive in each region. A region
 // keeps its own requests unless its targets are much busier than the average of all; the excess
-// goes to regions with spare capacity. Fractions change slowly and only while a region is strained or
-// has room for its own requests again, since requests that move to other targets find them cold at
-// first.
+// goes to regions with spare capacity. Fractions change slowly, since requests that move to other
+// targets find them cold at first.
 package allocator
 
 import (
@@ -26,10 +25,10 @@
 	maxHomeLoad = 1.15
 	// maxStep is the largest change of a fraction in one step: 4 % a second.
 	maxStep = 0.02
-	// maxReturnStep is maxStep while a region takes its own requests back. Nothing is strained then.
-	maxReturnStep = 0.005
 	// deadBand is the difference from the balanced fraction below which nothing changes.
 	deadBand = 0.04
+	// minStrainedLoad is the fraction of busy slots up to which a region is never strained.
+	minStrainedLoad = 0.3
 	// minDemand is the number of busy slots of a service below which its demand is ignored.
 	minDemand = 1
 	// reportExpiry is how long an entry's report is used.
@@ -70,8 +69,6 @@
 	fractions map[string]map[string]float64
 	// demandedSince is when entries began to report demand; 0 while there is none.
 	demandedSince time.Duration
-	// peak is the decaying maximum of demand.
-	peak demand
 	// settled is set once the demand was known in this term.
 	settled bool
 }
@@ -154,8 +151,7 @@
 	a.entries[r.GetMember().GetName()] = n
 }
 
-// step sets the first fractions of each service, and moves the later ones towards those that relieve
-// strained regions.
+// step sets the first fractions of each service, and moves those with a strained region towards balance.
 func (a *Allocator) step(now time.Duration) {
 	slots := a.config.Slots()
 	changed := false
@@ -168,13 +164,11 @@
 		d := a.demand(now, name, bySlots)
 		known := s.recordDemand(now, d)
 		changed = a.begin(name, known, d, bySlots) || changed
-		if !known || s.fractions == nil {
+		if !known || s.fractions == nil || !isStrained(s.fractions, d, bySlots) {
 			continue
 		}
-		s.peak = recordPeak(s.peak, d)
-		next, most := relieve(s.fractions, d, s.peak, bySlots)
-		for region, row := range next {
-			changed = advance(s.fractions, region, row, most) || changed
+		for region, row := range balance(d, bySlots) {
+			changed = advance(s.fractions, region, row) || changed
 		}
 	}
 	if changed {
@@ -242,6 +236,26 @@
 	return out
 }
 
+// isStrained reports whether the slots of some region are much busier than the average of all, and
+// busier than minStrainedLoad.
+func isStrained(fractions map[string]map[string]float64, d demand, slots map[string]float64) bool {
+	served, capacity := map[string]float64{}, 0.0
+	maps.Copy(served, d.bound)
+	for region, load := range d.free {
+		capacity += slots[region]
+		for other, fraction := range fractions[region] {
+			served[other] += load * fraction
+		}
+	}
+	for region, s := range served {
+		isMovable := s > d.bound[region]
+		if isMovable && s > slots[region]*max(minStrainedLoad, maxHomeLoad*d.total()/max(1, capacity)) {
+			return true
+		}
+	}
+	return false
+}
+
 // balance returns, by region of the callers and region of the targets, the fraction of the callers'
 // free demand that the targets should serve for a balanced load.
 func balance(d demand, slots map[string]float64) map[string]map[string]float64 {
@@ -272,23 +286,23 @@
 	return out
 }
 
-// advance moves a row towards the wanted one by at most the given step, and reports whether it changed.
-func advance(fractions map[string]map[string]float64, region string, wanted map[string]float64, most float64) bool {
+// advance moves a row towards the balanced one by at most maxStep, and reports whether it changed.
+func advance(fractions map[string]map[string]float64, region string, balanced map[string]float64) bool {
 	row := fractions[region]
 	if row == nil {
-		fractions[region] = maps.Clone(wanted)
+		fractions[region] = maps.Clone(balanced)
 		return true
 	}
 	distance := 0.0
-	for other, b := range wanted {
+	for other, b := range balanced {
 		distance = max(distance, math.Abs(b-row[other]))
 	}
 	if distance < deadBand {
 		return false
 	}
-	share := min(1, most/distance)
+	share := min(1, maxStep/distance)
 	next := map[string]float64{}
-	for other, b := range wanted {
+	for other, b := range balanced {
 		next[other] = row[other] + share*(b-row[other])
 	}
 	fractions[region] = next
