--- a/control/sequencer/sequencer_test.go
+++ b/control/sequencer/sequencer_test.go
@@ -257,12 +257,20 @@
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
 	l := c.leader()
-	_, err := l.sequencer.ProposeIn(ctx, l.sequencer.View().Term, &wire.Command{})
-	is.NoErr(err)
-	applied := l.sequencer.View().Applied
-	_, err = l.sequencer.ProposeIn(ctx, l.sequencer.View().Term+1, &wire.Command{})
+	term := l.sequencer.View().Term
+	propose := func() uint64 {
+		before := l.sequencer.View().Applied
+		_, err := l.sequencer.ProposeIn(ctx, term, &wire.Command{})
+		is.NoErr(err)
+		for l.sequencer.View().Applied == before && ctx.Err() == nil { // the view follows the result
+			time.Sleep(time.Millisecond)
+		}
+		return l.sequencer.View().Applied
+	}
+	applied := propose()
+	_, err := l.sequencer.ProposeIn(ctx, term+1, &wire.Command{})
 	is.Equal(err, ErrNotLeader)
-	is.Equal(l.sequencer.View().Applied, applied)
+	is.Equal(propose(), applied+1) // the refused command is not in the log
 }
 
 // BenchmarkSubmit measures commits with three members, and with one of them cut off.
--- a/entry/acceptor/acceptor_test.go
+++ b/entry/acceptor/acceptor_test.go
@@ -373,6 +373,9 @@
 	a, _, b := newServer(t, echo)
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
+	for a.connectionCount.Load() < 1 && ctx.Err() == nil { // a connection that was never accepted is reset
+		time.Sleep(time.Millisecond)
+	}
 	is.NoErr(a.Shutdown(ctx))
 	_, err := b.ReadByte()
 	is.Equal(err, io.EOF)
