review: a leader elected during a trial completes a bad version

Cause: the evidence against a version is the leader's alone, and the last step of a rollout does not ask whether this leader has seen any. Change: case 8, a script; the stand-in starts targets with their order, and reserves its addresses; cases 6 and 8 are played again with it.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # It needs no network: the module has no dependencies.
 set -euo pipefail
 cd "$(dirname "$0")/second"
-GOWORK=off GOFLAGS=-mod=mod go build -buildvcs=false -o ../../target/review-second .
+GOWORK=off GOTOOLCHAIN=local go build -buildvcs=false -o ../../target/review-second .
--- a/review/second/deployment.go
+++ b/review/second/deployment.go
@@ -25,6 +25,12 @@
 	peerPort      = 7600
 )
 
+// firstNetwork and lastNetwork bound the second number of the loopback addresses of a run.
+const (
+	firstNetwork = 40
+	lastNetwork  = 120
+)
+
 // zones lists the availability zones with their regions.
 var zones = [][2]string{{"delta-tanta", "delta"}, {"upper-aswan", "upper"}, {"canal-ismailia", "canal"}}
 
@@ -50,7 +56,8 @@
 	listAt   string
 	mutex    sync.Mutex
 	targets  []*target
-	version  int
+	// reserved keeps other runs from the same addresses.
+	reserved net.Listener
 }
 
 // newDeployment starts the processes. The addresses are 127.NETWORK.x.y.
@@ -59,7 +66,11 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{record: r, root: root, folder: folder, network: freeNetwork(), version: 1}
+	network, reserved, err := freeNetwork()
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{record: r, root: root, folder: folder, network: network, reserved: reserved}
 	if err := d.serveList(); err != nil {
 		return nil, err
 	}
@@ -81,22 +92,16 @@
 	return d, nil
 }
 
-// freeNetwork returns the first two numbers of loopback addresses on which nothing listens yet.
-func freeNetwork() string {
-	for n := 40; n < 120; n++ {
+// freeNetwork returns the first two numbers of loopback addresses on which nothing listens yet, and a listener that keeps
+// them for this run.
+func freeNetwork() (string, net.Listener, error) {
+	for n := firstNetwork; n < lastNetwork; n++ {
 		prefix := fmt.Sprintf("127.%d", n)
-		l, err := net.Listen("tcp", fmt.Sprintf("%s.9.1:%d", prefix, controlPort))
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		if c, err := net.DialTimeout("tcp", fmt.Sprintf("%s.1.1:%d", prefix, controlPort), 100*time.Millisecond); err == nil {
-			_ = c.Close()
-			continue
+		if l, err := net.Listen("tcp", fmt.Sprintf("%s.9.1:%d", prefix, controlPort)); err == nil {
+			return prefix, l, nil
 		}
-		return prefix
 	}
-	return "127.39"
+	return "", nil, fmt.Errorf("no loopback addresses are free")
 }
 
 // freePort returns a port of 127.0.0.1 on which nothing listens.
@@ -176,6 +181,7 @@
 		t.close()
 	}
 	_ = d.list.Close()
+	_ = d.reserved.Close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(d.folder)
 	} else {
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -23,6 +23,7 @@
 	"left":      playLeft,
 	"encoded":   playEncoded,
 	"rollout":   playRollout,
+	"trial":     playTrial,
 }
 
 func main() {
--- a/review/second/rollout.go
+++ b/review/second/rollout.go
@@ -18,6 +18,8 @@
 	rolloutService = "lamps"
 	// rolloutDuration is that of the days of the site file.
 	rolloutDuration = 16 * time.Second
+	// lateness is how long the platform goes on asking for the state of a rollout that is late.
+	lateness = 8 * time.Second
 	// pollPause is the pause of the platform between two questions after a rollout's state.
 	pollPause = 100 * time.Millisecond
 	// exposureShare and exposureSlack are the bounds of the rule EXPOSURE.
@@ -94,19 +96,18 @@
 	return nil
 }
 
-// rollOut orders a rollout and follows its state until it is no longer "running", or until its time is over. At
-// "completed" it stops the targets of all other versions at once.
+// rollOut orders a rollout, starts the targets of the version as it is acknowledged, and follows its state until it is no
+// longer "running", or until its time is over. At "completed" it stops the targets of all other versions at once.
 func (d *deployment) rollOut(version string, answer func(*target, net.Conn, *http.Request) bool) (string, error) {
-	if err := d.startVersion(version, answer); err != nil {
-		return "", err
-	}
-	time.Sleep(time.Second) // the list shows them
 	if err := d.orderRollout(version); err != nil {
 		return "", err
 	}
 	d.record.line("platform: the rollout to %s is acknowledged", version)
+	if err := d.startVersion(version, answer); err != nil {
+		return "", err
+	}
 	last := ""
-	for end := time.Now().Add(rolloutDuration + time.Second); time.Now().Before(end); time.Sleep(pollPause) {
+	for end := time.Now().Add(rolloutDuration + lateness); time.Now().Before(end); time.Sleep(pollPause) {
 		state, named := d.rolloutState()
 		if state != last && state != "" {
 			last = state
