--- a/review/third/release.go
+++ b/review/third/release.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -32,7 +33,7 @@
 
 // runRelease replaces the targets of a service while clients send requests. Then, in calm, new clients try to connect.
 func runRelease(d *deployment, trouble bool) verdict {
-	ok := d.startAll(1, releaseTargets, firstConfig, func(r *http.Request, _ []byte) []byte {
+	ok := d.startAll(2, releaseTargets, firstConfig, func(r *http.Request, _ []byte) []byte {
 		if r.URL.Path != "/vota118/small" {
 			time.Sleep(time.Duration(float64(lampWork) * (0.85 + 0.3*rand.Float64())))
 		}
@@ -89,6 +90,8 @@
 	} else {
 		d.printf("GET /ready: %v", err)
 	}
+	status, text := d.lookup(d.edges[1])
+	d.printf("GET /lookup of another edge machine: answer %d %s", status, text)
 	if served == 0 {
 		d.printf("no request on a new connection was answered for %v, while %d clients tried", contact, checkClients)
 		return broken
@@ -96,6 +99,17 @@
 	return held
 }
 
+// lookup asks the directory of an edge where to connect.
+func (d *deployment) lookup(m *member) (int, string) {
+	a, err := operator.Get("http://" + d.address(m, directoryPort) + "/lookup?name=jepu9.example&region=delta&zone=delta-tanta")
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer a.Body.Close()
+	b, _ := io.ReadAll(a.Body)
+	return a.StatusCode, strings.TrimSpace(string(b))
+}
+
 // openFiles returns the number of open descriptors of a member's process.
 func openFiles(m *member) int {
 	list, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", m.command.Process.Pid))
