--- a/review/third/main.go
+++ b/review/third/main.go
@@ -33,6 +33,7 @@
 	"answers": runAnswers,
 	"frozen":  runFrozen,
 	"release": runRelease,
+	"rollout": runRollout,
 }
 
 func main() {
--- a/review/third/target.go
+++ b/review/third/target.go
@@ -19,6 +19,11 @@
 }
 
 func (d *deployment) addTarget(i int, service, zone string, work func(*http.Request, []byte) []byte) error {
+	return d.addVersion(i, service, "v1", zone, work)
+}
+
+// addVersion starts a target of one version of its service.
+func (d *deployment) addVersion(i int, service, version, zone string, work func(*http.Request, []byte) []byte) error {
 	n, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -28,7 +33,7 @@
 	go func() { _ = t.server.Serve(n) }()
 	d.targets = append(d.targets, t)
 	d.list.add(listEntry{
-		ID: t.id, Backend: service, Address: n.Addr().String(), Version: "v1", Slots: 6, State: "ready", Warmup: "0ms",
+		ID: t.id, Backend: service, Address: n.Addr().String(), Version: version, Slots: 6, State: "ready", Warmup: "0ms",
 		Born: time.Now().UnixMilli(), zone: zone,
 	})
 	return nil
@@ -59,6 +64,10 @@
 	w.Header().Set("X-Response-Signature", "s-"+t.id)
 	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,6", running))
 	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
+	if answer == nil {
+		w.WriteHeader(http.StatusInternalServerError) // the target's own failure, which counts as run
+		return
+	}
 	_, _ = w.Write(answer)
 }
 
