--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -250,7 +250,7 @@
 func (b *Balancer) send(ctx context.Context, e *handler.Exchange, w *retryState, k *Pick) (o handler.Outcome, final bool) {
 	s := &forwarder.SendResult{Result: dispatcher.Result{Failed: true}} // stands if Send panics
 	defer func() {
-		b.logChange(k, s, b.config.Picker.Done(k, w.request, s, s.DialTime))
+		b.logChange(k, s, b.config.Picker.Done(k, w.request, s, s.Origin.DialTime))
 		if b.admission != nil {
 			b.admission.queue.Wake(w.request.Service)
 		}
@@ -331,6 +331,7 @@
 	v := handler.Attempt{
 		Target: k.Target.Name, AvailabilityZone: k.Target.AvailabilityZone, Load: k.Load, Wait: k.Wait, Expected: k.Cost,
 		Slowness: k.Slowness, SlownessAge: k.SlownessAge, Rank: k.Rank, Warm: k.Warm, Duration: took, Result: "answered",
+		Cold: k.Cold, Silence: k.Silence, Dialed: s.Origin.Dialed, ConnectionLost: s.ConnectionLost,
 	}
 	switch {
 	case s.Misdirected:
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -106,6 +106,10 @@
 	// both are 0 if it never did.
 	Slowness    float64
 	SlownessAge time.Duration
+	// Cold is set if the target counts as cold, and Silence is the time since its last response; 0 if there
+	// was none.
+	Cold    bool
+	Silence time.Duration
 	// Rank is the position of the target in the object's order.
 	Rank       int
 	state      *target
@@ -196,6 +200,9 @@
 	t.running--
 	t.probing = false
 	t.recordLoad(now, s.Load)
+	if s.Status > 0 && !s.Misdirected {
+		t.respondedAt = now
+	}
 	if s.Load != nil && s.Load.Slowness > 0 && p.services[d.Service] != nil {
 		p.services[d.Service].statesSlowness = true
 	}
@@ -418,6 +425,10 @@
 	}
 	processing *= t.expectedSlowness(now)
 	k := &Pick{Target: t.listed, Warm: warm, Load: t.load(now), Rank: rank, state: t, processing: time.Duration(processing)}
+	k.Cold = t.isCold(now)
+	if t.respondedAt > 0 {
+		k.Silence = now - t.respondedAt
+	}
 	if t.statedSlowness > 0 {
 		k.Slowness, k.SlownessAge = t.statedSlowness, now-t.statedAt
 	}
--- a/entry/balancer/target.go
+++ b/entry/balancer/target.go
@@ -106,6 +106,9 @@
 	// objects holds the time of the last response for each object.
 	objects map[string]time.Duration
 
+	// respondedAt is when the target last responded; 0 if it never did.
+	respondedAt time.Duration
+
 	coldTokens     float64
 	coldRefilledAt time.Duration
 }
--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -44,6 +44,9 @@
 	// longer reused, since the target may close it at any moment. It is half of that for requests that
 	// must not be retried.
 	reusableFraction = 0.6
+	// earlyEndFraction is the fraction of the target's idle timeout before which the end of an unused
+	// connection is unexpected.
+	earlyEndFraction = 0.9
 	// maxHeaderBytes bounds the head of a response.
 	maxHeaderBytes = 64 << 10
 	// maxBufferedBytes is the size up to which a response is buffered before it is passed on.
@@ -130,8 +133,8 @@
 	Match Match
 	// CloseAfter means that the target closes the connection after the response.
 	CloseAfter bool
-	// DialTime is the time that it took to open a new connection; 0 for a reused one.
-	DialTime time.Duration
+	// Origin describes the connection.
+	Origin Origin
 	// reason is the rest of the status line.
 	reason string
 }
@@ -163,6 +166,20 @@
 	Refused bool
 	// Earlier is the number of requests that the connection carried before.
 	Earlier int
+	// Origin describes the connection.
+	Origin Origin
+}
+
+// Origin describes where the connection of a request came from, and what the other kept connections to the
+// same address show.
+type Origin struct {
+	// Dialed is set if the connection is a new one, and DialTime is the time that it took to open it.
+	Dialed   bool
+	DialTime time.Duration
+	// Broken is the number of kept connections that had ended before the target's idle timeout.
+	Broken int
+	// Open is set if a kept connection was still open.
+	Open bool
 }
 
 // NewCarrier returns a Carrier without connections.
@@ -216,9 +233,9 @@
 	if ctx.Err() != nil {
 		return nil, &Failure{Err: ctx.Err()} // closing an idle connection would come too late to stop the request
 	}
-	n, dialed, err := c.acquire(ctx, address, r)
+	n, o, err := c.acquire(ctx, address, r)
 	if err != nil {
-		return nil, &Failure{Err: err, Refused: true}
+		return nil, &Failure{Err: err, Refused: true, Origin: o}
 	}
 	if r.BeforeSend != nil && !r.BeforeSend() {
 		n.close() // keeping it would hide how long the target has seen it idle
@@ -230,9 +247,9 @@
 	if err != nil {
 		stop()
 		n.close()
-		return nil, &Failure{Err: err, Sent: sent, Earlier: earlier}
+		return nil, &Failure{Err: err, Sent: sent, Earlier: earlier, Origin: o}
 	}
-	a.DialTime = dialed
+	a.Origin = o
 	if a.Remainder != nil {
 		a.Remainder = &remainder{Reader: a.Remainder, finish: func(complete bool) { c.recycle(n, stop, complete && !a.CloseAfter) }}
 		return a, nil
@@ -269,37 +286,36 @@
 }
 
 // acquire returns an idle connection that is still open and has not carried the request's ID, or a new
-// one with the time it took to dial.
-func (c *Carrier) acquire(ctx context.Context, address string, r *Request) (*connection, time.Duration, error) {
-	for n := c.takeIdle(address, r); n != nil; n = c.takeIdle(address, r) {
+// one.
+func (c *Carrier) acquire(ctx context.Context, address string, r *Request) (*connection, Origin, error) {
+	var o Origin
+	for n := c.takeIdle(address, r, &o); n != nil; n = c.takeIdle(address, r, &o) {
 		if n.isOpen() {
-			return n, 0, nil
+			o.Open = true
+			return n, o, nil
 		}
+		o.examine(c.config.Clock.Now(), n)
 		n.close()
 	}
+	o.Dialed = true
 	begun := c.config.Clock.Now()
 	s, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, 0, err
+		return nil, o, err
 	}
 	limit := &io.LimitedReader{R: s, N: math.MaxInt64}
 	c.config.Seats.AddTarget()
 	n := &connection{address: address, seats: c.config.Seats, socket: s, headLimit: limit, reader: bufio.NewReader(limit), idleTimeout: defaultIdleTimeout}
-	return n, c.config.Clock.Now() - begun, nil
+	o.DialTime = c.config.Clock.Now() - begun
+	return n, o, nil
 }
 
-// takeIdle removes the newest idle connection that may carry a request and returns it, or nil.
-func (c *Carrier) takeIdle(address string, r *Request) *connection {
+// takeIdle removes the newest idle connection that may carry a request and returns it. If it returns nil, it has
+// examined the other ones.
+func (c *Carrier) takeIdle(address string, r *Request, o *Origin) *connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	list, now := c.idle[address], c.config.Clock.Now()
-	if len(list) > 0 && !list[len(list)-1].isReusable(now, false) {
-		delete(c.idle, address)
-		for _, old := range list {
-			old.close()
-		}
-		return nil
-	}
 	id := xxhash.Sum64String(r.ID)
 	for i, n := range slices.Backward(list) {
 		if n.isReusable(now, r.AtMostOnce) && !slices.Contains(n.carried, id) {
@@ -307,9 +323,30 @@
 			return n
 		}
 	}
+	for _, n := range list {
+		o.examine(now, n)
+	}
+	if len(list) > 0 && !list[len(list)-1].isReusable(now, false) {
+		delete(c.idle, address)
+		for _, old := range list {
+			old.close()
+		}
+	}
 	return nil
 }
 
+// examine records what a kept connection shows. A target may end it once its idle timeout has passed.
+func (o *Origin) examine(now time.Duration, n *connection) {
+	switch peeker.Peek(n.socket) {
+	case peeker.Quiet:
+		o.Open = true
+	case peeker.Ended:
+		if float64(now-n.idleSince) < earlyEndFraction*float64(n.idleTimeout) {
+			o.Broken++
+		}
+	}
+}
+
 // connection is one connection to a target.
 type connection struct {
 	address string
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -73,8 +73,10 @@
 	TurnAwayInvalid bool
 	// Load is the load that the target reported; nil if it reported none.
 	Load *Load
-	// DialTime is the time that establishing the connection took; 0 for a reused one.
-	DialTime time.Duration
+	// Origin describes the connection, and ConnectionLost reports whether it, or a kept one, broke: the
+	// target may have restarted.
+	Origin         carrier.Origin
+	ConnectionLost bool
 	// Status is the status of the target's response, and Match how it was matched to the request; 0 and
 	// the zero value if there was none.
 	Status int
@@ -213,7 +215,8 @@
 // classifyFailure returns the result of a request without a response. It is certain that the
 // request did not run only if nothing was sent.
 func (f *Forwarder) classifyFailure(ctx context.Context, e *handler.Exchange, n *carrier.Failure, left time.Duration) *SendResult {
-	s := &SendResult{Unreachable: n.Refused, Result: dispatcher.Result{Failed: isTargetFault(ctx, e, left)}}
+	s := &SendResult{Unreachable: n.Refused, Result: dispatcher.Result{Failed: isTargetFault(ctx, e, left)}, Origin: n.Origin}
+	s.ConnectionLost = n.Origin.Broken > 0 || ((n.Refused || n.Sent) && ctx.Err() == nil)
 	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	switch {
 	case n.Stopped:
@@ -240,7 +243,7 @@
 
 // classifyResponse returns what a response means for the request and for its target.
 func (f *Forwarder) classifyResponse(e *handler.Exchange, t *parser.Target, response *carrier.Response, took time.Duration) *SendResult {
-	s := &SendResult{DialTime: response.DialTime, Status: response.Status, Match: response.Match}
+	s := &SendResult{Origin: response.Origin, ConnectionLost: response.Origin.Broken > 0, Status: response.Status, Match: response.Match}
 	if f.mayAnswerAnother(response) {
 		s.Result = dispatcher.Result{Failed: true}
 		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUnmatched)
@@ -281,7 +284,7 @@
 	default:
 		s.Response = response
 		s.Result = dispatcher.Result{
-			Latency: max(took-response.DialTime, time.Microsecond),
+			Latency: max(took-response.Origin.DialTime, time.Microsecond),
 			Failed:  response.Status >= http.StatusInternalServerError,
 			Leaving: response.CloseAfter && e.Route.Retryable(),
 		}
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -138,10 +138,17 @@
 	SlownessAge time.Duration
 	// Rank is the target's position in the object's preference order. Warm reports whether it
 	// answered for the object recently.
-	Rank     int
-	Warm     bool
-	Result   string
-	Duration time.Duration
+	Rank int
+	Warm bool
+	// Cold is set if the target counted as one that has not yet warmed up, and Silence is the time since its
+	// last response to this entry; 0 if there was none.
+	Cold    bool
+	Silence time.Duration
+	// Dialed is set if the connection was a new one, and ConnectionLost if it, or a kept one, broke.
+	Dialed         bool
+	ConnectionLost bool
+	Result         string
+	Duration       time.Duration
 	// Evidence is the response by which the request was refused, or its outcome is unknown; nil if there
 	// was none or the request was answered.
 	Evidence *Evidence
@@ -167,6 +174,18 @@
 	}
 	text := fmt.Sprintf("%s %s: load %.1f wait %v expected %v rank %d warm %t, %s after %v", v.Target, v.AvailabilityZone,
 		v.Load, v.Wait.Round(time.Millisecond), v.Expected.Round(time.Millisecond), v.Rank, v.Warm, v.Result, v.Duration.Round(time.Millisecond))
+	if v.Cold {
+		text += " cold"
+	}
+	if v.Silence > 0 {
+		text += fmt.Sprintf(" silent %v", v.Silence.Round(time.Millisecond))
+	}
+	if v.Dialed {
+		text += " dialed"
+	}
+	if v.ConnectionLost {
+		text += " connection lost"
+	}
 	if v.Slowness > 0 {
 		text += fmt.Sprintf(" slowness %.2f since %v", v.Slowness, v.SlownessAge.Round(time.Millisecond))
 	}
