Ask a target for its warm-up before it gets requests again

Cause: entries learned that a target is cold from the platform's list alone, as the control leader read it last: 1.3 s after a restart, or never while nobody can read the list. What an entry saw itself (connections that broke, refused connections, a zone that was given back) changed nothing: in the traced flood all 15 requests found the target 'not cold' on new connections, and entries whose connections had broken took part.

An entry now doubts a target when a connection to it breaks or can't be opened, and when its zone is no longer evacuated. A doubted target is asked for its health on a new connection, and the request follows on that connection only if the target states that it is not cold. If connections to several targets break, targets without an open kept connection are asked as well. What a target states holds over an older list.

--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -78,6 +78,7 @@
 	DispatcherReady    = Event{604, "dispatcherReady", log.InfoLevel, "A new dispatcher recovered the permits in use and begins to grant."}
 	RepeatsSpent       = Event{605, "repeatsSpent", log.WarnLevel, "The retry budget of a service is spent on this entry; its requests are not retried."}
 	TargetTurnsAway    = Event{608, "targetTurnsAway", log.WarnLevel, "A target wants no requests of this entry for the time in the field turnedAway; invalid tells of a time that can't be used."}
+	TargetCold         = Event{609, "targetCold", log.InfoLevel, "A target stated that it is cold for the time in the field left, before a request was sent to it; until then one entry sends it requests, at the service's coldRate."}
 	TargetsUnreachable = Event{606, "targetsUnreachable", log.WarnLevel, "No probed target can be reached from this entry; other entries serve its requests."}
 	TargetsReachable   = Event{607, "targetsReachable", log.InfoLevel, "Targets can be reached from this entry again; it serves its requests itself."}
 	MoveBegun          = Event{611, "moveBegun", log.InfoLevel, "A move began, or continues under a changed schedule."}
@@ -116,7 +117,7 @@
 	EntryJoined, EntryRemoved, RoleAssigned, EntryStateChanged,
 	RequestCut, RequestUnknown, RequestServed, RequestRefused, RequestFailed, InputDiscarded, ResponseLost, IdleClosed, InputBehindEnd, ResponseSkipped,
 	RoomShort, RoomEnough, MemoryRefused, MemoryEvicted, ConnectionsFull, ResponseInvalid,
-	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent, TargetsUnreachable, TargetsReachable, TargetTurnsAway,
+	TargetEjected, TargetReadmitted, TargetLeaving, DispatcherReady, RepeatsSpent, TargetsUnreachable, TargetsReachable, TargetTurnsAway, TargetCold,
 	MoveBegun, MoveStepped, MoveTakenBack, MoveDone, MoveHeld, MoveStoppedHere,
 	OwnerStarted, SharesInUse, TokensUnavailable, TokensAvailable, SharesAwaited, SharesOverdrawn, SharesCovered, AllowanceBegun,
 	DutyAcquired, ReportDecided, ReportSent, ReportFailed, ReportDropped,
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -30,6 +30,8 @@
 	// maxUnreachable is the number of targets that a request finds unreachable before it is handed to
 	// another entry.
 	maxUnreachable = 2
+	// maxWithheld is the number of targets from which a request may be withheld, since they are cold.
+	maxWithheld = 8
 	// minRetryAfter and maxRetryAfter bound the expected wait from which the Retry-After of a
 	// refused request is drawn; it is one to two times that wait. While all targets turn this entry
 	// away, it is up to maxRetryAfter longer than until the first takes requests again.
@@ -72,6 +74,8 @@
 	retries           tally.Counter
 	suppressedRetries tally.Counter
 	refused           tally.Counter
+	checks            tally.Counter
+	withheld          tally.Counter
 	admission         *admission
 }
 
@@ -79,7 +83,8 @@
 func NewBalancer(c Config) *Balancer {
 	return &Balancer{
 		config: c, retries: c.Scope.Counter("retries"), suppressedRetries: c.Scope.Counter("retriesSpared"),
-		refused: c.Scope.Counter("noRoom"), admission: newAdmission(c),
+		refused: c.Scope.Counter("noRoom"), checks: c.Scope.Counter("warmupChecks"), withheld: c.Scope.Counter("requestsWithheld"),
+		admission: newAdmission(c),
 	}
 }
 
@@ -96,6 +101,10 @@
 	runs        int
 	chargedRuns int
 	sent        int
+	// withheld counts the targets that it was not sent to since they are cold, and paid reports whether the
+	// retry budget has paid for the next attempt.
+	withheld int
+	paid     bool
 	// reached counts the attempts that did not find their target unreachable.
 	reached int
 	// delegated is set once other entries were tried.
@@ -114,9 +123,9 @@
 	b.config.RetryBudget.Deposit(e.Service.Name)
 	w := &retryState{request: b.pickRequest(e), chargedRuns: 1}
 	b.config.Meter.Add(e.Service.Name, w.request.Homes, b.config.Picker.ExpectedWork(w.request))
-	for w.sent < maxSends {
+	for w.sent < maxSends && w.withheld < maxWithheld {
 		w.request.Remaining = e.Deadline - b.config.Clock.Now()
-		if w.sent > 0 && (ctx.Err() != nil || !b.mayRetry(ctx, e, w)) {
+		if w.sent+w.withheld > 0 && (ctx.Err() != nil || !b.mayRetry(ctx, e, w)) {
 			break
 		}
 		if w.sent > 0 && b.config.Reselect != nil {
@@ -154,7 +163,7 @@
 func (b *Balancer) pick(ctx context.Context, e *handler.Exchange, w *retryState) (*Pick, time.Duration, handler.Outcome) {
 	w.request.Allows = e.Selection.Allows
 	b.inform(ctx, e, w.request)
-	if w.sent == 0 && b.admission.decides(e) {
+	if w.sent+w.withheld == 0 && b.admission.decides(e) {
 		return b.admission.pick(ctx, e, w)
 	}
 	k, delay := pickSelected(e, w, b.config.Picker.Pick)
@@ -176,7 +185,7 @@
 // delegate hands a request to another entry once it found a number of targets unreachable and reached
 // none. It does so once.
 func (b *Balancer) delegate(ctx context.Context, e *handler.Exchange, w *retryState, unreachable int) (handler.Outcome, bool) {
-	if b.config.Delegate == nil || w.delegated || w.reached > 0 || w.sent < unreachable || ctx.Err() != nil {
+	if b.config.Delegate == nil || w.delegated || w.reached+w.withheld > 0 || w.sent < unreachable || ctx.Err() != nil {
 		return handler.Outcome{}, false
 	}
 	w.delegated = true
@@ -186,7 +195,7 @@
 func (b *Balancer) pickRequest(e *handler.Exchange) PickRequest {
 	d := PickRequest{
 		Service: e.Service.Name, WorkKind: e.Service.Name + " " + e.Route.Name,
-		Allows: e.Selection.Allows, Homes: e.AllowedRegions(), ColdRate: e.Service.ColdRate,
+		Allows: e.Selection.Allows, Homes: e.AllowedRegions(), ColdRate: e.Service.ColdRate, StatesWarmup: e.Service.HealthPath != "" && e.Dialect != nil && e.Dialect.Warmup != "",
 		Aim: e.Route.Aim, MaxQueueWait: maxQueueWait(e),
 	}
 	d.Object = e.Object()
@@ -227,8 +236,8 @@
 	if w.runs >= attempts || w.request.Remaining <= 0 {
 		return false
 	}
-	if w.reached == 0 {
-		return true // no target has received the request, so the retry needs no budget
+	if w.reached == 0 || w.paid {
+		return true // no target has received the request, or the last attempt did not send it
 	}
 	if !b.config.RetryBudget.Withdraw(e.Service.Name) {
 		b.suppressedRetries.Inc(1)
@@ -243,6 +252,7 @@
 		w.chargedRuns++
 	}
 	b.retries.Inc(1)
+	w.paid = true
 	return true
 }
 
@@ -255,11 +265,12 @@
 			b.admission.queue.Wake(w.request.Service)
 		}
 	}()
+	e.Check = handler.TargetCheck{Need: k.CheckNeed, Timeout: k.CheckTimeout, Record: func(left time.Duration, stated bool) { b.recordWarmup(k, left, stated) }}
 	begun := b.config.Clock.Now()
 	s = b.config.Send(ctx, e, k.Target.Target)
-	w.sent++
-	if !s.Unreachable {
-		w.reached++
+	w.record(s)
+	if s.Withheld {
+		b.withheld.Inc(1)
 	}
 	w.request.Excluded = append(w.request.Excluded, k.Target.Name)
 	e.Trace.Attempts = append(e.Trace.Attempts, newAttempt(k, s, b.config.Clock.Now()-begun))
@@ -278,6 +289,28 @@
 	return s.Outcome, !retry
 }
 
+// recordWarmup records what a target answered when it was asked for its warm-up.
+func (b *Balancer) recordWarmup(k *Pick, left time.Duration, stated bool) {
+	b.checks.Inc(1)
+	b.config.Picker.RecordWarmup(k, left, stated)
+	if left > 0 {
+		b.config.Logger.Log(logger.TargetCold, logger.F("target", k.Target.Name), logger.F("service", k.Target.Service), logger.F("left", left))
+	}
+}
+
+// record counts an attempt.
+func (w *retryState) record(s *forwarder.SendResult) {
+	if s.Withheld {
+		w.withheld++
+		return
+	}
+	w.paid = false
+	w.sent++
+	if !s.Unreachable {
+		w.reached++
+	}
+}
+
 // logChange logs the ejection or readmission of a target.
 func (b *Balancer) logChange(k *Pick, s *forwarder.SendResult, c Change) {
 	event := logger.TargetEjected
@@ -334,6 +367,8 @@
 		Cold: k.Cold, Silence: k.Silence, Dialed: s.Origin.Dialed, ConnectionLost: s.ConnectionLost,
 	}
 	switch {
+	case s.Withheld:
+		v.Result = "withheld"
 	case s.Misdirected:
 		v.Result = "misdirected"
 	case s.Refused:
--- a/entry/balancer/dump.go
+++ b/entry/balancer/dump.go
@@ -20,7 +20,9 @@
 	LeavingFor    time.Duration
 	TurnedAwayFor time.Duration
 	Cold          bool
-	Objects       int
+	// Doubted is set if the target may be cold though nobody says so.
+	Doubted bool
+	Objects int
 }
 
 // Dump returns the TargetDumps by service.
@@ -32,7 +34,7 @@
 		for _, t := range s.list {
 			n := TargetDump{
 				Name: t.listed.Name, Region: t.listed.Region, Load: t.load(now), Failures: t.failureRate, Pace: t.currentSlowness(now),
-				Ejected: t.isEjected(now), Leaving: t.isLeaving(now), Cold: t.isCold(now), Objects: len(t.objects),
+				Ejected: t.isEjected(now), Leaving: t.isLeaving(now), Cold: t.isCold(now), Doubted: t.warmup.isDoubted(now), Objects: len(t.objects),
 				TurnedAwayFor: max(0, t.turnedAwayUntil-now),
 			}
 			if t.statedSlowness > 0 {
--- a/entry/balancer/explain.go
+++ b/entry/balancer/explain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/filberthoist/filberthoist/entry/admitter"
+	"github.com/filberthoist/filberthoist/entry/carrier"
 	"github.com/filberthoist/filberthoist/entry/handler"
 	"github.com/filberthoist/filberthoist/entry/receiver"
 )
@@ -281,6 +282,8 @@
 		return "it is cold, and another entry warms it"
 	case t.isCold(now) && d.ColdRate > 0 && !t.hasColdToken(now, d.ColdRate):
 		return "it is cold, and its rate is used up"
+	case t.warmup.isPaused(now) && p.checkNeed(now, t, d) >= carrier.UnlessOpen:
+		return "it may be cold, and has not answered yet whether it is"
 	case t.isEjected(now):
 		return fmt.Sprintf("it is ejected after failures for another %v", max(0, t.ejectedUntil-now).Round(time.Millisecond))
 	}
--- a/entry/balancer/order.go
+++ b/entry/balancer/order.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/filberthoist/filberthoist/core/wire"
+	"github.com/filberthoist/filberthoist/entry/carrier"
 	"github.com/filberthoist/filberthoist/entry/receiver"
 )
 
@@ -78,6 +79,7 @@
 		switch {
 		case slices.Contains(d.Excluded, t.listed.Name), t.isTurnedAway(now):
 		case t.isCold(now) && d.ColdRate > 0 && !(p.warmsTarget(v, t.listed) && t.hasColdToken(now, d.ColdRate)):
+		case t.warmup.isPaused(now) && p.checkNeed(now, t, d) >= carrier.UnlessOpen:
 		case t.isEjected(now):
 			ejected++
 		default:
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -7,6 +7,7 @@
 
 	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/timekeeper"
+	"github.com/filberthoist/filberthoist/entry/carrier"
 	"github.com/filberthoist/filberthoist/entry/forwarder"
 	"github.com/filberthoist/filberthoist/entry/receiver"
 )
@@ -59,6 +60,7 @@
 	estimates  map[string]*workEstimate
 	// busySlots holds the busy slots by service and homes.
 	busySlots map[string]busySlots
+	warmups   *warmups
 }
 
 // service holds the targets of a service by their names.
@@ -90,6 +92,8 @@
 	Excluded []string
 	// ColdRate limits the requests per second to a cold target, over all entries; 0 means no limit.
 	ColdRate float64
+	// StatesWarmup is set if targets state their warm-up when they are asked.
+	StatesWarmup bool
 }
 
 // Pick is a chosen target.
@@ -111,14 +115,20 @@
 	Cold    bool
 	Silence time.Duration
 	// Rank is the position of the target in the object's order.
-	Rank       int
-	state      *target
-	processing time.Duration
+	Rank int
+	// CheckNeed states when the target is asked for its warm-up before the request is sent.
+	// It has to respond within CheckTimeout.
+	CheckNeed    carrier.CheckNeed
+	CheckTimeout time.Duration
+	pickedAt     time.Duration
+	checking     bool
+	state        *target
+	processing   time.Duration
 }
 
 // NewPicker returns a Picker without targets.
 func NewPicker(c PickerConfig) *Picker {
-	return &Picker{config: c, services: map[string]*service{}, roundTrips: map[string]time.Duration{}, estimates: map[string]*workEstimate{}, busySlots: map[string]busySlots{}}
+	return &Picker{config: c, services: map[string]*service{}, roundTrips: map[string]time.Duration{}, estimates: map[string]*workEstimate{}, busySlots: map[string]busySlots{}, warmups: newWarmups(c.Clock.Now())}
 }
 
 // Pick picks a target and counts the request as running there until Done. It returns nil if no
@@ -148,6 +158,8 @@
 	if k.state.isCold(now) {
 		k.state.coldTokens--
 	}
+	k.pickedAt = now
+	k.beginCheck()
 	k.state.running++
 	k.state.tried = true
 	if k.state.ejectedUntil > 0 || k.state.turnedAwayUntil > 0 {
@@ -200,9 +212,7 @@
 	t.running--
 	t.probing = false
 	t.recordLoad(now, s.Load)
-	if s.Status > 0 && !s.Misdirected {
-		t.respondedAt = now
-	}
+	p.warmups.recordResult(now, k, s)
 	if s.Load != nil && s.Load.Slowness > 0 && p.services[d.Service] != nil {
 		p.services[d.Service].statesSlowness = true
 	}
@@ -308,22 +318,26 @@
 
 // updateView replaces the targets by those of a view and keeps the state of known ones.
 func (p *Picker) updateView(v *receiver.View) {
+	if p.view != nil && p.view != v {
+		p.doubtReturned(p.view, v)
+	}
 	if p.view == v || (p.view != nil && sameLists(p.view.Targets, v.Targets)) {
 		p.view = v
 		return
 	}
 	p.view = v
+	p.warmups.prune(p.config.Clock.Now())
 	for name, list := range v.Targets {
 		s := p.services[name]
 		if s == nil {
 			s = &service{targets: map[string]*target{}}
 			p.services[name] = s
 		}
-		s.setTargets(p.config.Clock.Now(), list)
+		s.setTargets(p.config.Clock.Now(), list, p.warmups)
 	}
 	for name, s := range p.services {
 		if len(v.Targets[name]) == 0 {
-			s.setTargets(p.config.Clock.Now(), nil)
+			s.setTargets(p.config.Clock.Now(), nil, p.warmups)
 		}
 	}
 }
@@ -340,13 +354,13 @@
 	return true
 }
 
-func (s *service) setTargets(now time.Duration, list []*receiver.ListedTarget) {
+func (s *service) setTargets(now time.Duration, list []*receiver.ListedTarget, w *warmups) {
 	next := make(map[string]*target, len(list))
 	s.list = s.list[:0:0]
 	for _, l := range list {
 		t := s.targets[l.Name]
-		if t == nil || t.listed.Address != l.Address {
-			t = newTarget(l)
+		if n := w.of(now, l); t == nil || t.listed.Address != l.Address {
+			t = newTarget(l, n)
 		}
 		if t.listed.Leaving && !l.Leaving && !t.statedLeave {
 			t.leavingSince = 0 // the platform says otherwise
@@ -426,9 +440,11 @@
 	processing *= t.expectedSlowness(now)
 	k := &Pick{Target: t.listed, Warm: warm, Load: t.load(now), Rank: rank, state: t, processing: time.Duration(processing)}
 	k.Cold = t.isCold(now)
-	if t.respondedAt > 0 {
-		k.Silence = now - t.respondedAt
+	if t.warmup.respondedAt > 0 {
+		k.Silence = now - t.warmup.respondedAt
 	}
+	k.CheckNeed = p.checkNeed(now, t, d)
+	k.CheckTimeout = checkAllowance + p.roundTrip(t.listed)
 	if t.statedSlowness > 0 {
 		k.Slowness, k.SlownessAge = t.statedSlowness, now-t.statedAt
 	}
@@ -437,6 +453,9 @@
 		k.Wait = time.Duration(queue / float64(slots) * float64(w.mean) * t.expectedSlowness(now))
 	}
 	k.Cost = k.Wait + k.processing + p.roundTrip(t.listed)
+	if k.CheckNeed >= carrier.UnlessOpen {
+		k.Cost += checkCost + p.roundTrip(t.listed)
+	}
 	switch {
 	case t.listed.Region != p.config.Region:
 		k.Cost += crossRegionPenalty
--- a/entry/balancer/target.go
+++ b/entry/balancer/target.go
@@ -106,15 +106,15 @@
 	// objects holds the time of the last response for each object.
 	objects map[string]time.Duration
 
-	// respondedAt is when the target last responded; 0 if it never did.
-	respondedAt time.Duration
+	// warmup is what this entry knows of the target's warm-up beside the platform's list.
+	warmup *warmup
 
 	coldTokens     float64
 	coldRefilledAt time.Duration
 }
 
-func newTarget(l *receiver.ListedTarget) *target {
-	return &target{listed: l, slowness: 1, objects: map[string]time.Duration{}, coldTokens: coldBurst}
+func newTarget(l *receiver.ListedTarget, w *warmup) *target {
+	return &target{listed: l, slowness: 1, objects: map[string]time.Duration{}, coldTokens: coldBurst, warmup: w}
 }
 
 // load estimates the number of requests that run or wait at the target.
@@ -149,7 +149,10 @@
 }
 
 func (t *target) isCold(now time.Duration) bool {
-	return now < t.listed.ColdUntil
+	if t.warmup.statedAt > t.listed.ReceivedAt {
+		return now < t.warmup.coldUntil
+	}
+	return now < max(t.listed.ColdUntil, t.warmup.coldUntil)
 }
 
 func (t *target) isEjected(now time.Duration) bool {
--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -119,6 +119,8 @@
 	AtMostOnce bool
 	// BeforeSend is called right before the first byte is sent; false stops the request.
 	BeforeSend func() bool
+	// Check asks the target for its state before the request is sent; nil means never.
+	Check *Check
 }
 
 // Response is a target's response. Body is complete unless Remainder is set.
@@ -160,8 +162,9 @@
 	Err error
 	// Sent means that a part of the request may have reached the target.
 	Sent bool
-	// Stopped means that BeforeSend stopped the request.
-	Stopped bool
+	// Stopped means that BeforeSend stopped the request, and Withheld that its Check did.
+	Stopped  bool
+	Withheld bool
 	// Refused means that no connection could be opened.
 	Refused bool
 	// Earlier is the number of requests that the connection carried before.
@@ -176,6 +179,8 @@
 	// Dialed is set if the connection is a new one, and DialTime is the time that it took to open it.
 	Dialed   bool
 	DialTime time.Duration
+	// CheckTime is the time that the request's Check took.
+	CheckTime time.Duration
 	// Broken is the number of kept connections that had ended before the target's idle timeout.
 	Broken int
 	// Open is set if a kept connection was still open.
@@ -237,6 +242,14 @@
 	if err != nil {
 		return nil, &Failure{Err: err, Refused: true, Origin: o}
 	}
+	if r.Check.isDue(o) {
+		begun := c.config.Clock.Now()
+		n, err = c.check(ctx, n, r.Check)
+		o.CheckTime = c.config.Clock.Now() - begun
+		if err != nil {
+			return nil, &Failure{Err: err, Withheld: true, Origin: o}
+		}
+	}
 	if r.BeforeSend != nil && !r.BeforeSend() {
 		n.close() // keeping it would hide how long the target has seen it idle
 		return nil, &Failure{Err: errors.New("stopped before the first byte"), Stopped: true}
@@ -289,6 +302,9 @@
 // one.
 func (c *Carrier) acquire(ctx context.Context, address string, r *Request) (*connection, Origin, error) {
 	var o Origin
+	if r.Check.needsNew() {
+		return c.dial(ctx, address, o)
+	}
 	for n := c.takeIdle(address, r, &o); n != nil; n = c.takeIdle(address, r, &o) {
 		if n.isOpen() {
 			o.Open = true
@@ -297,6 +313,11 @@
 		o.examine(c.config.Clock.Now(), n)
 		n.close()
 	}
+	return c.dial(ctx, address, o)
+}
+
+// dial opens a connection.
+func (c *Carrier) dial(ctx context.Context, address string, o Origin) (*connection, Origin, error) {
 	o.Dialed = true
 	begun := c.config.Clock.Now()
 	s, err := c.dialer.DialContext(ctx, "tcp", address)
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -77,6 +77,9 @@
 	// target may have restarted.
 	Origin         carrier.Origin
 	ConnectionLost bool
+	// Withheld reports whether the request was not sent since the target is cold, or did not state whether it
+	// is.
+	Withheld bool
 	// Status is the status of the target's response, and Match how it was matched to the request; 0 and
 	// the zero value if there was none.
 	Status int
@@ -139,6 +142,7 @@
 	if !e.Route.Open() {
 		r.BeforeSend = f.config.Fresh
 	}
+	r.Check = f.newCheck(e, t)
 	response, failed := f.exchange(ctx, e, t.Address, r, left)
 	if failed != nil {
 		f.recordFailure(t, failed)
@@ -216,9 +220,13 @@
 // request did not run only if nothing was sent.
 func (f *Forwarder) classifyFailure(ctx context.Context, e *handler.Exchange, n *carrier.Failure, left time.Duration) *SendResult {
 	s := &SendResult{Unreachable: n.Refused, Result: dispatcher.Result{Failed: isTargetFault(ctx, e, left)}, Origin: n.Origin}
-	s.ConnectionLost = n.Origin.Broken > 0 || ((n.Refused || n.Sent) && ctx.Err() == nil)
+	s.ConnectionLost = n.Origin.Broken > 0 || ((n.Refused || n.Sent) && ctx.Err() == nil && !isInvalid(n.Err))
 	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	switch {
+	case n.Withheld:
+		s.Withheld, s.Outcome = true, handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoCapacity)
+		s.Result.Failed = s.Result.Failed && isLost(n.Err)
+		s.ConnectionLost = s.ConnectionLost || s.Result.Failed
 	case n.Stopped:
 		s.Outcome, s.Result = handler.Refuse(http.StatusServiceUnavailable, handler.ReasonStale), dispatcher.Result{}
 	case !n.Sent && ctx.Err() != nil && !late:
@@ -241,6 +249,11 @@
 	return s
 }
 
+// isInvalid reports whether a target answered, though not the request.
+func isInvalid(err error) bool {
+	return errors.Is(err, carrier.ErrUnmatched) || errors.As(err, new(*inspector.HeadError))
+}
+
 // classifyResponse returns what a response means for the request and for its target.
 func (f *Forwarder) classifyResponse(e *handler.Exchange, t *parser.Target, response *carrier.Response, took time.Duration) *SendResult {
 	s := &SendResult{Origin: response.Origin, ConnectionLost: response.Origin.Broken > 0, Status: response.Status, Match: response.Match}
@@ -284,7 +297,7 @@
 	default:
 		s.Response = response
 		s.Result = dispatcher.Result{
-			Latency: max(took-response.Origin.DialTime, time.Microsecond),
+			Latency: max(took-response.Origin.DialTime-response.Origin.CheckTime, time.Microsecond),
 			Failed:  response.Status >= http.StatusInternalServerError,
 			Leaving: response.CloseAfter && e.Route.Retryable(),
 		}
--- a/entry/handler/exchange.go
+++ b/entry/handler/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/filberthoist/filberthoist/core/parser"
 	"github.com/filberthoist/filberthoist/core/reserver"
+	"github.com/filberthoist/filberthoist/entry/carrier"
 	"github.com/filberthoist/filberthoist/entry/receiver"
 )
 
@@ -57,6 +58,8 @@
 	// Fallback replaces Selection if no target of it has capacity or an attempt failed; nil means
 	// none.
 	Fallback *Selection
+	// Check describes how the target of the next attempt is asked for its warm-up before the request is sent.
+	Check TargetCheck
 	// OnAttempt is called with the results of attempts on targets; steps may set it.
 	OnAttempt func(c Selection, latency time.Duration, failed bool)
 	// Team is nil on open routes.
@@ -93,6 +96,14 @@
 	e.BodyPlace.Close()
 }
 
+// TargetCheck describes how a target is asked for its warm-up.
+type TargetCheck struct {
+	Need    carrier.CheckNeed
+	Timeout time.Duration
+	// Record takes for how long the target stays cold; stated is false if its response does not tell.
+	Record func(left time.Duration, stated bool)
+}
+
 // Selection restricts the targets that may serve a request.
 type Selection struct {
 	// Version is the only version that may serve; empty means all that are not excluded.
--- a/entry/receiver/targets.go
+++ b/entry/receiver/targets.go
@@ -47,7 +47,7 @@
 			Slots: int(t.GetSlots()), Version: t.GetVersion(),
 		},
 		Leaving:   t.GetState() == wire.TargetState_TARGET_STATE_LEAVING,
-		ColdUntil: now + time.Duration(t.GetColdMilliseconds())*time.Millisecond,
+		ColdUntil: now + time.Duration(t.GetColdMilliseconds())*time.Millisecond, ReceivedAt: now,
 	}
 }
 
--- a/entry/receiver/view.go
+++ b/entry/receiver/view.go
@@ -36,8 +36,10 @@
 type ListedTarget struct {
 	*parser.Target
 	Leaving bool
-	// ColdUntil is the end of the target's warm-up, on the process's Clock.
-	ColdUntil time.Duration
+	// ColdUntil is the end of the target's warm-up and ReceivedAt when control last told of the target, on the
+	// process's Clock.
+	ColdUntil  time.Duration
+	ReceivedAt time.Duration
 }
 
 // MoveState is a move with its record, which is nil before control has created one.
