Prefer targets whose state is known while many restart

While targets restart in numbers, an entry asks each target that it has no open connection to for its warm-up, and a busy one is late to answer.

The expected time of a check now counts in the choice of a target, a cold answer does not prolong an outbreak, an outbreak ends 4 s after the last restart that was seen, and a request tries 4 targets that withhold it instead of 8.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -31,7 +31,7 @@
 	// another entry.
 	maxUnreachable = 2
 	// maxWithheld is the number of targets from which a request may be withheld, since they are cold.
-	maxWithheld = 8
+	maxWithheld = 4
 	// minRetryAfter and maxRetryAfter bound the expected wait from which the Retry-After of a
 	// refused request is drawn; it is one to two times that wait. While all targets turn this entry
 	// away, it is up to maxRetryAfter longer than until the first takes requests again.
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -452,10 +452,7 @@
 	if queue := k.Load + 1 - float64(slots); queue > 0 {
 		k.Wait = time.Duration(queue / float64(slots) * float64(w.mean) * t.expectedSlowness(now))
 	}
-	k.Cost = k.Wait + k.processing + p.roundTrip(t.listed)
-	if k.CheckNeed >= carrier.UnlessOpen {
-		k.Cost += checkCost + p.roundTrip(t.listed)
-	}
+	k.Cost = k.Wait + k.processing + p.roundTrip(t.listed) + p.checkPenalty(now, k)
 	switch {
 	case t.listed.Region != p.config.Region:
 		k.Cost += crossRegionPenalty
--- a/entry/balancer/warmup.go
+++ b/entry/balancer/warmup.go
@@ -19,10 +19,12 @@
 	// outbreakSpan how long an outbreak lasts.
 	outbreakTrigger = time.Second
 	outbreakSpan    = 4 * time.Second
-	// checkAllowance is the time for which a target may need to respond to a check, beside the network's. It is
-	// expected to be checkCost.
+	// checkAllowance is the time that a target may need to respond to a check, beside the network's, and checkCost
+	// what a check adds to the cost of a target.
 	checkAllowance = 250 * time.Millisecond
-	checkCost      = 10 * time.Millisecond
+	checkCost      = 100 * time.Millisecond
+	// keptSpan is the time after a response for which its connection is likely to be still open.
+	keptSpan = 4 * time.Second
 	// warmupRetention is how long the warm-up of a target is kept that is no longer listed, since it may start again
 	// under its name.
 	warmupRetention = time.Minute
@@ -146,6 +148,15 @@
 	return carrier.IfBroken
 }
 
+// checkPenalty returns what a check is expected to add to the cost of a target.
+func (p *Picker) checkPenalty(now time.Duration, k *Pick) time.Duration {
+	w := k.state.warmup
+	if k.CheckNeed == carrier.Always || (k.CheckNeed == carrier.UnlessOpen && (w.respondedAt == 0 || now-w.respondedAt > keptSpan)) {
+		return checkCost + p.roundTrip(k.Target)
+	}
+	return 0
+}
+
 // doubtReturned doubts the targets of the zones that are no longer evacuated: they may have become cold while
 // this entry sent them nothing.
 func (p *Picker) doubtReturned(old, next *receiver.View) {
@@ -172,11 +183,7 @@
 	if !stated {
 		return
 	}
-	now := p.config.Clock.Now()
-	k.state.warmup.record(now, left)
-	if left > 0 {
-		p.warmups.recordRestart(now, k.Target.Name)
-	}
+	k.state.warmup.record(p.config.Clock.Now(), left)
 }
 
 // beginCheck counts the check of a request, and endCheck ends that.
