Take a body that a failed connection cut off for incomplete

Callers got that part as a complete success.

Cause: the system reports the error of a connection once. If the write of the upload got it (ECONNRESET, or ETIMEDOUT when the target reads nothing for TCP_USER_TIMEOUT), reads return a plain end, with which net/http ends a body without a length.

Change: all that a connection reads passes through one place, where an end counts only if it came in order. At an end, the write that is still under way is stopped, and its result tells: none, stopped, or EPIPE means that the end came first (a reset behind it is EPIPE); any other error was the end. A connection whose request was not written as a whole is not kept.

--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -11,6 +11,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"regexp"
 	"slices"
 	"strconv"
@@ -279,7 +280,7 @@
 
 // recycle keeps a connection for the next request if it is reusable, and closes it otherwise.
 func (c *Carrier) recycle(n *connection, stop func() bool, reusable bool) {
-	if !stop() || !reusable || n.reader.Buffered() > 0 || n.isSending() || n.quotes || len(n.carried) >= maxCarried {
+	if !stop() || !reusable || n.reader.Buffered() > 0 || n.isSending() || n.sendError != nil || n.quotes || len(n.carried) >= maxCarried {
 		n.close()
 		return
 	}
@@ -324,9 +325,10 @@
 	if err != nil {
 		return nil, o, err
 	}
-	limit := &io.LimitedReader{R: s, N: math.MaxInt64}
 	c.config.Seats.AddTarget()
-	n := &connection{address: address, seats: c.config.Seats, socket: s, headLimit: limit, reader: bufio.NewReader(limit), idleTimeout: defaultIdleTimeout}
+	n := &connection{address: address, seats: c.config.Seats, socket: s, idleTimeout: defaultIdleTimeout}
+	n.headLimit = &io.LimitedReader{R: n, N: math.MaxInt64}
+	n.reader = bufio.NewReader(n.headLimit)
 	o.DialTime = c.config.Clock.Now() - begun
 	return n, o, nil
 }
@@ -390,8 +392,9 @@
 	// then could not be told from merged ones, so that the connection is not kept.
 	quotes bool
 	// bodySent is closed once a body that is sent concurrently is written or has failed; nil if there
-	// is none.
-	bodySent chan struct{}
+	// is none. sendError is the failure, set before.
+	bodySent  chan struct{}
+	sendError error
 }
 
 func (n *connection) close() {
@@ -414,7 +417,7 @@
 	return n.reader.Buffered() == 0 && peeker.Peek(n.socket) == peeker.Quiet
 }
 
-// isSending reports whether a body is still being sent.
+// isSending reports whether a body is still being sent. If not, sendError is known.
 func (n *connection) isSending() bool {
 	if n.bodySent == nil {
 		return false
@@ -427,12 +430,42 @@
 	}
 }
 
+// Read reads from the target. The end of the connection is io.EOF only if the target ended it in order, since it may end a
+// body too.
+func (n *connection) Read(b []byte) (int, error) {
+	size, err := n.socket.Read(b)
+	if err == io.EOF {
+		err = n.findEnd()
+	}
+	return size, err
+}
+
+// findEnd returns io.EOF if the target ended the connection in order, or else the error that ended it. The system reports
+// that error once; if a write got it, reads end as if in order.
+func (n *connection) findEnd() error {
+	if n.bodySent == nil {
+		return io.EOF
+	}
+	_ = n.socket.SetWriteDeadline(time.Now()) // fails only when closed; the rest of the request has no effect on the response
+	<-n.bodySent
+	if n.sendError == nil || isAfterEnd(n.sendError) {
+		return io.EOF
+	}
+	return n.sendError
+}
+
+// isAfterEnd reports whether a write failed after the end of the connection had arrived: findEnd stopped it, or a reset
+// came behind that end (EPIPE; a reset without an end before it is ECONNRESET).
+func isAfterEnd(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE)
+}
+
 // exchange sends a request and reads the response with its ID. Until one has an ID, the target may
 // not echo them, and a response with none counts.
 func (n *connection) exchange(r *Request, c Config) (a *Response, sent bool, err error) {
 	head, match := r.head(), Match{Earlier: len(n.carried)}
 	n.carried = append(n.carried, xxhash.Sum64String(r.ID))
-	n.bodySent = nil
+	n.bodySent, n.sendError = nil, nil
 	if len(r.Body) < concurrentBodyBytes {
 		_, err = n.socket.Write(append(head, r.Body...))
 		if err != nil {
@@ -484,7 +517,7 @@
 func (n *connection) run(head, body []byte) {
 	defer close(n.bodySent)
 	buffers := net.Buffers{head, body}
-	if _, err := buffers.WriteTo(n.socket); err != nil {
+	if _, n.sendError = buffers.WriteTo(n.socket); n.sendError != nil {
 		n.limitReadTime() // the read fails too, unless a response arrived first
 	}
 }
