Read what has arrived behind a failed write, however late

Symptom: a target answered a long upload at once and ended the connection behind the whole answer; the write of the rest of the upload failed. A caller that read the answer slowly got it cut off, though all of it had arrived.

Cause: a failed write set one deadline of 1.5 s for all further reads, and Go fails reads past a deadline even if input is there.

Change: each read behind a failed write gets the 1.5 s anew, so that the deadline bounds a wait, not the caller.

--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -433,6 +433,9 @@
 // Read reads from the target. The end of the connection is io.EOF only if the target ended it in order, since it may end a
 // body too.
 func (n *connection) Read(b []byte) (int, error) {
+	if !n.isSending() && n.sendError != nil {
+		n.limitReadTime() // anew, since the caller may have paused
+	}
 	size, err := n.socket.Read(b)
 	if err == io.EOF {
 		err = n.findEnd()
@@ -522,7 +525,7 @@
 	}
 }
 
-// limitReadTime ends the read after a failed send, unless a response has arrived already.
+// limitReadTime ends the read after a failed send, unless a response has arrived already. What has arrived can be read.
 func (n *connection) limitReadTime() {
 	_ = n.socket.SetReadDeadline(time.Now().Add(userTimeout)) // fails only when closed
 }
--- a/entry/carrier/ending_test.go
+++ b/entry/carrier/ending_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/filberthoist/filberthoist/core/timekeeper"
 )
 
 const (
@@ -143,3 +146,41 @@
 		is.True(failure != nil && failure.Sent)
 	}
 }
+
+// TestSlowCallerGetsWhatArrived guards against a whole answer that is cut off, since its caller reads the rest later than
+// userTimeout after the write of the request failed.
+func TestSlowCallerGetsWhatArrived(t *testing.T) {
+	const size = maxUnverifiedBytes + 32<<10
+	cases := []struct {
+		name, header string
+		end          func(c *net.TCPConn)
+	}{
+		{"without a length", "", endings[len(endings)-1].end},
+		{"with a length", fmt.Sprintf("Content-Length: %d\r\n", size), resetConnection},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			proceed, ended := make(chan struct{}), make(chan struct{})
+			address, _ := newTarget(t, func(b *bufio.Reader, conn net.Conn, _ int64) {
+				_, _ = http.ReadRequest(b)
+				writeResponse(conn, "one", c.header, string(make([]byte, size)))
+				<-proceed
+				c.end(conn.(*net.TCPConn))
+				close(ended)
+			})
+			n := NewCarrier(Config{Clock: timekeeper.NewClock(), RequestHeader: "X-Id", IsOwnResponse: func(int, http.Header) bool { return false }})
+			defer n.Close()
+			a, failure := n.Exchange(context.Background(), address, newUpload())
+			is.True(failure == nil && a.Remainder != nil)
+			time.Sleep(noticeTime)
+			close(proceed)
+			<-ended
+			time.Sleep(userTimeout + noticeTime)
+			rest, err := io.ReadAll(a.Remainder)
+			is.NoErr(err)
+			is.Equal(len(a.Body)+len(rest), size)
+		})
+	}
+}
