Tell a check's late copies from the response of its request

A response without an ID counted for the first request on a connection, since targets may not echo IDs. Behind a check a second copy of its response, which has none, could arrive after the check had ended, and was returned for the request. Targets that state their warm-up echo IDs, so that only a response with the request's ID counts after a check. A check that is needed in no case is no longer sent when a kept connection broke; no caller asked for that.

--- a/entry/carrier/check.go
+++ b/entry/carrier/check.go
@@ -12,7 +12,7 @@
 var ErrWithheld = errors.New("the check withheld the request")
 
 // Check is a GET request for the state of a target. It is sent on the new connection of the request that it
-// precedes, so that both reach the same start of the target.
+// precedes, so that both reach the same start of the target. The target must echo the IDs of requests.
 type Check struct {
 	URI    string
 	Host   string
@@ -48,7 +48,16 @@
 
 // isDue reports whether the target is to be asked before a request on a connection.
 func (c *Check) isDue(o Origin) bool {
-	return c != nil && o.Dialed && (c.Need == Always || o.Broken > 0 || (c.Need == UnlessOpen && !o.Open))
+	if c == nil || !o.Dialed {
+		return false
+	}
+	switch c.Need {
+	case IfBroken:
+		return o.Broken > 0
+	case UnlessOpen:
+		return o.Broken > 0 || !o.Open
+	}
+	return c.Need == Always
 }
 
 // check asks for the state of the target at a new connection. It returns the connection for the request, or
@@ -69,6 +78,7 @@
 		}
 		return nil, errors.Wrap(err, "checking the target")
 	}
+	n.hasIDs = true // else a late copy of the response would count for the request
 	passes := k.Passes(a)
 	if a.CloseAfter || n.reader.Buffered() > 0 || n.quotes {
 		n.close()
--- a/entry/handler/dialect.go
+++ b/entry/handler/dialect.go
@@ -45,7 +45,7 @@
 	// Load carries the numbers of running and waiting requests and of slots of a target; optional.
 	Load string
 	// Warmup is the header of health responses by which a target states for how many milliseconds it stays
-	// cold; optional.
+	// cold; optional. Such targets echo RequestID.
 	Warmup string
 	// Leaving is the response header by which a target states, with the value 1, that it is leaving;
 	// optional.
