Test doubts and cold targets in two cases that fail

TestColdTargetsWhileMostAreEjected guards against targets that are flooded while they are cold, or asked several times at once, since most targets are ejected so that ejected ones are used. All four cases fail: candidates adds ejected targets back without regard to their warm-up.

TestDoubtOutlivesQuietList guards against a doubt that is lost when a target is gone for a moment. It fails if the list had not changed for longer than warmupRetention: warmups are pruned before the targets that are still listed are noted.

--- a/entry/balancer/warmup_test.go
+++ b/entry/balancer/warmup_test.go
@@ -505,3 +505,55 @@
 		})
 	}
 }
+
+// TestDoubtOutlivesQuietList guards against a doubt that is lost when a target is gone for a moment, since the list had not
+// changed for long before.
+func TestDoubtOutlivesQuietList(t *testing.T) {
+	for _, quiet := range []time.Duration{warmupRetention / 2, 2 * warmupRetention} {
+		t.Run(quiet.String(), func(t *testing.T) {
+			is := is.New(t)
+			s := newWarmupStatements()
+			s.finish("south-0", served())
+			s.now += quiet
+			s.finish("south-0", lost)
+			s.relist("south-0", time.Second, unchanged)
+			is.Equal(s.need("south-0"), carrier.Always)
+		})
+	}
+}
+
+// TestColdTargetsWhileMostAreEjected guards against targets that are flooded while they are cold, or asked several times at
+// once, since most targets are ejected so that ejected ones are used.
+func TestColdTargetsWhileMostAreEjected(t *testing.T) {
+	cases := []struct {
+		name string
+		// restart is what happens to a target that is ejected and doubted.
+		restart func(s *statements, name string)
+	}{
+		{"cold, by itself", func(s *statements, name string) { s.answer(name, time.Second, true) }},
+		{"cold, by the list", func(s *statements, name string) {
+			s.relist(name, 0, func(l *receiver.ListedTarget) { l.ReceivedAt, l.ColdUntil = s.now, s.now+time.Second })
+		}},
+		{"a check is under way", func(s *statements, name string) { s.pickOnly(name, s.checkedRequest()) }},
+		{"a check showed nothing", func(s *statements, name string) { s.answer(name, 0, false) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newStatements(4)
+			s.view.Entries = nil // no entry warms targets, so that cold ones get no request
+			for i := range 3 {
+				s.finish(fmt.Sprint("south-", i), &forwarder.SendResult{Unreachable: true, Result: failure, ConnectionLost: true})
+			}
+			c.restart(s, "south-0")
+			is.True(s.state("south-0").isEjected(s.now))
+			for range 50 {
+				d := s.checkedRequest()
+				if k, _ := s.entry.picker.Pick(d); k != nil {
+					is.True(k.Target.Name != "south-0")
+					s.entry.picker.Done(k, d, abandoned, 0)
+				}
+			}
+		})
+	}
+}
