Test checks in two cases that fail

TestCheckNeed has two more cases, which guard against a check of a target that must not be asked. They fail: isDue asks with Never as well if a kept connection broke.

--- a/entry/carrier/check_test.go
+++ b/entry/carrier/check_test.go
@@ -143,8 +143,8 @@
 	}{
 		{"open", false, 0, map[CheckNeed]string{Never: reused, IfBroken: reused, UnlessOpen: reused, Always: checked}},
 		{"open, idle too long", false, keptFor * 7 / 10, map[CheckNeed]string{Never: dialed, IfBroken: dialed, UnlessOpen: dialed, Always: checked}},
-		{"broke", true, 0, map[CheckNeed]string{IfBroken: checked, UnlessOpen: checked, Always: checked}},
-		{"broke, idle too long", true, keptFor * 7 / 10, map[CheckNeed]string{IfBroken: checked, UnlessOpen: checked, Always: checked}},
+		{"broke", true, 0, map[CheckNeed]string{Never: dialed, IfBroken: checked, UnlessOpen: checked, Always: checked}},
+		{"broke, idle too long", true, keptFor * 7 / 10, map[CheckNeed]string{Never: dialed, IfBroken: checked, UnlessOpen: checked, Always: checked}},
 		{"ended at the idle timeout", true, keptFor, map[CheckNeed]string{Never: dialed, IfBroken: dialed, UnlessOpen: checked, Always: checked}},
 	}
 	for _, c := range cases {
