--- a/entry/balancer/order.go
+++ b/entry/balancer/order.go
@@ -78,25 +78,48 @@
 	for _, t := range eligible {
 		switch {
 		case slices.Contains(d.Excluded, t.listed.Name), t.isTurnedAway(now):
-		case t.isCold(now) && d.ColdRate > 0 && !(p.warmsTarget(v, t.listed) && t.hasColdToken(now, d.ColdRate)):
-		case t.warmup.isPaused(now) && p.checkNeed(now, t, d) >= carrier.UnlessOpen:
+		case p.isSpared(now, v, d, t):
 		case t.isEjected(now):
 			ejected++
 		default:
 			out = append(out, candidate{t, w.rendezvousScore(d.Object, t.listed)})
 		}
 	}
+	if len(out) == 0 {
+		out = p.checkedCandidates(now, v, d, eligible, w)
+	}
 	if float64(ejected) <= maxEjectedFraction*float64(ejected+len(out)) {
 		return out
 	}
 	for _, t := range eligible { // too many are ejected, so use them as well
-		if t.isEjected(now) && !t.isTurnedAway(now) && !slices.Contains(d.Excluded, t.listed.Name) {
+		if t.isEjected(now) && !t.isTurnedAway(now) && !slices.Contains(d.Excluded, t.listed.Name) && !p.isSpared(now, v, d, t) {
 			out = append(out, candidate{t, w.rendezvousScore(d.Object, t.listed)})
 		}
 	}
 	return out
 }
 
+// checkedCandidates returns the targets that get no request only since another one asks them for their warm-up.
+func (p *Picker) checkedCandidates(now time.Duration, v *receiver.View, d PickRequest, eligible []*target, w regionWeights) []candidate {
+	var out []candidate
+	for _, t := range eligible {
+		c := *t.warmup
+		c.checks = 0
+		if t.warmup.checks > 0 && !c.isPaused(now) && !t.isCold(now) && !t.isEjected(now) && !t.isTurnedAway(now) && !slices.Contains(d.Excluded, t.listed.Name) {
+			out = append(out, candidate{t, w.rendezvousScore(d.Object, t.listed)})
+		}
+	}
+	return out
+}
+
+// isSpared reports whether a target gets no request now since it is cold, or may be.
+func (p *Picker) isSpared(now time.Duration, v *receiver.View, d PickRequest, t *target) bool {
+	if t.isCold(now) && d.ColdRate > 0 {
+		return !p.warmsTarget(v, t.listed) || !t.hasColdToken(now, d.ColdRate)
+	}
+	return t.warmup.isPaused(now) && p.checkNeed(now, t, d) >= carrier.UnlessOpen
+}
+
 // limitNewSide keeps only some targets of the new side of a move while its share is small, so
 // that these get the load of a complete move.
 func limitNewSide(v *receiver.View, service string, eligible []*target) []*target {
--- a/entry/balancer/picker.go
+++ b/entry/balancer/picker.go
@@ -120,10 +120,13 @@
 	// It has to respond within CheckTimeout.
 	CheckNeed    carrier.CheckNeed
 	CheckTimeout time.Duration
-	pickedAt     time.Duration
-	checking     bool
-	state        *target
-	processing   time.Duration
+	// checking is set while the check counts as under way, and stated once the target has answered it.
+	checking bool
+	stated   bool
+	// penalty is the part of Cost that makes other targets preferred; it takes no time.
+	penalty    time.Duration
+	state      *target
+	processing time.Duration
 }
 
 // NewPicker returns a Picker without targets.
@@ -144,8 +147,8 @@
 	switch {
 	case best == nil:
 		return nil, p.timeTurnedAway(now, v, d)
-	case best.Cost > d.Remaining:
-		return nil, min(maxRetryAfter, max(best.Wait, best.Cost-d.Remaining))
+	case best.Cost-best.penalty > d.Remaining:
+		return nil, min(maxRetryAfter, max(best.Wait, best.Cost-best.penalty-d.Remaining))
 	case best.Wait > d.MaxQueueWait:
 		return nil, min(maxRetryAfter, best.Wait)
 	}
@@ -158,7 +161,6 @@
 	if k.state.isCold(now) {
 		k.state.coldTokens--
 	}
-	k.pickedAt = now
 	k.beginCheck()
 	k.state.running++
 	k.state.tried = true
@@ -318,7 +320,10 @@
 
 // updateView replaces the targets by those of a view and keeps the state of known ones.
 func (p *Picker) updateView(v *receiver.View) {
-	if p.view != nil && p.view != v {
+	switch {
+	case p.view == nil || len(p.view.Targets) == 0:
+		p.warmups.outbreakAt = p.config.Clock.Now() // the list may be older than the start of this entry
+	case p.view != v:
 		p.doubtReturned(p.view, v)
 	}
 	if p.view == v || (p.view != nil && sameLists(p.view.Targets, v.Targets)) {
@@ -326,7 +331,7 @@
 		return
 	}
 	p.view = v
-	p.warmups.prune(p.config.Clock.Now())
+	p.pruneWarmups()
 	for name, list := range v.Targets {
 		s := p.services[name]
 		if s == nil {
@@ -444,7 +449,7 @@
 		k.Silence = now - t.warmup.respondedAt
 	}
 	k.CheckNeed = p.checkNeed(now, t, d)
-	k.CheckTimeout = checkAllowance + p.roundTrip(t.listed)
+	k.CheckTimeout, k.penalty = checkAllowance+p.roundTrip(t.listed), p.checkPenalty(now, k)
 	if t.statedSlowness > 0 {
 		k.Slowness, k.SlownessAge = t.statedSlowness, now-t.statedAt
 	}
@@ -452,7 +457,7 @@
 	if queue := k.Load + 1 - float64(slots); queue > 0 {
 		k.Wait = time.Duration(queue / float64(slots) * float64(w.mean) * t.expectedSlowness(now))
 	}
-	k.Cost = k.Wait + k.processing + p.roundTrip(t.listed) + p.checkPenalty(now, k)
+	k.Cost = k.Wait + k.processing + p.roundTrip(t.listed) + k.penalty
 	switch {
 	case t.listed.Region != p.config.Region:
 		k.Cost += crossRegionPenalty
--- a/entry/balancer/warmup.go
+++ b/entry/balancer/warmup.go
@@ -11,8 +11,9 @@
 // Parameters of what an entry knows of the warm-up of targets. The platform's list tells of a restart late, or
 // never while no leader can read it.
 const (
-	// doubtExpiry is how long a target is asked for its warm-up before requests are sent, unless it answers.
-	doubtExpiry = 8 * time.Second
+	// doubtExpiry is how long a target is asked for its warm-up before requests are sent, unless it answers. It is
+	// longer than an ejection, after which the target is tried for the first time.
+	doubtExpiry = 2*maxEjection + 4*time.Second
 	// checkPause is the time for which a target gets no requests that need a check after one that showed nothing.
 	checkPause = 250 * time.Millisecond
 	// outbreakTrigger is the time within which connections to two targets must break for an outbreak, and
@@ -35,6 +36,9 @@
 	// doubtedAt is when this entry last saw that the target may have restarted or become cold, without an
 	// answer since; 0 if it did not.
 	doubtedAt time.Duration
+	// returned is set if the doubt is about an evacuated zone: the target may have become cold without a
+	// restart, so that an open connection shows nothing.
+	returned bool
 	// respondedAt is when the target last responded; 0 if it never did.
 	respondedAt time.Duration
 	// coldUntil is the end of the warm-up that the target stated at statedAt; both are 0 if it never did.
@@ -59,7 +63,7 @@
 
 // record records for how long the target stated to stay cold.
 func (w *warmup) record(now, left time.Duration) {
-	w.doubtedAt, w.pausedUntil = 0, 0
+	w.doubtedAt, w.returned, w.pausedUntil = 0, false, 0
 	w.respondedAt, w.statedAt, w.coldUntil = now, now, now+left
 }
 
@@ -101,11 +105,17 @@
 	return w
 }
 
-// prune removes the warmups of targets that are not listed.
-func (s *warmups) prune(now time.Duration) {
-	for k, w := range s.byTarget {
+// pruneWarmups removes the warmups of targets that have not been listed for a while.
+func (p *Picker) pruneWarmups() {
+	now := p.config.Clock.Now()
+	for _, s := range p.services {
+		for _, t := range s.list {
+			t.warmup.listedAt = now
+		}
+	}
+	for k, w := range p.warmups.byTarget {
 		if now-w.listedAt > warmupRetention {
-			delete(s.byTarget, k)
+			delete(p.warmups.byTarget, k)
 		}
 	}
 }
@@ -123,14 +133,14 @@
 	w := k.state.warmup
 	k.endCheck()
 	switch {
-	case r.Misdirected:
-	case r.Status > 0:
-		w.respondedAt = now
-	case r.Withheld && w.statedAt >= k.pickedAt: // the target answered the check
+	case r.Misdirected, r.Withheld && k.stated:
 	case r.ConnectionLost:
 		w.doubt(now)
 		s.recordRestart(now, k.Target.Name)
-	case r.Withheld:
+	case r.Status > 0:
+		w.respondedAt = now
+	}
+	if r.Withheld && !k.stated {
 		w.pausedUntil = now + checkPause
 	}
 }
@@ -140,15 +150,17 @@
 	switch w := t.warmup; {
 	case !d.StatesWarmup, d.ColdRate == 0, t.isCold(now):
 		return carrier.Never
-	case w.isDoubted(now):
+	case w.isDoubted(now) && w.returned:
 		return carrier.Always
+	case w.isDoubted(now):
+		return carrier.UnlessOpen
 	case now < p.warmups.outbreakAt+outbreakSpan && w.respondedAt <= p.warmups.outbreakAt:
 		return carrier.UnlessOpen
 	}
 	return carrier.IfBroken
 }
 
-// checkPenalty returns what a check is expected to add to the cost of a target.
+// checkPenalty returns what a check adds to the cost of a target.
 func (p *Picker) checkPenalty(now time.Duration, k *Pick) time.Duration {
 	w := k.state.warmup
 	if k.CheckNeed == carrier.Always || (k.CheckNeed == carrier.UnlessOpen && (w.respondedAt == 0 || now-w.respondedAt > keptSpan)) {
@@ -168,6 +180,7 @@
 			for _, t := range s.list {
 				if t.listed.AvailabilityZone == zone {
 					t.warmup.doubt(p.config.Clock.Now())
+					t.warmup.returned = true
 				}
 			}
 		}
@@ -180,10 +193,15 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	k.endCheck()
+	k.stated = stated
 	if !stated {
 		return
 	}
-	k.state.warmup.record(p.config.Clock.Now(), left)
+	now := p.config.Clock.Now()
+	k.state.warmup.record(now, left)
+	if left > 0 && now >= p.warmups.outbreakAt+outbreakSpan { // it restarted before, so this does not prolong an outbreak
+		p.warmups.recordRestart(now, k.Target.Name)
+	}
 }
 
 // beginCheck counts the check of a request, and endCheck ends that.
--- a/entry/carrier/carrier.go
+++ b/entry/carrier/carrier.go
@@ -180,7 +180,8 @@
 	// Dialed is set if the connection is a new one, and DialTime is the time that it took to open it.
 	Dialed   bool
 	DialTime time.Duration
-	// CheckTime is the time that the request's Check took.
+	// Checked is set if the request's Check was sent, and CheckTime is the time that it took.
+	Checked   bool
 	CheckTime time.Duration
 	// Broken is the number of kept connections that had ended before the target's idle timeout.
 	Broken int
@@ -246,7 +247,7 @@
 	if r.Check.isDue(o) {
 		begun := c.config.Clock.Now()
 		n, err = c.check(ctx, n, r.Check)
-		o.CheckTime = c.config.Clock.Now() - begun
+		o.Checked, o.CheckTime = true, c.config.Clock.Now()-begun
 		if err != nil {
 			return nil, &Failure{Err: err, Withheld: true, Origin: o}
 		}
--- a/entry/forwarder/check.go
+++ b/entry/forwarder/check.go
@@ -15,11 +15,11 @@
 )
 
 // maxWarmup bounds the warm-up that a target may state.
-const maxWarmup = 10 * time.Minute
+const maxWarmup = time.Minute
 
 // newCheck returns the check by which a target states its warm-up before the request of an exchange is sent, or
-// nil if it is not asked.
-func (f *Forwarder) newCheck(e *handler.Exchange, t *parser.Target) *carrier.Check {
+// nil if it is not asked. The time that it takes is no longer left for the request.
+func (f *Forwarder) newCheck(e *handler.Exchange, t *parser.Target, r *carrier.Request) *carrier.Check {
 	d := f.config.Dialect
 	if d.Warmup == "" || e.Check.Need == carrier.Never {
 		return nil
@@ -31,6 +31,7 @@
 	return &carrier.Check{URI: e.Service.HealthPath, Host: t.Address, Header: header, Need: e.Check.Need, Timeout: e.Check.Timeout, Passes: func(a *carrier.Response) bool {
 		left, stated := parseWarmup(a.Status, a.Header, d.Warmup)
 		e.Check.Record(left, stated)
+		f.setHeaders(e, r, max(0, e.Deadline-f.config.Clock.Now()))
 		return stated && left == 0
 	}}
 }
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -142,7 +142,7 @@
 	if !e.Route.Open() {
 		r.BeforeSend = f.config.Fresh
 	}
-	r.Check = f.newCheck(e, t)
+	r.Check = f.newCheck(e, t, r)
 	response, failed := f.exchange(ctx, e, t.Address, r, left)
 	if failed != nil {
 		f.recordFailure(t, failed)
@@ -220,10 +220,13 @@
 // request did not run only if nothing was sent.
 func (f *Forwarder) classifyFailure(ctx context.Context, e *handler.Exchange, n *carrier.Failure, left time.Duration) *SendResult {
 	s := &SendResult{Unreachable: n.Refused, Result: dispatcher.Result{Failed: isTargetFault(ctx, e, left)}, Origin: n.Origin}
-	s.ConnectionLost = n.Origin.Broken > 0 || ((n.Refused || n.Sent) && ctx.Err() == nil && !isInvalid(n.Err))
+	s.ConnectionLost = (n.Origin.Broken > 0 && !n.Origin.Checked) || ((n.Refused || n.Sent) && ctx.Err() == nil && !isInvalid(n.Err))
 	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if n.Withheld && ctx.Err() != nil {
+		s.Result = dispatcher.Result{} // the check had less time than a target may need
+	}
 	switch {
-	case n.Withheld:
+	case n.Withheld && ctx.Err() == nil:
 		s.Withheld, s.Outcome = true, handler.Refuse(http.StatusServiceUnavailable, handler.ReasonNoCapacity)
 		s.Result.Failed = s.Result.Failed && isLost(n.Err)
 		s.ConnectionLost = s.ConnectionLost || s.Result.Failed
@@ -256,7 +259,7 @@
 
 // classifyResponse returns what a response means for the request and for its target.
 func (f *Forwarder) classifyResponse(e *handler.Exchange, t *parser.Target, response *carrier.Response, took time.Duration) *SendResult {
-	s := &SendResult{Origin: response.Origin, ConnectionLost: response.Origin.Broken > 0, Status: response.Status, Match: response.Match}
+	s := &SendResult{Origin: response.Origin, ConnectionLost: response.Origin.Broken > 0 && !response.Origin.Checked, Status: response.Status, Match: response.Match}
 	if f.mayAnswerAnother(response) {
 		s.Result = dispatcher.Result{Failed: true}
 		s.Outcome = handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUnmatched)
@@ -361,6 +364,7 @@
 	}
 	if err := copyBody(e.Writer, response.Remainder); err != nil {
 		s.Result.Failed = ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)
+		s.ConnectionLost = s.ConnectionLost || ctx.Err() == nil
 		return handler.MayHaveRun(http.StatusBadGateway, handler.ReasonUpstream), s.Result
 	}
 	return handler.Answered(), s.Result
