Ask a target again after the warm-up that it stated

While a target counts as cold an entry sends it nothing, so that it doesn't see another restart; with the warm-up over by its first statement, entries sent the usual traffic to a target that had restarted twice since: TestRestartedTargetsAreNotFlooded failed with 18 requests in a second of two entries, 11 allowed ('while no member of control runs'); the traces show that both had last heard of the target two restarts before.

After a stated warm-up the target is asked once more, unless it has responded since or a kept connection is open.

--- a/entry/balancer/order.go
+++ b/entry/balancer/order.go
@@ -86,7 +86,7 @@
 		}
 	}
 	if len(out) == 0 {
-		out = p.checkedCandidates(now, v, d, eligible, w)
+		out = p.checkedCandidates(now, d, eligible, w)
 	}
 	if float64(ejected) <= maxEjectedFraction*float64(ejected+len(out)) {
 		return out
@@ -100,7 +100,7 @@
 }
 
 // checkedCandidates returns the targets that get no request only since another one asks them for their warm-up.
-func (p *Picker) checkedCandidates(now time.Duration, v *receiver.View, d PickRequest, eligible []*target, w regionWeights) []candidate {
+func (p *Picker) checkedCandidates(now time.Duration, d PickRequest, eligible []*target, w regionWeights) []candidate {
 	var out []candidate
 	for _, t := range eligible {
 		c := *t.warmup
--- a/entry/balancer/warmup.go
+++ b/entry/balancer/warmup.go
@@ -56,6 +56,12 @@
 	return w.doubtedAt > 0 && now < w.doubtedAt+doubtExpiry
 }
 
+// isUnseen reports whether the target has sent nothing since it stated that it is cold. It got no requests, so that this
+// entry would not have seen another restart.
+func (w *warmup) isUnseen(now time.Duration) bool {
+	return w.coldUntil > w.statedAt && w.respondedAt <= w.statedAt && now < w.coldUntil+doubtExpiry
+}
+
 // doubt records that the target may be cold.
 func (w *warmup) doubt(now time.Duration) {
 	w.doubtedAt = max(now, 1)
@@ -152,7 +158,7 @@
 		return carrier.Never
 	case w.isDoubted(now) && w.returned:
 		return carrier.Always
-	case w.isDoubted(now):
+	case w.isDoubted(now), w.isUnseen(now):
 		return carrier.UnlessOpen
 	case now < p.warmups.outbreakAt+outbreakSpan && w.respondedAt <= p.warmups.outbreakAt:
 		return carrier.UnlessOpen
