Test withheld requests that end, and doubts after a cold answer

The tests guard against another check for a request whose caller has gone or whose time is over, and against a doubt of a target that answered the check although an older connection to it was lost. Two mutations of the code (recordResult, balance) passed the tests before.

--- a/entry/balancer/warmup_test.go
+++ b/entry/balancer/warmup_test.go
@@ -179,6 +179,12 @@
 			s.answer("south-0", time.Second, true)
 			s.now += time.Second + doubtExpiry
 		}, carrier.IfBroken},
+		{"cold, by itself, after an old connection is lost", func(s *statements) {
+			k, d := s.pickOnly("south-0", s.checkedRequest())
+			s.entry.picker.RecordWarmup(k, checkPause/2, true)
+			s.entry.picker.Done(k, d, &forwarder.SendResult{Withheld: true, ConnectionLost: true}, 0)
+			s.now += checkPause / 2
+		}, carrier.IfBroken},
 		{"cold, and a connection is lost after", func(s *statements) {
 			s.finish("south-0", lost)
 			s.answer("south-0", time.Second, true)
@@ -530,6 +536,30 @@
 	}
 }
 
+// TestEndedAfterWithheld guards against another check for a request whose caller has gone, or whose time is over.
+func TestEndedAfterWithheld(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		t.Run(map[bool]string{false: "deadline", true: "the caller leaves"}[leaves], func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			b, view, sent := newBalancer(10, nil)
+			e := newExchange(b, view, parser.ClassIdempotent)
+			b.config.Send = func(_ context.Context, _ *handler.Exchange, t *parser.Target) *forwarder.SendResult {
+				*sent = append(*sent, t.Name)
+				if leaves {
+					cancel()
+				} else {
+					e.Deadline = b.config.Clock.Now()
+				}
+				return &forwarder.SendResult{Withheld: true, Outcome: refusal}
+			}
+			is.Equal(b.balance(ctx, e).Run, handler.NotRun)
+			is.Equal(len(*sent), 1)
+		})
+	}
+}
+
 // TestDoubtOutlivesQuietList guards against a doubt that is lost when a target is gone for a moment, since the list had not
 // changed for long before.
 func TestDoubtOutlivesQuietList(t *testing.T) {
