End responses to callers of HTTP/1.0 without chunks

Symptom: a caller of HTTP/1.0 got a response of over 256 KiB in chunks, which that protocol does not have, so that their sizes were part of its content; and one that broke off ended as in order. A caller that asked to keep the connection got no word that it was kept, nor its end. Found in a search for other bodies that the end of a connection ends; there was none else on this side.

Cause: a streamed response without a length was chunked whatever the caller's version.

Change: such a body ends with its connection. From its head until it is whole, a close of the connection resets it, whoever closes it (SO_LINGER 0; so does the system when the process ends). Connections of HTTP/1.0 carry one request.

--- a/entry/acceptor/connection.go
+++ b/entry/acceptor/connection.go
@@ -325,6 +325,20 @@
 	<-readerDone
 }
 
+// setReset makes a close of the connection reset it, or no longer. It is set while the end of the connection would end a
+// body that is not sent as a whole.
+func (c *connection) setReset(v bool) {
+	t, ok := c.socket.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	seconds := -1 // the default
+	if v {
+		seconds = 0
+	}
+	_ = t.SetLinger(seconds) // fails only when closed
+}
+
 // stopIdleTimeout makes reads wait for input until finish sets a deadline. The deadline of a request
 // or of the idle timeout would end the lingering close at once.
 func (c *connection) stopIdleTimeout() {
--- a/entry/acceptor/exchange.go
+++ b/entry/acceptor/exchange.go
@@ -47,6 +47,8 @@
 	// streaming means that the head was sent and that the body is sent as the handler writes it.
 	streaming bool
 	chunked   bool
+	// unframed means that the end of the connection ends the body, since the caller knows no chunks.
+	unframed bool
 	// headPlace is the memory reserved for the head of the request.
 	headPlace *reserver.Place
 	// reserved is the size that the connection reserves for buffer.
@@ -173,7 +175,11 @@
 		return 0, io.ErrClosedPipe
 	}
 	e.streaming = true
-	e.chunked = e.header.Get("Content-Length") == ""
+	isSized := e.header.Get("Content-Length") != ""
+	e.chunked, e.unframed = !isSized && e.request.ProtoAtLeast(1, 1), !isSized && !e.request.ProtoAtLeast(1, 1)
+	if e.unframed {
+		e.connection.setReset(true)
+	}
 	if err := e.connection.write(e.encodeHead()); err != nil {
 		return 0, err
 	}
@@ -233,10 +239,13 @@
 // finishResponse sends what is left of the response.
 func (e *exchange) finishResponse() {
 	e.WriteHeader(http.StatusOK)
+	switch {
+	case e.chunked:
+		_ = e.connection.write([]byte("0\r\n\r\n")) // a failed write aborts the connection
+	case e.unframed:
+		e.connection.setReset(false)
+	}
 	if e.streaming {
-		if e.chunked {
-			_ = e.connection.write([]byte("0\r\n\r\n")) // a failed write aborts the connection
-		}
 		return
 	}
 	if e.header.Get("Content-Length") == "" && bodyAllowed(e.status) {
--- a/entry/acceptor/head.go
+++ b/entry/acceptor/head.go
@@ -49,6 +49,7 @@
 	if r.ProtoMajor != 1 || (r.ProtoMinor == 1 && r.Host == "") {
 		return nil, http.StatusBadRequest
 	}
+	r.Close = r.Close || r.ProtoMinor == 0 // no response tells such a caller that its connection is kept
 	return r, 0
 }
 
