Take a cold target that had responded for a new restart

From the trace and the code: an answer that a target is cold did not renew the outbreak that had begun with the entry's start, so that targets which had responded since then were not asked.

An answer from a target that had responded since the outbreak began now counts as a new restart; other cold answers still don't prolong it. TestOutbreak, the new case, failed before.

--- a/entry/balancer/warmup.go
+++ b/entry/balancer/warmup.go
@@ -203,10 +203,12 @@
 	if !stated {
 		return
 	}
-	now := p.config.Clock.Now()
-	k.state.warmup.record(now, left)
-	if left > 0 && now >= p.warmups.outbreakAt+outbreakSpan { // it restarted before, so this does not prolong an outbreak
-		p.warmups.recordRestart(now, k.Target.Name)
+	now, w, s := p.config.Clock.Now(), k.state.warmup, p.warmups
+	// A target that has not responded since an outbreak began may have restarted in it, which does not prolong it.
+	isNew := w.respondedAt > s.outbreakAt || now >= s.outbreakAt+outbreakSpan
+	w.record(now, left)
+	if left > 0 && isNew {
+		s.recordRestart(now, k.Target.Name)
 	}
 }
 
--- a/entry/balancer/warmup_test.go
+++ b/entry/balancer/warmup_test.go
@@ -347,6 +347,15 @@
 			s.finish("south-0", lost)
 			s.answer("south-1", time.Second, true)
 		}, carrier.UnlessOpen},
+		{"two targets are cold that responded since the last outbreak began", func(s *statements) {
+			both(s, 0)
+			s.now += outbreakSpan / 2
+			for _, name := range []string{"south-0", "south-1"} {
+				s.state(name).warmup.respondedAt = s.now
+				s.answer(name, time.Second, true)
+			}
+			s.state("south-2").warmup.respondedAt = s.now - moment
+		}, carrier.UnlessOpen},
 		{"one target is lost, another is warm", func(s *statements) {
 			s.finish("south-0", lost)
 			s.answer("south-1", 0, true)
