--- a/entry/forwarder/check.go
+++ b/entry/forwarder/check.go
@@ -28,12 +28,14 @@
 	if d.ExpectedTarget != "" {
 		header.Set(d.ExpectedTarget, t.Name)
 	}
-	return &carrier.Check{URI: e.Service.HealthPath, Host: t.Address, Header: header, Need: e.Check.Need, Timeout: e.Check.Timeout, Passes: func(a *carrier.Response) bool {
+	k := &carrier.Check{URI: e.Service.HealthPath, Host: t.Address, Header: header, Need: e.Check.Need, Timeout: e.Check.Timeout}
+	k.Passes = func(a *carrier.Response) bool {
 		left, stated := parseWarmup(a.Status, a.Header, d.Warmup)
 		e.Check.Record(left, stated)
 		f.setHeaders(e, r, max(0, e.Deadline-f.config.Clock.Now()))
 		return stated && left == 0
-	}}
+	}
+	return k
 }
 
 // isLost reports whether a connection failed by itself rather than by a time-out.
